--- /dev/null
+++ b/pistachiolever/__init__.py
@@ -0,0 +1,1 @@
+"""A router fleet that shares model and booking capacity fairly."""
--- /dev/null
+++ b/pistachiolever/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/pistachiolever/cli/caller.py
@@ -0,0 +1,152 @@
+"""Commands of a caller: send, resume, cancel."""
+
+from attrs import define
+from click import command, echo, option
+from httpx import Client, HTTPError
+from httpx_sse import connect_sse
+from orjson import loads
+
+from pistachiolever.cli.const import (
+    ACCOUNT_KEY_VARIABLE,
+    EXIT_FAILED,
+    EXIT_MAY_HAVE_RUN,
+    EXIT_NOT_RUN,
+    EXIT_OK,
+)
+from pistachiolever.cli.output import CommandFailedError
+from pistachiolever.core.verdict import Verdict
+
+ROUTER_OPTION = option("--router", "address", required=True, help="Its address.")
+KEY_OPTION = option(
+    "--key",
+    envvar=ACCOUNT_KEY_VARIABLE,
+    required=True,
+    help=f"The account's key, or set {ACCOUNT_KEY_VARIABLE}.",
+)
+REQUEST_OPTION = option("--request", "request_id", required=True, help="Its id.")
+
+
+@define
+class AnswerPrinter:
+    """Prints an answer as it comes and remembers how it ended."""
+
+    as_json: bool
+    exit_code: int = EXIT_MAY_HAVE_RUN
+    last_event_id: str = ""
+
+    def take(self, name: str, event_id: str, data: str) -> None:
+        """Print one event."""
+        self.last_event_id = event_id or self.last_event_id
+        if name == "final":
+            self.exit_code = _exit_code(loads(data))
+        if self.as_json:
+            echo(data)
+        elif name == "part":
+            echo(loads(data)["text"], nl=False)
+        else:
+            echo(f"\n[{name}] {data}")
+
+
+@command()
+@ROUTER_OPTION
+@KEY_OPTION
+@option("--service", required=True, help="The id of the service.")
+@option("--input", "text", required=True, help="What to ask.")
+@option("--idempotency-key", default="", help="For services that run at most once.")
+@option("--max-output-tokens", type=int, default=None, help="The longest answer.")
+@option("--json", "as_json", is_flag=True, help="Print the events' JSON.")
+def send(
+    address: str,
+    key: str,
+    service: str,
+    text: str,
+    idempotency_key: str,
+    max_output_tokens: int | None,
+    as_json: bool,
+) -> None:
+    """Send a request and show the answer as it comes.
+
+    Example: pistachiolever send --router 127.0.0.1:7101 --service planning
+    --input "Plan the week"
+    """
+    document: dict[str, object] = {"service": service, "input": text}
+    if max_output_tokens is not None:
+        document["max_output_tokens"] = max_output_tokens
+    headers = {"authorization": f"Bearer {key}"}
+    if idempotency_key:
+        headers["idempotency-key"] = idempotency_key
+    _stream("POST", f"http://{address}/v1/requests", headers, document, as_json)
+
+
+@command()
+@ROUTER_OPTION
+@KEY_OPTION
+@REQUEST_OPTION
+@option("--after", default="", help="The id of the last event that you have.")
+@option("--json", "as_json", is_flag=True, help="Print the events' JSON.")
+def resume(address: str, key: str, request_id: str, after: str, as_json: bool) -> None:
+    """Show the rest of an answer, through any router.
+
+    Example: pistachiolever resume --router 127.0.0.1:7102 --request ID
+    --after 7@engine-1
+    """
+    headers = {"authorization": f"Bearer {key}"}
+    if after:
+        headers["last-event-id"] = after
+    url = f"http://{address}/v1/requests/{request_id}/events"
+    _stream("GET", url, headers, None, as_json)
+
+
+@command()
+@ROUTER_OPTION
+@KEY_OPTION
+@REQUEST_OPTION
+def cancel(address: str, key: str, request_id: str) -> None:
+    """Stop a request at the router that holds it.
+
+    Example: pistachiolever cancel --router 127.0.0.1:7101 --request ID
+    """
+    headers = {"authorization": f"Bearer {key}"}
+    with Client(trust_env=False, timeout=30.0) as http:
+        response = http.delete(
+            f"http://{address}/v1/requests/{request_id}", headers=headers
+        )
+    echo(response.text)
+    if response.status_code != 200:
+        raise CommandFailedError("not cancelled", EXIT_FAILED)
+
+
+def _stream(
+    method: str,
+    url: str,
+    headers: dict[str, str],
+    document: dict[str, object] | None,
+    as_json: bool,
+) -> None:
+    """Print a streamed answer; end with the exit code of its verdict."""
+    printer = AnswerPrinter(as_json)
+    try:
+        with (
+            Client(trust_env=False, timeout=None) as http,
+            connect_sse(http, method, url, headers=headers, json=document) as source,
+        ):
+            if source.response.status_code != 200:
+                source.response.read()
+                refusal = loads(source.response.content)
+                raise CommandFailedError(source.response.text, _exit_code(refusal))
+            for event in source.iter_sse():
+                printer.take(event.event, event.id, event.data)
+    except HTTPError as error:
+        detail = f"the stream broke after event {printer.last_event_id or '-'}: {error}"
+        raise CommandFailedError(detail, EXIT_MAY_HAVE_RUN) from error
+    if printer.exit_code != EXIT_OK:
+        raise CommandFailedError("no whole answer", printer.exit_code)
+
+
+def _exit_code(document: dict[str, object]) -> int:
+    """Return the exit code of a final event or a refusal."""
+    if document.get("verdict") == Verdict.RAN.value and document.get("complete"):
+        return EXIT_OK
+    if document.get("verdict") == Verdict.NOT_RUN.value:
+        return EXIT_NOT_RUN
+    return EXIT_MAY_HAVE_RUN
--- /dev/null
+++ b/pistachiolever/cli/main.py
@@ -0,0 +1,66 @@
+"""The program `pistachiolever`: one command for each role and task."""
+
+from collections.abc import Sequence
+
+from absl import logging
+from click import Choice, group, option
+
+from pistachiolever.cli.caller import cancel, resume, send
+from pistachiolever.cli.documents import (
+    apply,
+    export,
+    history,
+    plan,
+    preset,
+    rollback,
+    validate,
+)
+from pistachiolever.cli.fleet import claims, status, timeline
+from pistachiolever.cli.roles import control, init, router, sidecar, standalone, version
+
+
+@group()
+@option(
+    "--log-level",
+    type=Choice(["debug", "info", "warning", "error"]),
+    default="warning",
+    help="How much to log on standard error.",
+)
+def cli(log_level: str) -> None:
+    """Share model and booking capacity fairly between client accounts.
+
+    Exit codes: 0 done, 1 failed or out of reach, 2 wrong usage, 3 invalid
+    settings or declarations, 4 conflict with another change, 5 the request was
+    not run, 6 the request may have run.
+    """
+    logging.set_verbosity(log_level)
+    logging.set_stderrthreshold(log_level)
+
+
+for command in (
+    apply,
+    cancel,
+    claims,
+    control,
+    export,
+    history,
+    init,
+    plan,
+    preset,
+    resume,
+    rollback,
+    router,
+    send,
+    sidecar,
+    standalone,
+    status,
+    timeline,
+    validate,
+    version,
+):
+    cli.add_command(command)
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Run the command line."""
+    cli(args=list(arguments) if arguments is not None else None)
--- /dev/null
+++ b/pistachiolever/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control process: durable state, directory, totals."""
--- /dev/null
+++ b/pistachiolever/control/commands.py
@@ -0,0 +1,77 @@
+"""Commands that the log carries, and what applying them gives."""
+
+from typing import Any
+
+from attrs import frozen
+from cattrs.preconf.orjson import make_converter
+from cattrs.strategies import configure_tagged_union
+from orjson import dumps, loads
+
+from pistachiolever.core.verdict import Verdict
+
+
+@frozen
+class ApplyDeclarations:
+    """Put declarations in force, if the base revision still is in force."""
+
+    change_id: str
+    base_revision: int
+    document: str
+    at_ms: int
+
+
+@frozen
+class OpenClaim:
+    """Claim an idempotency key for one attempt."""
+
+    account_id: str
+    service_id: str
+    key: str
+    body_digest: str
+    attempt_id: str
+    at_ms: int
+
+
+@frozen
+class CloseClaim:
+    """Store how an attempt ended; NOT_RUN frees its key."""
+
+    attempt_id: str
+    verdict: Verdict
+    outcome_sse: str
+    at_ms: int
+
+
+Command = ApplyDeclarations | OpenClaim | CloseClaim
+
+
+@frozen
+class ChangeResult:
+    """What became of a change.
+
+    `accepted` with the new revision, or a conflict with the revision in force and
+    the change that made it.
+    """
+
+    accepted: bool
+    revision: int
+    detail: str = ""
+    winner_change_id: str = ""
+    winner_document: str = ""
+
+
+_converter = make_converter()
+configure_tagged_union(Command, _converter, tag_name="kind")
+
+
+def command_text(command: Command) -> str:
+    """Return the command as text for the log."""
+    as_type: Any = Command
+    return dumps(_converter.unstructure(command, unstructure_as=as_type)).decode()
+
+
+def command_of(text: str) -> Command:
+    """Return the command of a text from the log."""
+    as_type: Any = Command
+    command: Command = _converter.structure(loads(text), as_type)
+    return command
--- /dev/null
+++ b/pistachiolever/control/const.py
@@ -0,0 +1,18 @@
+"""Constants of the control process."""
+
+from typing import Final
+
+FORMAT_VERSION: Final = 1
+LOCK_FILE: Final = "lock"
+IDENTITY_FILE: Final = "identity.json"
+SNAPSHOT_FILE: Final = "snapshot.json"
+LOG_FILE: Final = "log"
+RUNNING_CLAIM_SECONDS: Final = 900.0
+PROPOSE_SECONDS: Final = 4.0
+MAX_HISTORY: Final = 64
+MAX_CHANGE_IDS: Final = 4096
+WARM_UP_SECONDS: Final = 3.0
+EXTRA_ATTACH_SECONDS: Final = 10.0
+MAX_OUTCOME_BYTES: Final = 64 * 1024
+MAX_DECLARATIONS_BYTES: Final = 8 * 1024 * 1024
+MAX_CLOSED_BEFORE_OPEN: Final = 10_000
--- /dev/null
+++ b/pistachiolever/control/directory.py
@@ -0,0 +1,212 @@
+"""Which processes live, by lease, and which router works with which endpoint."""
+
+from collections.abc import Iterable
+from hashlib import blake2b
+from typing import Final
+
+from attrs import define, field, frozen
+
+from pistachiolever.control.const import EXTRA_ATTACH_SECONDS
+from pistachiolever.wire.models import (
+    EndpointEntry,
+    EndpointSet,
+    RouterHeartbeat,
+    SidecarHeartbeat,
+)
+
+VERSION_BYTES: Final = 8
+
+
+@define
+class EndpointLease:
+    """An announced endpoint; times are in seconds."""
+
+    entry: EndpointEntry
+    incarnation: str
+    revision: int
+    expires_at: float
+    running: int = 0
+    limit: int = 0
+    bids_seen: bool = False
+
+
+@define
+class RouterLease:
+    """A router that sends heartbeats."""
+
+    process_id: str
+    address: str
+    failure_domain: str
+    revision: int
+    expires_at: float
+    waiting_by_service: dict[str, int] = field(factory=dict)
+
+
+@frozen
+class LeaseEnd:
+    """A lease that ended, for the time line."""
+
+    process_id: str
+    detail: str
+
+
+@define
+class Directory:
+    """Leases of endpoints and routers, and the sets that follow from them.
+
+    Each endpoint works with `attach_count` routers, chosen by rendezvous hashing.
+    One with room that sees no bid is lent to a router with a backlog.
+    """
+
+    lease_seconds: float
+    attach_count: int
+    endpoint_by_id: dict[str, EndpointLease] = field(factory=dict)
+    router_by_id: dict[str, RouterLease] = field(factory=dict)
+    extra_until: dict[str, dict[str, float]] = field(factory=dict)
+    set_by_router: dict[str, EndpointSet] = field(factory=dict)
+    assigned_by_router: dict[str, set[str]] = field(factory=dict)
+    assignment_is_stale: bool = True
+
+    def announce(self, heartbeat: SidecarHeartbeat, now: float) -> bool:
+        """Renew an endpoint's lease, or end it at once; tell whether it is new."""
+        entry = heartbeat.entry
+        known = self.endpoint_by_id.get(entry.endpoint_id)
+        if heartbeat.draining:
+            if known is not None and known.incarnation == heartbeat.sender.incarnation:
+                self._drop_endpoint(entry.endpoint_id)
+            return False
+        is_new = known is None or known.entry != entry
+        self.endpoint_by_id[entry.endpoint_id] = EndpointLease(
+            entry,
+            heartbeat.sender.incarnation,
+            heartbeat.revision,
+            now + self.lease_seconds,
+            heartbeat.running,
+            heartbeat.limit,
+            heartbeat.bids_seen,
+        )
+        self.assignment_is_stale = self.assignment_is_stale or is_new
+        if not is_new and not heartbeat.bids_seen:
+            self._lend(entry.endpoint_id, now)
+        return is_new
+
+    def see_router(self, heartbeat: RouterHeartbeat, now: float) -> bool:
+        """Renew a router's lease; tell whether it is new."""
+        process_id = heartbeat.sender.process_id
+        is_new = process_id not in self.router_by_id
+        if heartbeat.draining:
+            self._drop_router(process_id)
+            return False
+        self.router_by_id[process_id] = RouterLease(
+            process_id,
+            heartbeat.address,
+            heartbeat.failure_domain,
+            heartbeat.revision,
+            now + self.lease_seconds,
+            {backlog.service_id: backlog.waiting for backlog in heartbeat.backlogs},
+        )
+        self.assignment_is_stale = self.assignment_is_stale or is_new
+        return is_new
+
+    def expire(self, now: float) -> list[LeaseEnd]:
+        """End the leases that were not renewed."""
+        ended = []
+        for endpoint_id, lease in list(self.endpoint_by_id.items()):
+            if lease.expires_at <= now:
+                self._drop_endpoint(endpoint_id)
+                ended.append(LeaseEnd(endpoint_id, "endpoint"))
+        for process_id, router in list(self.router_by_id.items()):
+            if router.expires_at <= now:
+                self._drop_router(process_id)
+                ended.append(LeaseEnd(process_id, "router"))
+        return ended
+
+    def set_for(self, process_id: str, now: float) -> EndpointSet:
+        """Return the endpoints that a router works with."""
+        if self.assignment_is_stale:
+            self._assign()
+        ids = set(self.assigned_by_router.get(process_id, set()))
+        extra = self.extra_until.get(process_id, {})
+        for endpoint_id, until in list(extra.items()):
+            if until <= now or endpoint_id not in self.endpoint_by_id:
+                del extra[endpoint_id]
+            else:
+                ids.add(endpoint_id)
+        return _endpoint_set(self.endpoint_by_id[name].entry for name in sorted(ids))
+
+    def _assign(self) -> None:
+        """Choose each endpoint's routers anew."""
+        routers = sorted(self.router_by_id)
+        self.assigned_by_router = {process_id: set() for process_id in routers}
+        for endpoint_id in self.endpoint_by_id:
+            for process_id in choose_routers(endpoint_id, routers, self.attach_count):
+                self.assigned_by_router[process_id].add(endpoint_id)
+        self.assignment_is_stale = False
+
+    def _lend(self, endpoint_id: str, now: float) -> None:
+        """Lend an endpoint with room and no bids to the router that waits most."""
+        lease = self.endpoint_by_id[endpoint_id]
+        if lease.running >= lease.limit:
+            return
+        service_id = lease.entry.service_id
+        waiting = [
+            router
+            for router in self.router_by_id.values()
+            if router.waiting_by_service.get(service_id, 0) > 0
+            and not self._works_with(router.process_id, endpoint_id)
+        ]
+        if not waiting:
+            return
+        neediest = max(
+            waiting,
+            key=lambda r: (
+                r.waiting_by_service[service_id] - self._lent_to(r.process_id),
+                _weight(endpoint_id, r.process_id),
+            ),
+        )
+        extra = self.extra_until.setdefault(neediest.process_id, {})
+        extra[endpoint_id] = now + EXTRA_ATTACH_SECONDS
+
+    def _works_with(self, process_id: str, endpoint_id: str) -> bool:
+        """Tell whether the router works with the endpoint already."""
+        if endpoint_id in self.assigned_by_router.get(process_id, set()):
+            return True
+        return endpoint_id in self.extra_until.get(process_id, {})
+
+    def _lent_to(self, process_id: str) -> int:
+        """Return how many endpoints are lent to a router."""
+        return len(self.extra_until.get(process_id, {}))
+
+    def _drop_endpoint(self, endpoint_id: str) -> None:
+        """Forget an endpoint."""
+        if self.endpoint_by_id.pop(endpoint_id, None) is not None:
+            self.assignment_is_stale = True
+
+    def _drop_router(self, process_id: str) -> None:
+        """Forget a router."""
+        self.extra_until.pop(process_id, None)
+        if self.router_by_id.pop(process_id, None) is not None:
+            self.assignment_is_stale = True
+
+
+def choose_routers(endpoint_id: str, routers: list[str], count: int) -> list[str]:
+    """Return the routers of an endpoint by rendezvous hashing."""
+    if len(routers) <= count:
+        return routers
+    ranked = sorted(routers, key=lambda name: _weight(endpoint_id, name), reverse=True)
+    return ranked[:count]
+
+
+def _weight(endpoint_id: str, process_id: str) -> bytes:
+    """Return the rendezvous weight of a pair."""
+    text = f"{endpoint_id}|{process_id}".encode()
+    return blake2b(text, digest_size=VERSION_BYTES).digest()
+
+
+def _endpoint_set(entries: Iterable[EndpointEntry]) -> EndpointSet:
+    """Return the entries with a version that names their content."""
+    listed = list(entries)
+    digest = blake2b(digest_size=VERSION_BYTES)
+    for entry in listed:
+        digest.update(f"{entry.endpoint_id} {entry.address}\n".encode())
+    return EndpointSet(digest.hexdigest(), listed)
--- /dev/null
+++ b/pistachiolever/control/http.py
@@ -0,0 +1,237 @@
+"""The HTTP face of a control process: the fleet's calls and the operators'."""
+
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+from anyio import move_on_after
+from attrs import define
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from pistachiolever.const import OLDEST_PROTOCOL_VERSION
+from pistachiolever.control.commands import CloseClaim, OpenClaim
+from pistachiolever.control.operators import OperatorFace
+from pistachiolever.control.tasks import (
+    ControlProcess,
+    NotLeadingError,
+    OutcomeUnknownError,
+)
+from pistachiolever.core.errors import ProtocolError
+from pistachiolever.edge.context import wall_ms
+from pistachiolever.edge.server import (
+    BodyTooLargeError,
+    is_fleet_call,
+    json_response,
+    read_inner_body,
+)
+from pistachiolever.events.const import EventCode
+from pistachiolever.raft.models import RaftEnvelope, Received
+from pistachiolever.wire.codec import decode, encode
+from pistachiolever.wire.const import (
+    CLAIM_CLOSE_PATH,
+    CLAIM_OPEN_PATH,
+    RAFT_PATH,
+    ROUTER_HEARTBEAT_PATH,
+    SIDECAR_HEARTBEAT_PATH,
+    WATCH_PATH,
+)
+from pistachiolever.wire.models import (
+    ClaimAnswer,
+    ClaimClose,
+    ClaimOpen,
+    RouterHeartbeat,
+    Sender,
+    SidecarHeartbeat,
+    SidecarHeartbeatReply,
+    WatchReply,
+    WatchRequest,
+)
+
+T = TypeVar("T")
+
+
+def make_control_app(process: ControlProcess) -> Starlette:
+    """Return the application that the fleet and operators call."""
+    fleet = FleetFace(process)
+    operators = OperatorFace(process)
+    return Starlette(
+        routes=[
+            Route(ROUTER_HEARTBEAT_PATH, fleet.router_heartbeat, methods=["POST"]),
+            Route(SIDECAR_HEARTBEAT_PATH, fleet.sidecar_heartbeat, methods=["POST"]),
+            Route(WATCH_PATH, fleet.watch, methods=["POST"]),
+            Route(CLAIM_OPEN_PATH, fleet.open_claim, methods=["POST"]),
+            Route(CLAIM_CLOSE_PATH, fleet.close_claim, methods=["POST"]),
+            Route(RAFT_PATH, fleet.raft, methods=["POST"]),
+            Route("/health", fleet.health),
+            Route("/ops/events", fleet.events),
+            *operators.routes(),
+        ]
+    )
+
+
+class CallRefusedError(Exception):
+    """A call is answered with a status instead of a reply."""
+
+    def __init__(self, status: int) -> None:
+        """Keep the HTTP status."""
+        super().__init__(str(status))
+        self.status = status
+
+
+@define
+class FleetFace:
+    """Calls of routers, sidecars and other control processes."""
+
+    process: ControlProcess
+
+    async def router_heartbeat(self, request: Request) -> Response:
+        """Take a router's counters; answer with totals and endpoints."""
+        return await self._answer(request, RouterHeartbeat, self._router_heartbeat)
+
+    async def sidecar_heartbeat(self, request: Request) -> Response:
+        """Renew an endpoint's lease."""
+        return await self._answer(request, SidecarHeartbeat, self._sidecar_heartbeat)
+
+    async def watch(self, request: Request) -> Response:
+        """Answer when a newer revision is in force, or after the wait."""
+        return await self._answer(request, WatchRequest, self._watch)
+
+    async def open_claim(self, request: Request) -> Response:
+        """Claim an idempotency key."""
+        return await self._answer(request, ClaimOpen, self._open_claim)
+
+    async def close_claim(self, request: Request) -> Response:
+        """Store the outcome of a claimed attempt."""
+        return await self._answer(request, ClaimClose, self._close_claim)
+
+    async def raft(self, request: Request) -> Response:
+        """Take messages of another member."""
+        return await self._answer(request, list[RaftEnvelope], self._raft)
+
+    async def health(self, request: Request) -> Response:
+        """Tell that the process lives."""
+        return json_response(b'{"healthy":true}')
+
+    async def events(self, request: Request) -> Response:
+        """Return the kept events of the time line."""
+        if not is_fleet_call(request, self.process.context.settings):
+            return Response(status_code=401)
+        return json_response(encode(self.process.context.recorder.after(0)))
+
+    async def _answer(
+        self,
+        request: Request,
+        message_type: type[T],
+        handle: Callable[[T], Awaitable[object]],
+    ) -> Response:
+        """Check, decode, handle and encode one call."""
+        if not is_fleet_call(request, self.process.context.settings):
+            return Response(status_code=401)
+        try:
+            message = decode(await read_inner_body(request), message_type)
+            reply = await handle(message)
+        except (ProtocolError, BodyTooLargeError):
+            return Response(status_code=400)
+        except CallRefusedError as error:
+            return Response(status_code=error.status)
+        except NotLeadingError:
+            return Response(status_code=409)
+        except OutcomeUnknownError:
+            return Response(status_code=504)
+        return json_response(encode(reply))
+
+    def _admit(self, sender: Sender) -> None:
+        """Take in a peer's stamp; refuse one that is too old."""
+        context = self.process.context
+        if sender.protocol_version < OLDEST_PROTOCOL_VERSION:
+            context.recorder.record(
+                EventCode.PEER_REFUSED,
+                detail=f"peer={sender.process_id} version={sender.protocol_version}",
+            )
+            raise CallRefusedError(426)
+        context.observe(sender.stamp)
+
+    async def _router_heartbeat(self, message: RouterHeartbeat) -> object:
+        """Pass a router's heartbeat to the hub."""
+        self._admit(message.sender)
+        hub = self.process.hub
+        if hub is None or not self.process.leads():
+            raise NotLeadingError
+        context = self.process.context
+        return hub.router_heartbeat(
+            message, context.sender(), context.revision, context.now()
+        )
+
+    async def _sidecar_heartbeat(self, message: SidecarHeartbeat) -> object:
+        """Pass a sidecar's heartbeat to the hub."""
+        self._admit(message.sender)
+        hub = self.process.hub
+        if hub is None or not self.process.leads():
+            raise NotLeadingError
+        context = self.process.context
+        if hub.sidecar_heartbeat(message, context.now()):
+            context.recorder.record(
+                EventCode.LEASE_STARTED, endpoint_id=message.entry.endpoint_id
+            )
+        lease = context.settings.lease_seconds
+        return SidecarHeartbeatReply(context.sender(), context.revision, lease)
+
+    async def _watch(self, message: WatchRequest) -> object:
+        """Wait for a revision that the process does not have."""
+        self._admit(message.sender)
+        with move_on_after(message.wait_seconds):
+            while self._revision() <= message.revision and not self.process.draining:
+                await self.process.changed.wait()
+        current = self.process.state.current()
+        if current is None or current.number <= message.revision:
+            return WatchReply(self._revision(), "")
+        return WatchReply(current.number, current.document)
+
+    def _revision(self) -> int:
+        """Return the revision in force here."""
+        current = self.process.state.current()
+        return current.number if current else 0
+
+    async def _open_claim(self, message: ClaimOpen) -> object:
+        """Commit a claim."""
+        self._admit(message.sender)
+        answer = await self.process.propose(
+            OpenClaim(
+                message.account_id,
+                message.service_id,
+                message.key,
+                message.body_digest,
+                message.request_id,
+                wall_ms(),
+            )
+        )
+        if isinstance(answer, ClaimAnswer):
+            self.process.context.recorder.record(
+                EventCode.CLAIM_OPENED if answer.granted else EventCode.CLAIM_REPEATED,
+                request_id=message.request_id,
+                account_id=message.account_id,
+                detail=f"state={answer.state or 'granted'}",
+            )
+        return answer
+
+    async def _close_claim(self, message: ClaimClose) -> object:
+        """Commit an outcome."""
+        self._admit(message.sender)
+        self.process.context.recorder.record(
+            EventCode.CLAIM_CLOSED,
+            request_id=message.attempt_id,
+            detail=f"verdict={message.verdict.value}",
+        )
+        return await self.process.propose(
+            CloseClaim(
+                message.attempt_id, message.verdict, message.outcome_sse, wall_ms()
+            )
+        )
+
+    async def _raft(self, message: list[RaftEnvelope]) -> object:
+        """Pass messages to the agreement."""
+        for envelope in message:
+            self.process.inbox.put(Received(envelope))
+        return True
--- /dev/null
+++ b/pistachiolever/control/hub.py
@@ -0,0 +1,77 @@
+"""Answers heartbeats: totals and floors for routers, leases for sidecars."""
+
+from attrs import define, field
+
+from pistachiolever.control.const import WARM_UP_SECONDS
+from pistachiolever.control.directory import Directory, LeaseEnd
+from pistachiolever.fairness.totals import FleetTotals
+from pistachiolever.wire.models import (
+    AccountService,
+    EndpointSet,
+    RouterHeartbeat,
+    RouterHeartbeatReply,
+    Sender,
+    SidecarHeartbeat,
+)
+
+
+@define
+class Hub:
+    """The fleet as the leading control process sees it.
+
+    All of it is rebuilt from heartbeats: a hub that has just begun asks routers
+    for everything and names no endpoint set until sidecars had time to announce.
+    """
+
+    directory: Directory
+    started_at: float
+    totals: FleetTotals = field(factory=FleetTotals)
+
+    def expire(self, now: float) -> list[LeaseEnd]:
+        """End leases and close silent incarnations."""
+        self.totals.expire(now)
+        return self.directory.expire(now)
+
+    def router_heartbeat(
+        self, heartbeat: RouterHeartbeat, sender: Sender, revision: int, now: float
+    ) -> RouterHeartbeatReply:
+        """Merge a router's counters and tell it what it needs."""
+        self.directory.see_router(heartbeat, now)
+        incarnation = heartbeat.sender.incarnation
+        if self.totals.is_expired(incarnation):
+            closed = self.totals.closed_counters(incarnation)
+            return RouterHeartbeatReply(
+                sender, revision, [], [], None, True, True, closed
+            )
+        is_known = self.totals.is_known(incarnation)
+        self.totals.adopt_lifts(heartbeat.lifts)
+        self.totals.publish(incarnation, heartbeat.accounts, now)
+        need_full = not is_known and not heartbeat.full
+        return RouterHeartbeatReply(
+            sender,
+            revision,
+            self.totals.floors(_services_of(heartbeat.accounts), now),
+            self.totals.totals_for(incarnation, heartbeat.accounts),
+            self._set_if_changed(heartbeat, now),
+            need_full,
+        )
+
+    def sidecar_heartbeat(self, heartbeat: SidecarHeartbeat, now: float) -> bool:
+        """Renew an endpoint's lease; tell whether it is new."""
+        return self.directory.announce(heartbeat, now)
+
+    def _set_if_changed(
+        self, heartbeat: RouterHeartbeat, now: float
+    ) -> EndpointSet | None:
+        """Return the router's endpoints if it holds another set."""
+        endpoint_set = self.directory.set_for(heartbeat.sender.process_id, now)
+        if endpoint_set.version == heartbeat.known_set:
+            return None
+        if heartbeat.known_set and now - self.started_at < WARM_UP_SECONDS:
+            return None
+        return endpoint_set
+
+
+def _services_of(accounts: list[AccountService]) -> list[str]:
+    """Return the services that a heartbeat names."""
+    return [account.service_id for account in accounts]
--- /dev/null
+++ b/pistachiolever/control/state.py
@@ -0,0 +1,217 @@
+"""The replicated state: declarations by revision, and claims of keys."""
+
+from attrs import define, evolve, field, frozen
+from cattrs.preconf.orjson import make_converter
+from orjson import dumps, loads
+
+from pistachiolever.control.commands import (
+    ApplyDeclarations,
+    ChangeResult,
+    CloseClaim,
+    Command,
+    OpenClaim,
+)
+from pistachiolever.control.const import (
+    MAX_CHANGE_IDS,
+    MAX_CLOSED_BEFORE_OPEN,
+    MAX_HISTORY,
+    MAX_OUTCOME_BYTES,
+    RUNNING_CLAIM_SECONDS,
+)
+from pistachiolever.core.verdict import Verdict
+from pistachiolever.wire.models import ClaimAnswer, ClaimClosed
+
+
+@frozen
+class StoredRevision:
+    """Declarations that are or were in force."""
+
+    number: int
+    change_id: str
+    document: str
+    at_ms: int
+
+
+@frozen
+class Claim:
+    """What is known of an idempotency key; `done` once an outcome is stored."""
+
+    key: str
+    attempt_id: str
+    body_digest: str
+    opened_ms: int
+    done: bool = False
+    verdict: Verdict = Verdict.MAY_HAVE_RUN
+    outcome_sse: str = ""
+
+
+Result = ChangeResult | ClaimAnswer | ClaimClosed
+
+
+@define
+class ControlState:
+    """The state machine that every control process runs."""
+
+    claim_window_seconds: float
+    revisions: list[StoredRevision] = field(factory=list)
+    result_by_change: dict[str, ChangeResult] = field(factory=dict)
+    claim_by_key: dict[str, Claim] = field(factory=dict)
+    key_by_attempt: dict[str, str] = field(factory=dict)
+    closed_before_open: dict[str, int] = field(factory=dict)
+
+    def apply(self, command: Command) -> Result:
+        """Run one committed command."""
+        if isinstance(command, ApplyDeclarations):
+            return self._apply_declarations(command)
+        if isinstance(command, OpenClaim):
+            return self._open_claim(command)
+        return self._close_claim(command)
+
+    def current(self) -> StoredRevision | None:
+        """Return the revision in force, if any was accepted yet."""
+        return self.revisions[-1] if self.revisions else None
+
+    def dump(self) -> str:
+        """Return the whole state as text."""
+        return dumps(_converter.unstructure(self)).decode()
+
+    def load(self, text: str) -> None:
+        """Replace the state by one that was dumped."""
+        other = _converter.structure(loads(text), ControlState)
+        self.revisions = other.revisions
+        self.result_by_change = other.result_by_change
+        self.claim_by_key = other.claim_by_key
+        self.key_by_attempt = other.key_by_attempt
+        self.closed_before_open = other.closed_before_open
+
+    # Declarations.
+
+    def _apply_declarations(self, command: ApplyDeclarations) -> ChangeResult:
+        """Accept a change against the revision in force; the first one wins."""
+        known = self.result_by_change.get(command.change_id)
+        if known is not None:
+            return known
+        current = self.current()
+        number = current.number if current else 0
+        if command.base_revision != number:
+            return self._conflict(command, current)
+        revision = StoredRevision(
+            number + 1, command.change_id, command.document, command.at_ms
+        )
+        self.revisions.append(revision)
+        del self.revisions[:-MAX_HISTORY]
+        result = ChangeResult(True, revision.number)
+        self.result_by_change[command.change_id] = result
+        if len(self.result_by_change) > MAX_CHANGE_IDS:
+            del self.result_by_change[next(iter(self.result_by_change))]
+        return result
+
+    def _conflict(
+        self, command: ApplyDeclarations, current: StoredRevision | None
+    ) -> ChangeResult:
+        """Tell which change won."""
+        number = current.number if current else 0
+        return ChangeResult(
+            False,
+            number,
+            f"the change was made against revision {command.base_revision}, "
+            f"but {number} is in force; plan it again",
+            current.change_id if current else "",
+            current.document if current else "",
+        )
+
+    # Claims.
+
+    def _open_claim(self, command: OpenClaim) -> ClaimAnswer:
+        """Grant a key to its first attempt; tell others how that one stands."""
+        self._forget_old_claims(command.at_ms)
+        if command.attempt_id in self.closed_before_open:
+            return ClaimAnswer(False, command.attempt_id, state="withdrawn")
+        key = f"{command.account_id}/{command.service_id}/{command.key}"
+        claim = self.claim_by_key.get(key)
+        if claim is None:
+            self.claim_by_key[key] = Claim(
+                key, command.attempt_id, command.body_digest, command.at_ms
+            )
+            self.key_by_attempt[command.attempt_id] = key
+            return ClaimAnswer(True, command.attempt_id, command.attempt_id)
+        if claim.attempt_id == command.attempt_id:
+            return ClaimAnswer(True, command.attempt_id, command.attempt_id)
+        return self._answer_of(claim, command)
+
+    def _answer_of(self, claim: Claim, command: OpenClaim) -> ClaimAnswer:
+        """Tell how the first attempt of a key stands."""
+        if claim.body_digest != command.body_digest:
+            return ClaimAnswer(
+                False,
+                claim.attempt_id,
+                state="reused",
+                verdict=Verdict.NOT_RUN,
+                detail="the key was used with another input; take a new key",
+            )
+        if claim.done and claim.outcome_sse:
+            return ClaimAnswer(
+                False,
+                claim.attempt_id,
+                state="done",
+                verdict=claim.verdict,
+                outcome_sse=claim.outcome_sse,
+            )
+        age_seconds = (command.at_ms - claim.opened_ms) / 1000
+        if claim.done or age_seconds > RUNNING_CLAIM_SECONDS:
+            return ClaimAnswer(
+                False,
+                claim.attempt_id,
+                state="unknown",
+                verdict=claim.verdict,
+                detail="the outcome is not known; ask the service's owner",
+            )
+        return ClaimAnswer(
+            False,
+            claim.attempt_id,
+            state="running",
+            verdict=Verdict.MAY_HAVE_RUN,
+            detail="the first attempt has not ended; ask again with the same key",
+        )
+
+    def _close_claim(self, command: CloseClaim) -> ClaimClosed:
+        """Store an outcome, or free the key of an attempt that was not run."""
+        key = self.key_by_attempt.get(command.attempt_id)
+        if key is None:
+            self._note_closed_before_open(command)
+            return ClaimClosed(True)
+        claim = self.claim_by_key[key]
+        if command.verdict is Verdict.NOT_RUN:
+            if not claim.done:
+                del self.claim_by_key[key]
+                del self.key_by_attempt[command.attempt_id]
+                self._note_closed_before_open(command)
+            return ClaimClosed(True)
+        if claim.done and claim.verdict is Verdict.RAN:
+            return ClaimClosed(True)
+        sse = command.outcome_sse
+        if len(sse) > MAX_OUTCOME_BYTES:
+            sse = ""
+        self.claim_by_key[key] = evolve(
+            claim, done=True, verdict=command.verdict, outcome_sse=sse
+        )
+        return ClaimClosed(True)
+
+    def _note_closed_before_open(self, command: CloseClaim) -> None:
+        """Remember an attempt that was given up, should its claim come late."""
+        self.closed_before_open[command.attempt_id] = command.at_ms
+        if len(self.closed_before_open) > MAX_CLOSED_BEFORE_OPEN:
+            del self.closed_before_open[next(iter(self.closed_before_open))]
+
+    def _forget_old_claims(self, now_ms: int) -> None:
+        """Drop claims that are older than the window; they stand in time order."""
+        limit = now_ms - self.claim_window_seconds * 1000
+        while self.claim_by_key:
+            key, claim = next(iter(self.claim_by_key.items()))
+            if claim.opened_ms >= limit:
+                return
+            del self.claim_by_key[key]
+            self.key_by_attempt.pop(claim.attempt_id, None)
+
+
+_converter = make_converter()
--- /dev/null
+++ b/pistachiolever/control/storage.py
@@ -0,0 +1,249 @@
+"""The files of a control process: one data folder, synced before any answer."""
+
+import fcntl
+import os
+from pathlib import Path
+from typing import IO, Any, Protocol, TypeVar
+from zlib import crc32
+
+from attrs import define, field, frozen
+from cattrs.preconf.orjson import make_converter
+from cattrs.strategies import configure_tagged_union
+from orjson import JSONDecodeError, dumps, loads
+
+from pistachiolever.control.const import (
+    FORMAT_VERSION,
+    IDENTITY_FILE,
+    LOCK_FILE,
+    LOG_FILE,
+    SNAPSHOT_FILE,
+)
+from pistachiolever.raft.models import Entry, HardState, Snapshot, StoredLog
+
+T = TypeVar("T")
+Record = HardState | Entry
+
+_converter = make_converter()
+configure_tagged_union(Record, _converter, tag_name="kind")
+
+
+class StorageError(Exception):
+    """The data folder cannot be used; the text says why and what to do."""
+
+
+@frozen
+class Identity:
+    """Who this data folder belongs to; a lost disk loses its right to vote."""
+
+    member_id: str
+    may_vote: bool
+    format_version: int = FORMAT_VERSION
+
+
+class Disk(Protocol):
+    """The few file operations that the storage needs."""
+
+    def read(self, name: str) -> bytes | None:
+        """Return a file's content, or None when there is none."""
+
+    def append(self, name: str, data: bytes) -> None:
+        """Add to a file and sync it."""
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Replace a file as one step and sync it and its folder."""
+
+
+@define
+class FolderDisk:
+    """A folder that one process has locked."""
+
+    folder: Path
+    lock: IO[str] = field(init=False)
+    open_files: dict[str, int] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Create and lock the folder; raise StorageError if another has it."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        # The lock lasts as long as the file is open.
+        self.lock = open(self.folder / LOCK_FILE, "w")  # noqa: SIM115
+        try:
+            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            self.lock.close()
+            detail = f"{self.folder}: another process uses this data folder"
+            raise StorageError(detail) from error
+
+    def close(self) -> None:
+        """Unlock the folder."""
+        for descriptor in self.open_files.values():
+            os.close(descriptor)
+        self.open_files.clear()
+        self.lock.close()
+
+    def read(self, name: str) -> bytes | None:
+        """Return a file's content, or None when there is none."""
+        path = self.folder / name
+        return path.read_bytes() if path.exists() else None
+
+    def append(self, name: str, data: bytes) -> None:
+        """Add to a file and sync it; a new file's folder is synced too."""
+        descriptor = self.open_files.get(name)
+        if descriptor is None:
+            is_new = not (self.folder / name).exists()
+            flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+            descriptor = os.open(self.folder / name, flags, 0o600)
+            self.open_files[name] = descriptor
+            if is_new:
+                self._sync_folder()
+        view = memoryview(data)
+        while view:
+            view = view[os.write(descriptor, view) :]
+        os.fsync(descriptor)
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Replace a file as one step and sync it and its folder."""
+        descriptor = self.open_files.pop(name, None)
+        if descriptor is not None:
+            os.close(descriptor)
+        temporary = self.folder / f"{name}.new"
+        with open(temporary, "wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(temporary, self.folder / name)
+        self._sync_folder()
+
+    def _sync_folder(self) -> None:
+        """Make the folder's entries last."""
+        descriptor = os.open(self.folder, os.O_RDONLY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+
+@define
+class LogStorage:
+    """The log, term and snapshot of a member on a disk.
+
+    The log file holds checksummed lines. An entry replaces all entries from its
+    index on. A torn last line is what a crash leaves and is dropped; a bad line
+    with good ones after it is damage and is refused.
+    """
+
+    disk: Disk
+
+    def load(self) -> StoredLog:
+        """Return what the disk holds; raise StorageError when it is damaged."""
+        snapshot = self._load_snapshot()
+        hard_state = HardState()
+        entries: list[Entry] = []
+        for record in self._load_records():
+            if isinstance(record, HardState):
+                hard_state = record
+                continue
+            if record.index <= snapshot.index:
+                continue
+            offset = record.index - snapshot.index - 1
+            if offset > len(entries):
+                raise StorageError(
+                    f"{LOG_FILE}: entry {record.index} follows "
+                    f"{snapshot.index + len(entries)}; restore this folder"
+                )
+            del entries[offset:]
+            entries.append(record)
+        return StoredLog(hard_state, snapshot, entries)
+
+    def append(self, records: list[Record]) -> None:
+        """Add records and sync them all at once."""
+        self.disk.append(LOG_FILE, b"".join(_line_of(record) for record in records))
+
+    def replace(
+        self, snapshot: Snapshot, hard_state: HardState, entries: list[Entry]
+    ) -> None:
+        """Write a snapshot, then a log that starts after it."""
+        body = dumps(_converter.unstructure(snapshot))
+        self.disk.replace(SNAPSHOT_FILE, _checked(body))
+        records: list[Record] = [hard_state, *entries]
+        self.disk.replace(LOG_FILE, b"".join(_line_of(record) for record in records))
+
+    def load_identity(self) -> Identity | None:
+        """Return who the folder belongs to."""
+        data = self.disk.read(IDENTITY_FILE)
+        if data is None:
+            return None
+        identity = _converter.structure(loads(data), Identity)
+        if identity.format_version != FORMAT_VERSION:
+            raise StorageError(
+                f"{IDENTITY_FILE}: format {identity.format_version} is not "
+                f"{FORMAT_VERSION}; use the program version that wrote it"
+            )
+        return identity
+
+    def save_identity(self, identity: Identity) -> None:
+        """Write who the folder belongs to."""
+        self.disk.replace(IDENTITY_FILE, dumps(_converter.unstructure(identity)))
+
+    def _load_snapshot(self) -> Snapshot:
+        """Return the snapshot, or an empty one."""
+        data = self.disk.read(SNAPSHOT_FILE)
+        if data is None:
+            return Snapshot()
+        body = _body_of(data.rstrip(b"\n"))
+        if body is None:
+            raise StorageError(f"{SNAPSHOT_FILE}: damaged; restore this folder")
+        return _converter.structure(loads(body), Snapshot)
+
+    def _load_records(self) -> list[Record]:
+        """Return the good lines of the log; cut off a torn end."""
+        data = self.disk.read(LOG_FILE)
+        if data is None:
+            return []
+        lines = data.split(b"\n")
+        has_torn_end = lines.pop() != b""
+        records: list[Record] = []
+        good_bytes = 0
+        for number, line in enumerate(lines):
+            body = _body_of(line)
+            if body is None:
+                if any(_body_of(later) is not None for later in lines[number + 1 :]):
+                    raise StorageError(
+                        f"{LOG_FILE}: line {number + 1} is damaged and others follow; "
+                        "restore this folder from a backup or replace this VM"
+                    )
+                has_torn_end = True
+                break
+            records.append(_record_of(body))
+            good_bytes += len(line) + 1
+        if has_torn_end:
+            self.disk.replace(LOG_FILE, data[:good_bytes])
+        return records
+
+
+def _checked(body: bytes) -> bytes:
+    """Return a line that carries its checksum."""
+    return b"%08x %s\n" % (crc32(body), body)
+
+
+def _line_of(record: Record) -> bytes:
+    """Return a record as a checked line."""
+    as_type: Any = Record
+    return _checked(dumps(_converter.unstructure(record, unstructure_as=as_type)))
+
+
+def _body_of(line: bytes) -> bytes | None:
+    """Return the content of a checked line, or None when it is damaged."""
+    checksum, _, body = line.partition(b" ")
+    if len(checksum) != 8 or b"%08x" % crc32(body) != checksum:
+        return None
+    return body
+
+
+def _record_of(body: bytes) -> Record:
+    """Return the record of a good line."""
+    as_type: Any = Record
+    try:
+        record: Record = _converter.structure(loads(body), as_type)
+    except (JSONDecodeError, KeyError, TypeError, ValueError) as error:
+        raise StorageError(f"{LOG_FILE}: a record of unknown form") from error
+    return record
--- /dev/null
+++ b/pistachiolever/core/__init__.py
@@ -0,0 +1,1 @@
+"""What every package shares: verdicts, ids, clocks."""
--- /dev/null
+++ b/pistachiolever/declarations/__init__.py
@@ -0,0 +1,1 @@
+"""What operators declare: accounts, services, presets."""
--- /dev/null
+++ b/pistachiolever/edge/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP servers and clients, keys and TLS."""
--- /dev/null
+++ b/pistachiolever/edge/client.py
@@ -0,0 +1,90 @@
+"""Typed calls to other processes of the fleet, over HTTP with JSON."""
+
+from ssl import SSLContext, create_default_context
+from typing import TypeVar
+
+from attrs import define, field
+from httpx import AsyncClient, ConnectError, ConnectTimeout, HTTPError, Limits, Timeout
+
+from pistachiolever.core.errors import ProtocolError
+from pistachiolever.edge.const import CALL_SECONDS, CONNECT_SECONDS, MAX_CONNECTIONS
+from pistachiolever.settings.models import ProcessSettings
+from pistachiolever.wire.codec import decode, encode
+
+T = TypeVar("T")
+
+
+class PeerError(Exception):
+    """A call to another process failed.
+
+    `may_have_arrived` is false only when the call certainly had no effect.
+    """
+
+    def __init__(self, detail: str, may_have_arrived: bool, status: int = 0) -> None:
+        """Keep what is known of the failure."""
+        super().__init__(detail)
+        self.may_have_arrived = may_have_arrived
+        self.status = status
+
+
+@define
+class FleetClient:
+    """Calls processes of this fleet by address."""
+
+    settings: ProcessSettings
+    http: AsyncClient = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Open the connection pool."""
+        self.http = AsyncClient(
+            headers={"authorization": f"Bearer {self.settings.fleet_secret}"},
+            verify=_verification(self.settings),
+            timeout=Timeout(CALL_SECONDS, connect=CONNECT_SECONDS),
+            limits=Limits(max_connections=MAX_CONNECTIONS),
+            trust_env=False,
+        )
+
+    def url(self, address: str, path: str) -> str:
+        """Return the URL of a path at a process."""
+        scheme = "https" if self.settings.tls.authority_file else "http"
+        return f"{scheme}://{address}{path}"
+
+    async def call(
+        self,
+        address: str,
+        path: str,
+        message: object,
+        reply_type: type[T],
+        seconds: float = CALL_SECONDS,
+    ) -> T:
+        """Send a message; return the typed reply or raise PeerError."""
+        try:
+            response = await self.http.post(
+                self.url(address, path),
+                content=encode(message),
+                timeout=Timeout(seconds, connect=CONNECT_SECONDS),
+            )
+        except (ConnectError, ConnectTimeout) as error:
+            raise PeerError(f"{address} is out of reach: {error}", False) from error
+        except HTTPError as error:
+            detail = f"{address} did not answer: {type(error).__name__}"
+            raise PeerError(detail, True) from error
+        if response.status_code != 200:
+            refused = response.status_code in (401, 409, 426)
+            detail = f"{address}{path} answered {response.status_code}"
+            raise PeerError(detail, not refused, response.status_code)
+        try:
+            return decode(response.content, reply_type)
+        except ProtocolError as error:
+            raise PeerError(str(error), True) from error
+
+    async def close(self) -> None:
+        """Close the connection pool."""
+        await self.http.aclose()
+
+
+def _verification(settings: ProcessSettings) -> SSLContext | bool:
+    """Return how the certificates of other processes are checked."""
+    if not settings.tls.authority_file:
+        return False
+    return create_default_context(cafile=settings.tls.authority_file)
--- /dev/null
+++ b/pistachiolever/edge/control_client.py
@@ -0,0 +1,93 @@
+"""Calls to control: any of its processes that answers."""
+
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+from anyio import sleep
+from attrs import define, field
+
+from pistachiolever.declarations.codec import from_text
+from pistachiolever.declarations.models import Revision
+from pistachiolever.edge.client import FleetClient, PeerError
+from pistachiolever.edge.const import CALL_SECONDS
+from pistachiolever.edge.context import ProcessContext
+from pistachiolever.events.const import EventCode
+from pistachiolever.wire.const import WATCH_PATH
+from pistachiolever.wire.models import WatchReply, WatchRequest
+
+T = TypeVar("T")
+
+WATCH_WAIT_SECONDS = 20.0
+RETRY_SECONDS = 0.5
+
+
+@define
+class ControlClient:
+    """Knows the addresses of control and which one answered last."""
+
+    context: ProcessContext
+    client: FleetClient
+    current: int = 0
+    reachable: bool = field(default=True)
+
+    async def call(
+        self,
+        path: str,
+        message: object,
+        reply_type: type[T],
+        seconds: float = CALL_SECONDS,
+    ) -> T:
+        """Ask each control process in turn; raise PeerError when none answers.
+
+        `may_have_arrived` of the error is false only if no process took the call.
+        """
+        addresses = self.context.settings.control_addresses
+        may_have_arrived = False
+        last = ""
+        for _ in addresses:
+            address = addresses[self.current % len(addresses)]
+            try:
+                reply = await self.client.call(
+                    address, path, message, reply_type, seconds
+                )
+                self._note_reachable(True, "")
+                return reply
+            except PeerError as error:
+                may_have_arrived = may_have_arrived or error.may_have_arrived
+                last = str(error)
+                self.current += 1
+        self._note_reachable(False, last)
+        raise PeerError(last, may_have_arrived)
+
+    async def watch(self, apply: Callable[[Revision], Awaitable[None]]) -> None:
+        """Follow the declarations; never go back to an older revision."""
+        while True:
+            try:
+                reply = await self.call(
+                    WATCH_PATH,
+                    WatchRequest(
+                        self.context.sender(),
+                        self.context.revision,
+                        WATCH_WAIT_SECONDS,
+                    ),
+                    WatchReply,
+                    WATCH_WAIT_SECONDS + CALL_SECONDS,
+                )
+            except PeerError:
+                await sleep(RETRY_SECONDS * (0.5 + self.context.rng.random()))
+                continue
+            if reply.revision <= self.context.revision:
+                continue
+            revision = Revision.of(reply.revision, from_text(reply.document))
+            self.context.revision = reply.revision
+            self.context.recorder.record(
+                EventCode.REVISION_IN_FORCE,
+                detail=f"revision={revision.number} preset={revision.preset.id}",
+            )
+            await apply(revision)
+
+    def _note_reachable(self, reachable: bool, detail: str) -> None:
+        """Record when control goes out of reach."""
+        if self.reachable and not reachable:
+            self.context.recorder.record(EventCode.CONTROL_UNREACHABLE, detail=detail)
+        self.reachable = reachable
--- /dev/null
+++ b/pistachiolever/edge/sse.py
@@ -0,0 +1,45 @@
+"""Text of the events that callers read."""
+
+from orjson import dumps
+
+from pistachiolever.core.errors import Refusal
+from pistachiolever.wire.models import Outcome
+
+
+def part_event(number: int, endpoint_id: str, text: str) -> str:
+    """Return one part of an answer as a server-sent event."""
+    data = dumps({"text": text}).decode()
+    return f"id: {number}@{endpoint_id}\nevent: part\ndata: {data}\n\n"
+
+
+def result_event(number: int, endpoint_id: str, result_json: str) -> str:
+    """Return the whole result of a plain service as a server-sent event."""
+    return f"id: {number}@{endpoint_id}\nevent: result\ndata: {result_json}\n\n"
+
+
+def final_event(number: int, endpoint_id: str, parts: int, outcome: Outcome) -> str:
+    """Return the explicit end of an answer as a server-sent event."""
+    data = dumps(
+        {
+            "verdict": outcome.verdict.value,
+            "complete": outcome.complete,
+            "parts": parts,
+            "digest": outcome.digest,
+            "reason": outcome.reason,
+        }
+    ).decode()
+    return f"id: {number}@{endpoint_id}\nevent: final\ndata: {data}\n\n"
+
+
+def refusal_event(refusal: Refusal) -> str:
+    """Return the end that a router writes when no endpoint could."""
+    data = dumps(
+        {
+            "verdict": refusal.verdict.value,
+            "complete": False,
+            "reason": refusal.reason,
+            "detail": refusal.detail,
+            "retry_after_seconds": refusal.retry_after_seconds,
+        }
+    ).decode()
+    return f"event: final\ndata: {data}\n\n"
--- /dev/null
+++ b/pistachiolever/events/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered events and the time line."""
--- /dev/null
+++ b/pistachiolever/events/const.py
@@ -0,0 +1,43 @@
+"""Numbers of the events; docs/EVENTS.md explains each."""
+
+from enum import IntEnum
+from typing import Final
+
+RING_EVENTS: Final = 4096
+
+
+class EventCode(IntEnum):
+    """The number of an event: 1xx router, 2xx sidecar, 3xx control, 9xx process."""
+
+    REQUEST_ACCEPTED = 101
+    REQUEST_REFUSED = 102
+    REQUEST_DISPATCHED = 103
+    REQUEST_FINISHED = 104
+    REQUEST_RETRIED = 105
+    REQUEST_CANCELLED = 106
+    STREAM_RESUMED = 107
+    SESSION_UP = 110
+    SESSION_LOST = 111
+    RUN_STARTED = 201
+    RUN_FINISHED = 202
+    RUN_REFUSED = 203
+    RUN_CANCELLED = 204
+    ROUTER_ATTACHED = 210
+    ROUTER_DETACHED = 211
+    LIMIT_CHANGED = 220
+    ORDER_REFUSED = 230
+    ORDER_PASSED = 231
+    REVISION_ACCEPTED = 301
+    REVISION_CONFLICT = 302
+    CLAIM_OPENED = 310
+    CLAIM_REPEATED = 311
+    CLAIM_CLOSED = 312
+    LEASE_STARTED = 320
+    LEASE_ENDED = 321
+    PEER_REFUSED = 330
+    LOG_RECOVERED = 340
+    PROCESS_STARTED = 901
+    PROCESS_DRAINING = 902
+    PROCESS_STOPPED = 903
+    REVISION_IN_FORCE = 910
+    CONTROL_UNREACHABLE = 920
--- /dev/null
+++ b/pistachiolever/fairness/__init__.py
@@ -0,0 +1,1 @@
+"""Accounting of service and the order of accounts."""
--- /dev/null
+++ b/pistachiolever/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Counters and timings sent by statsd."""
--- /dev/null
+++ b/pistachiolever/raft/__init__.py
@@ -0,0 +1,1 @@
+"""Agreement among the control processes on one log of commands."""
--- /dev/null
+++ b/pistachiolever/raft/core.py
@@ -0,0 +1,434 @@
+"""The agreement's decisions, without sockets, disks or clocks of its own."""
+
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from attrs import define, field
+
+from pistachiolever.raft.const import (
+    ELECTION_SECONDS,
+    ELECTION_SPREAD_SECONDS,
+    HEARTBEAT_SECONDS,
+    LEASE_SECONDS,
+    MAX_APPEND_ENTRIES,
+)
+from pistachiolever.raft.log import MemberLog
+from pistachiolever.raft.models import (
+    Append,
+    AppendReply,
+    Apply,
+    Compacted,
+    Entry,
+    HardState,
+    InstallSnapshot,
+    PersistEntries,
+    PersistSnapshot,
+    PersistState,
+    ProposalPlaced,
+    ProposalRefused,
+    Propose,
+    RaftAction,
+    RaftEnvelope,
+    RaftInput,
+    RaftMessage,
+    RaftTick,
+    Received,
+    Restore,
+    RoleChanged,
+    SendRaft,
+    StoredLog,
+    VoteReply,
+    VoteRequest,
+)
+
+
+@define
+class PeerProgress:
+    """What the leader knows of another member; times are in seconds."""
+
+    next_index: int
+    match_index: int = 0
+    sent_at: float = float("-inf")
+    answered_at: float = float("-inf")
+
+
+@define
+class RaftCore:
+    """One member of the agreement: a message in, actions out.
+
+    `may_vote` is false for a member whose disk was lost: it follows, but neither
+    votes nor stands.
+    """
+
+    member_id: str
+    peers: list[str]
+    rng: Random
+    stored: StoredLog
+    may_vote: bool = True
+    now: float = 0.0
+    term: int = field(init=False)
+    voted_for: str = field(init=False)
+    log: MemberLog = field(init=False)
+    commit_index: int = field(init=False)
+    applied_index: int = field(init=False)
+    leader: str = ""
+    is_leader: bool = False
+    election_at: float = 0.0
+    heard_at: float = float("-inf")
+    sequence: int = 0
+    progress_by_peer: dict[str, PeerProgress] = field(factory=dict)
+    sent_at_by_sequence: dict[int, float] = field(factory=dict)
+    votes: set[str] = field(factory=set)
+    pre_votes: set[str] = field(factory=set)
+    _actions: list[RaftAction] = field(factory=list)
+    _handler_by_type: dict[type, Callable[[Any, Any], None]] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Start from what the disk holds."""
+        self.term = self.stored.hard_state.term
+        self.voted_for = self.stored.hard_state.voted_for
+        self.log = MemberLog(self.stored.snapshot, list(self.stored.entries))
+        self.commit_index = self.stored.snapshot.index
+        self.applied_index = self.stored.snapshot.index
+        self._handler_by_type = {
+            VoteRequest: self._vote_request,
+            VoteReply: self._vote_reply,
+            Append: self._append,
+            AppendReply: self._append_reply,
+            InstallSnapshot: self._install_snapshot,
+        }
+
+    def handle(self, message: RaftInput, now: float) -> list[RaftAction]:
+        """Take one message at a time in seconds; return what to do, in order."""
+        if self.election_at == 0.0:
+            self.election_at = now + (self._election_wait() if self.peers else 0.0)
+        self.now = now
+        self._actions = []
+        if isinstance(message, Propose):
+            self._propose(message)
+        elif isinstance(message, Received):
+            self._received(message.envelope)
+        elif isinstance(message, Compacted):
+            self._compacted(message)
+        elif isinstance(message, RaftTick):
+            self._tick()
+        return self._actions
+
+    def has_lease(self, now: float) -> bool:
+        """Tell whether this member surely is the only leader at this time."""
+        return self.is_leader and now - self._quorum_time() < LEASE_SECONDS
+
+    # Inputs.
+
+    def _propose(self, message: Propose) -> None:
+        """Place a command in the log if this member leads."""
+        if not self.is_leader:
+            self._actions.append(ProposalRefused(message.token, self.leader))
+            return
+        entry = Entry(self.log.last_index() + 1, self.term, message.command)
+        self.log.append(entry)
+        self._actions.append(PersistEntries([entry]))
+        self._actions.append(ProposalPlaced(message.token, entry.index, entry.term))
+        self._send_appends()
+        self._advance_commit()
+
+    def _received(self, envelope: RaftEnvelope) -> None:
+        """Take a message of another member."""
+        if envelope.receiver != self.member_id or envelope.sender not in self.peers:
+            return
+        message = envelope.message
+        if message.term > self.term and not _is_tentative(message):
+            self._step_down(message.term, "")
+        self._handler_by_type[type(message)](envelope.sender, message)
+
+    def _compacted(self, message: Compacted) -> None:
+        """Drop entries that a snapshot covers."""
+        if message.snapshot.index <= self.log.snapshot.index:
+            return
+        self.log.compact(message.snapshot)
+        self._actions.append(PersistSnapshot(message.snapshot, list(self.log.entries)))
+        self._persist_state()
+
+    def _tick(self) -> None:
+        """Do what is due: heartbeats, elections, stepping down."""
+        if self.is_leader:
+            if self.peers and self.now - self._quorum_time() > ELECTION_SECONDS:
+                self._step_down(self.term, "")
+                return
+            self._send_appends()
+            return
+        if self.now >= self.election_at and self.may_vote:
+            self._start_pre_vote()
+
+    # Elections.
+
+    def _start_pre_vote(self) -> None:
+        """Ask whether an election could be won, without disturbing anyone."""
+        self._forget_leader()
+        self.election_at = self.now + self._election_wait()
+        self.pre_votes = {self.member_id}
+        if self._is_quorum(len(self.pre_votes)):
+            self._start_election()
+            return
+        self._ask_votes(self.term + 1, is_pre_vote=True)
+
+    def _start_election(self) -> None:
+        """Stand for the next term."""
+        self.term += 1
+        self.voted_for = self.member_id
+        self.votes = {self.member_id}
+        self.pre_votes = set()
+        self._persist_state()
+        self.election_at = self.now + self._election_wait()
+        if self._is_quorum(len(self.votes)):
+            self._become_leader()
+            return
+        self._ask_votes(self.term, is_pre_vote=False)
+
+    def _ask_votes(self, term: int, is_pre_vote: bool) -> None:
+        """Ask every other member for its vote."""
+        for peer in self.peers:
+            self._send(
+                peer,
+                VoteRequest(
+                    term,
+                    self.member_id,
+                    self.log.last_index(),
+                    self.log.last_term(),
+                    is_pre_vote,
+                ),
+            )
+
+    def _vote_request(self, sender: str, message: VoteRequest) -> None:
+        """Vote for a candidate whose log is not behind."""
+        is_recent = (message.last_term, message.last_index) >= (
+            self.log.last_term(),
+            self.log.last_index(),
+        )
+        if message.is_pre_vote:
+            has_leader = self.now - self.heard_at < ELECTION_SECONDS or self.is_leader
+            granted = message.term > self.term and is_recent and not has_leader
+            granted = granted and self.may_vote
+            self._send(sender, VoteReply(message.term, granted, True))
+            return
+        free = self.voted_for in ("", message.candidate)
+        granted = message.term == self.term and free and is_recent and self.may_vote
+        if granted:
+            self.voted_for = message.candidate
+            self.election_at = self.now + self._election_wait()
+            self._persist_state()
+        self._send(sender, VoteReply(self.term, granted, False))
+
+    def _vote_reply(self, sender: str, message: VoteReply) -> None:
+        """Count a vote."""
+        if self.is_leader or not message.granted:
+            return
+        if message.is_pre_vote:
+            if message.term == self.term + 1 and self.pre_votes:
+                self.pre_votes.add(sender)
+                if self._is_quorum(len(self.pre_votes)):
+                    self._start_election()
+            return
+        if message.term == self.term and self.voted_for == self.member_id:
+            self.votes.add(sender)
+            if self._is_quorum(len(self.votes)):
+                self._become_leader()
+
+    def _become_leader(self) -> None:
+        """Lead: place an empty entry, by which older ones become committed."""
+        self.is_leader = True
+        self.leader = self.member_id
+        self.votes = set()
+        next_index = self.log.last_index() + 1
+        self.progress_by_peer = {
+            peer: PeerProgress(next_index, answered_at=self.now) for peer in self.peers
+        }
+        self.sent_at_by_sequence = {}
+        entry = Entry(next_index, self.term, "")
+        self.log.append(entry)
+        self._actions.append(PersistEntries([entry]))
+        self._actions.append(RoleChanged(True, self.term, self.leader))
+        self._send_appends()
+        self._advance_commit()
+
+    def _step_down(self, term: int, leader: str) -> None:
+        """Follow; a new term comes with a free vote."""
+        if term > self.term:
+            self.term = term
+            self.voted_for = ""
+            self._persist_state()
+        was_leader = self.is_leader
+        self.is_leader = False
+        self.pre_votes = set()
+        self.votes = set()
+        if leader != self.leader or was_leader:
+            self.leader = leader
+            self._actions.append(RoleChanged(False, self.term, leader))
+        if was_leader:
+            self.election_at = self.now + self._election_wait()
+
+    def _forget_leader(self) -> None:
+        """Know no leader any more."""
+        if self.leader:
+            self.leader = ""
+            self._actions.append(RoleChanged(False, self.term, ""))
+
+    # Replication.
+
+    def _send_appends(self) -> None:
+        """Send each member what it lacks, or a heartbeat when one is due."""
+        for peer, progress in self.progress_by_peer.items():
+            lacks = progress.next_index <= self.log.last_index()
+            if lacks or self.now - progress.sent_at >= HEARTBEAT_SECONDS:
+                self._send_append(peer, progress)
+
+    def _send_append(self, peer: str, progress: PeerProgress) -> None:
+        """Send the next entries, or the snapshot if they are compacted."""
+        progress.sent_at = self.now
+        self.sequence += 1
+        self.sent_at_by_sequence[self.sequence] = self.now
+        previous = progress.next_index - 1
+        previous_term = self.log.term_at(previous)
+        if previous_term is None:
+            snapshot = self.log.snapshot
+            self._send(
+                peer,
+                InstallSnapshot(self.term, self.member_id, snapshot, self.sequence),
+            )
+            progress.next_index = snapshot.index + 1
+            return
+        entries = self.log.after(previous, MAX_APPEND_ENTRIES)
+        self._send(
+            peer,
+            Append(
+                self.term,
+                self.member_id,
+                previous,
+                previous_term,
+                entries,
+                self.commit_index,
+                self.sequence,
+            ),
+        )
+        progress.next_index = previous + len(entries) + 1
+
+    def _append(self, sender: str, message: Append) -> None:
+        """Take in entries of the leader."""
+        if message.term < self.term:
+            self._send(sender, AppendReply(self.term, False, 0, message.sequence))
+            return
+        self._follow(message.leader)
+        known_term = self.log.term_at(message.previous_index)
+        if message.previous_index < self.log.snapshot.index:
+            known_term = message.previous_term
+        if known_term != message.previous_term:
+            hint = min(self.log.last_index(), message.previous_index - 1)
+            hint = max(hint, self.commit_index)
+            self._send(sender, AppendReply(self.term, False, hint, message.sequence))
+            return
+        changed = self.log.merge(message.entries)
+        if changed:
+            self._actions.append(PersistEntries(changed))
+        match = message.previous_index + len(message.entries)
+        self._commit(min(message.commit_index, match))
+        self._send(sender, AppendReply(self.term, True, match, message.sequence))
+
+    def _install_snapshot(self, sender: str, message: InstallSnapshot) -> None:
+        """Take in the leader's state."""
+        if message.term < self.term:
+            self._send(sender, AppendReply(self.term, False, 0, message.sequence))
+            return
+        self._follow(message.leader)
+        snapshot = message.snapshot
+        if snapshot.index > self.commit_index:
+            self.log.compact(snapshot)
+            self.commit_index = snapshot.index
+            self.applied_index = snapshot.index
+            self._actions.append(PersistSnapshot(snapshot, list(self.log.entries)))
+            self._persist_state()
+            self._actions.append(Restore(snapshot))
+        self._send(
+            sender, AppendReply(self.term, True, snapshot.index, message.sequence)
+        )
+
+    def _append_reply(self, sender: str, message: AppendReply) -> None:
+        """Note how far a member's log agrees."""
+        if not self.is_leader or message.term != self.term:
+            return
+        progress = self.progress_by_peer[sender]
+        sent_at = self.sent_at_by_sequence.pop(message.sequence, None)
+        if sent_at is not None:
+            progress.answered_at = max(progress.answered_at, sent_at)
+        self._forget_old_sequences()
+        if not message.success:
+            progress.next_index = min(progress.next_index, message.match_index + 1)
+            progress.next_index = max(progress.next_index, progress.match_index + 1)
+            self._send_append(sender, progress)
+            return
+        progress.match_index = max(progress.match_index, message.match_index)
+        progress.next_index = max(progress.next_index, progress.match_index + 1)
+        self._advance_commit()
+        if progress.next_index <= self.log.last_index():
+            self._send_append(sender, progress)
+
+    def _follow(self, leader: str) -> None:
+        """Note a living leader."""
+        self._step_down(self.term, leader)
+        self.heard_at = self.now
+        self.election_at = self.now + self._election_wait()
+
+    def _advance_commit(self) -> None:
+        """Commit what a quorum holds, if it is of this term."""
+        matches = [progress.match_index for progress in self.progress_by_peer.values()]
+        matches.append(self.log.last_index())
+        matches.sort(reverse=True)
+        index = matches[len(matches) // 2]
+        if index > self.commit_index and self.log.term_at(index) == self.term:
+            self._commit(index)
+
+    def _commit(self, index: int) -> None:
+        """Apply everything up to an index."""
+        self.commit_index = max(self.commit_index, min(index, self.log.last_index()))
+        while self.applied_index < self.commit_index:
+            self.applied_index += 1
+            self._actions.append(Apply(self.log.entry(self.applied_index)))
+
+    # Helpers.
+
+    def _quorum_time(self) -> float:
+        """Return the latest time at which a quorum still followed this leader."""
+        if not self.peers:
+            return self.now
+        times = [progress.answered_at for progress in self.progress_by_peer.values()]
+        times.append(self.now)
+        times.sort(reverse=True)
+        return times[len(times) // 2]
+
+    def _forget_old_sequences(self) -> None:
+        """Drop the send times of messages that were surely lost."""
+        for sequence, at in list(self.sent_at_by_sequence.items()):
+            if self.now - at <= ELECTION_SECONDS:
+                return
+            del self.sent_at_by_sequence[sequence]
+
+    def _is_quorum(self, count: int) -> bool:
+        """Tell whether so many members are more than half."""
+        return count * 2 > len(self.peers) + 1
+
+    def _election_wait(self) -> float:
+        """Return a random time without a leader before standing, in seconds."""
+        return ELECTION_SECONDS + self.rng.random() * ELECTION_SPREAD_SECONDS
+
+    def _persist_state(self) -> None:
+        """Write the term and vote before anything else leaves."""
+        self._actions.append(PersistState(HardState(self.term, self.voted_for)))
+
+    def _send(self, peer: str, message: RaftMessage) -> None:
+        """Send a message to a member."""
+        self._actions.append(SendRaft(RaftEnvelope(self.member_id, peer, message)))
+
+
+def _is_tentative(message: RaftMessage) -> bool:
+    """Tell whether the message's term is only asked about (a pre-vote)."""
+    return isinstance(message, VoteRequest | VoteReply) and message.is_pre_vote
--- /dev/null
+++ b/pistachiolever/raft/log.py
@@ -0,0 +1,65 @@
+"""The in-memory log of a member: entries after a snapshot."""
+
+from attrs import define, field
+
+from pistachiolever.raft.models import Entry, Snapshot
+
+
+@define
+class MemberLog:
+    """Entries by index; everything up to the snapshot's index is compacted."""
+
+    snapshot: Snapshot = field(factory=Snapshot)
+    entries: list[Entry] = field(factory=list)
+
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self.snapshot.index + len(self.entries)
+
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self.entries[-1].term if self.entries else self.snapshot.term
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term at an index, or None if it is not known here."""
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        offset = index - self.snapshot.index - 1
+        if 0 <= offset < len(self.entries):
+            return self.entries[offset].term
+        return None
+
+    def entry(self, index: int) -> Entry:
+        """Return the entry at an index that is known here."""
+        return self.entries[index - self.snapshot.index - 1]
+
+    def after(self, index: int, most: int) -> list[Entry]:
+        """Return up to so many entries after an index."""
+        offset = index - self.snapshot.index
+        return self.entries[offset : offset + most]
+
+    def append(self, entry: Entry) -> None:
+        """Add an entry at the end."""
+        self.entries.append(entry)
+
+    def merge(self, entries: list[Entry]) -> list[Entry]:
+        """Take in a leader's entries; return those that were new or differed."""
+        for position, entry in enumerate(entries):
+            if entry.index <= self.snapshot.index:
+                continue
+            if self.term_at(entry.index) == entry.term:
+                continue
+            offset = entry.index - self.snapshot.index - 1
+            del self.entries[offset:]
+            self.entries.extend(entries[position:])
+            return entries[position:]
+        return []
+
+    def compact(self, snapshot: Snapshot) -> None:
+        """Drop the entries that a snapshot covers."""
+        offset = snapshot.index - self.snapshot.index
+        if offset <= 0:
+            return
+        matches = self.term_at(snapshot.index) == snapshot.term
+        self.entries = self.entries[offset:] if matches else []
+        self.snapshot = snapshot
--- /dev/null
+++ b/pistachiolever/router/__init__.py
@@ -0,0 +1,1 @@
+"""The router: queues, dispatch and the callers' streams."""
--- /dev/null
+++ b/pistachiolever/router/core.py
@@ -0,0 +1,751 @@
+"""The router's decisions, without sockets, clocks or randomness of its own."""
+
+from collections.abc import Callable
+from heapq import heappop, heappush
+from random import Random
+from typing import Any
+
+from attrs import define, field, frozen
+
+from pistachiolever.core.errors import Refusal
+from pistachiolever.core.verdict import Verdict
+from pistachiolever.declarations.models import Revision, Service
+from pistachiolever.fairness.const import STARVATION_SECONDS
+from pistachiolever.router.const import (
+    BID_REFRESH_SECONDS,
+    DRAIN_RETRY_AFTER_SECONDS,
+    EMPTY_SERVICE_RETRY_SECONDS,
+    HANGUP_KEEP_SECONDS,
+    MAX_ATTEMPTS,
+    SLOW_READER_KEEP_SECONDS,
+)
+from pistachiolever.router.endpoints import EndpointBook, EndpointState
+from pistachiolever.router.flights import Flight, FlightBook
+from pistachiolever.router.models import (
+    CallerRequest,
+    CancelRequest,
+    CommandsFailed,
+    Deliver,
+    Drain,
+    EndpointGone,
+    EndpointSeen,
+    EndRequest,
+    FreeClaim,
+    FromSidecar,
+    HeartbeatAnswered,
+    NewRevision,
+    ReaderReady,
+    ReaderSlow,
+    RequestSent,
+    ResumeRequest,
+    RouterAction,
+    RouterInput,
+    SendCommand,
+    SessionLost,
+    SessionUp,
+    Submit,
+    Tick,
+)
+from pistachiolever.router.queues import MemoryPool, WaitingRequest
+from pistachiolever.router.retry import RetryBudget, retry_delay
+from pistachiolever.router.service_queue import ServiceQueue
+from pistachiolever.settings.models import RouterSettings
+from pistachiolever.wire.models import (
+    AccountService,
+    Bid,
+    Bids,
+    Cancel,
+    Chunk,
+    Chunks,
+    Detach,
+    Dispatch,
+    Draining,
+    Grant,
+    Refused,
+    Resume,
+    ReturnGrant,
+    RouterMessage,
+    ServiceBacklog,
+    SidecarHello,
+    SpareCredits,
+)
+
+
+@frozen(order=True)
+class DelayedRetry:
+    """A request that waits for its retry time."""
+
+    at: float
+    order: int
+    item: WaitingRequest = field(order=False)
+
+
+@define
+class RouterCore:
+    """All decisions of one router: a message in, actions out."""
+
+    settings: RouterSettings
+    rng: Random
+    revision: Revision
+    endpoints: EndpointBook = field(factory=EndpointBook)
+    flights: FlightBook = field(factory=FlightBook)
+    budget: RetryBudget = field(factory=RetryBudget)
+    queue_by_service: dict[str, ServiceQueue] = field(factory=dict)
+    request_by_id: dict[str, CallerRequest] = field(factory=dict)
+    delayed: list[DelayedRetry] = field(factory=list)
+    delayed_count: int = 0
+    draining: bool = False
+    pool: MemoryPool = field(init=False)
+    now: float = 0.0
+    _actions: list[RouterAction] = field(factory=list)
+    _stale_services: set[str] = field(factory=set)
+    _handler_by_type: dict[type, Callable[[Any], None]] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Prepare the look-up of handlers."""
+        self.pool = MemoryPool(self.settings.max_queue_bytes)
+        self._handler_by_type = {
+            Submit: self._submit,
+            CancelRequest: self._cancel,
+            ResumeRequest: self._resume,
+            ReaderSlow: self._reader_slow,
+            ReaderReady: self._reader_ready,
+            SessionUp: self._session_up,
+            SessionLost: self._session_lost,
+            EndpointSeen: self._endpoint_seen,
+            EndpointGone: self._endpoint_gone,
+            FromSidecar: self._from_sidecar,
+            CommandsFailed: self._commands_failed,
+            HeartbeatAnswered: self._heartbeat_answered,
+            NewRevision: self._new_revision,
+            Drain: self._drain,
+            Tick: self._tick,
+            Grant: self._grant,
+            SpareCredits: self._spare_credits,
+            Refused: self._refused,
+            Chunks: self._chunks,
+            Draining: self._endpoint_draining,
+            SidecarHello: self._nothing,
+        }
+
+    def handle(self, message: RouterInput, now: float) -> list[RouterAction]:
+        """Take one message at a time in seconds; return what to do, in order."""
+        self.now = now
+        self._actions = []
+        self._handler_by_type[type(message)](message)
+        return self._actions
+
+    # What the shell asks for.
+
+    def heartbeat_accounts(self, full: bool) -> list[AccountService]:
+        """Return the counters to publish."""
+        accounts: list[AccountService] = []
+        for service_id, queue in self.queue_by_service.items():
+            accounts.extend(queue.ledger.report(service_id, full))
+        return accounts
+
+    def heartbeat_lost(self) -> None:
+        """Publish everything again with the next heartbeat."""
+        for queue in self.queue_by_service.values():
+            queue.ledger.republish_all()
+
+    def backlogs(self) -> list[ServiceBacklog]:
+        """Return how many requests wait, by service."""
+        return [
+            ServiceBacklog(service_id, queue.queues.count)
+            for service_id, queue in self.queue_by_service.items()
+            if queue.queues.count
+        ]
+
+    def is_idle(self) -> bool:
+        """Tell whether nothing waits and nothing is in flight."""
+        waiting = any(queue.queues.count for queue in self.queue_by_service.values())
+        return not waiting and not self.delayed and not self.flights.flight_by_id
+
+    # Callers.
+
+    def _submit(self, message: Submit) -> None:
+        """Queue a request and send it at once if there is room."""
+        request = message.request
+        self.request_by_id[request.request_id] = request
+        if self.draining:
+            self._end(
+                request.request_id,
+                Refusal(
+                    Verdict.NOT_RUN,
+                    "draining",
+                    "this router is leaving; ask another",
+                    DRAIN_RETRY_AFTER_SECONDS,
+                ),
+            )
+            return
+        queue = self._queue(request.service_id)
+        if queue is None:
+            self._end(
+                request.request_id,
+                Refusal(Verdict.NOT_RUN, "unknown-service", request.service_id),
+            )
+            return
+        refusal = queue.submit(request, self.now, self._seconds_each(request))
+        if refusal is not None:
+            self._end(request.request_id, refusal)
+            return
+        self.budget.deposit(self.revision.preset.retry_fraction)
+        self._pump(request.service_id)
+
+    def _cancel(self, message: CancelRequest) -> None:
+        """Forget a request that nobody wants any more."""
+        flight = self.flights.get(message.request_id)
+        if flight is not None:
+            self._finish_flight(flight, learn=False)
+            self._command(flight.endpoint_id, _withdrawal(message))
+            self._end(message.request_id, _cancelled(Verdict.MAY_HAVE_RUN))
+            return
+        request = self.request_by_id.get(message.request_id)
+        if request is None:
+            return
+        queue = self.queue_by_service[request.service_id]
+        queue.cancel(request.account_id, message.request_id, self.now)
+        self.delayed = [
+            entry
+            for entry in self.delayed
+            if entry.item.request.request_id != message.request_id
+        ]
+        self._stale_services.add(request.service_id)
+        self._end(message.request_id, _cancelled(Verdict.NOT_RUN))
+
+    def _resume(self, message: ResumeRequest) -> None:
+        """Ask an endpoint for the rest of an answer."""
+        known = self.flights.get(message.request_id)
+        if known is not None and known.request.account_id == message.account_id:
+            known.last = message.after
+            known.detached = False
+            known.resumed = True
+            self._ask_rest(known)
+            return
+        state = self.endpoints.state_by_id.get(message.endpoint_id)
+        if state is None or not state.connected:
+            self._end(
+                message.request_id,
+                Refusal(
+                    Verdict.MAY_HAVE_RUN,
+                    "endpoint-unknown",
+                    "the endpoint that holds the answer is not connected",
+                    EMPTY_SERVICE_RETRY_SECONDS,
+                ),
+            )
+            return
+        request = CallerRequest(
+            message.request_id,
+            message.account_id,
+            state.entry.service_id,
+            "",
+            0,
+            0,
+        )
+        weight = self.revision.weight_of(message.account_id)
+        flight = Flight(
+            request, message.endpoint_id, state.incarnation, weight, 0.0, MAX_ATTEMPTS
+        )
+        flight.last = message.after
+        flight.resumed = True
+        flight.cost = float("inf")
+        self._queue(state.entry.service_id)
+        self._add_flight(flight, state)
+        self._command(
+            message.endpoint_id,
+            Resume(message.request_id, message.account_id, message.after),
+        )
+
+    def _reader_slow(self, message: ReaderSlow) -> None:
+        """Let the sidecar keep the events while the caller catches up."""
+        flight = self.flights.get(message.request_id)
+        if flight is None or flight.detached:
+            return
+        flight.detached = True
+        self._command(
+            flight.endpoint_id, Detach(message.request_id, SLOW_READER_KEEP_SECONDS)
+        )
+
+    def _reader_ready(self, message: ReaderReady) -> None:
+        """Ask for the events that the sidecar kept."""
+        flight = self.flights.get(message.request_id)
+        if flight is None or not flight.detached:
+            return
+        flight.detached = False
+        self._ask_rest(flight)
+
+    # Sessions with sidecars.
+
+    def _session_up(self, message: SessionUp) -> None:
+        """Use an endpoint; ask it for answers that it held before."""
+        state = self.endpoints.ensure(message.entry)
+        state.connected = True
+        state.leased = True
+        state.draining = False
+        state.incarnation = message.incarnation
+        state.credits = 0
+        state.bids_sent = []
+        state.bids_sent_at = float("-inf")
+        for flight in self.flights.at_endpoint(message.entry.endpoint_id):
+            if flight.incarnation != message.incarnation:
+                self._flight_lost(flight, "the endpoint's sidecar restarted")
+            else:
+                flight.lost_at = None
+                self._ask_rest(flight)
+        self._queue(message.entry.service_id)
+        self._pump(message.entry.service_id)
+
+    def _session_lost(self, message: SessionLost) -> None:
+        """Stop using an endpoint; its flights wait a little for its return."""
+        state = self.endpoints.state_by_id.get(message.endpoint_id)
+        if state is None:
+            return
+        state.connected = False
+        state.credits = 0
+        for flight in self.flights.at_endpoint(message.endpoint_id):
+            flight.lost_at = self.now
+
+    def _endpoint_gone(self, message: EndpointGone) -> None:
+        """Forget an endpoint whose lease ended, unless a session still works."""
+        state = self.endpoints.state_by_id.get(message.endpoint_id)
+        if state is None:
+            return
+        state.leased = False
+        if state.connected:
+            return
+        for flight in self.flights.at_endpoint(message.endpoint_id):
+            self._flight_lost(flight, "the endpoint's lease ended")
+        self.endpoints.forget(message.endpoint_id)
+
+    def _endpoint_seen(self, message: EndpointSeen) -> None:
+        """Note that control still lists the endpoint."""
+        state = self.endpoints.state_by_id.get(message.endpoint_id)
+        if state is not None:
+            state.leased = True
+
+    def _from_sidecar(self, message: FromSidecar) -> None:
+        """Pass a sidecar's message to its handler."""
+        state = self.endpoints.state_by_id.get(message.endpoint_id)
+        if state is None:
+            return
+        self._source = state
+        self._handler_by_type[type(message.message)](message.message)
+
+    def _commands_failed(self, message: CommandsFailed) -> None:
+        """Queue again what never left; wait for the session for the rest."""
+        for command in message.messages:
+            if isinstance(command, Dispatch):
+                flight = self.flights.get(command.request_id)
+                if flight is None or flight.endpoint_id != message.endpoint_id:
+                    continue
+                if message.may_have_arrived:
+                    flight.lost_at = self.now
+                else:
+                    self._requeue(flight)
+        state = self.endpoints.state_by_id.get(message.endpoint_id)
+        if state is not None:
+            state.note_failure(self.now)
+
+    _source: EndpointState = field(init=False)
+
+    def _grant(self, message: Grant) -> None:
+        """Send the request of the account that stands lowest now."""
+        state = self._source
+        queue = self.queue_by_service.get(state.entry.service_id)
+        item = self._pick_for(queue, message.account_id) if queue else None
+        if item is None or self.draining:
+            if item is not None and queue is not None:
+                queue.put_back(item, self.now)
+            self._command(state.entry.endpoint_id, ReturnGrant(message.grant_id))
+            self._refresh_bids(state)
+            return
+        self._dispatch(item, state, message.grant_id)
+
+    def _pick_for(self, queue: ServiceQueue, account_id: str) -> WaitingRequest | None:
+        """Take the granted account's request if it starves, else the lowest's."""
+        counter = queue.ledger.counter(account_id)
+        if counter.backlogged and (
+            self.now - counter.last_dispatch > STARVATION_SECONDS
+        ):
+            return queue.next_request_of(account_id, self.now)
+        return queue.next_request(self.now)
+
+    def _spare_credits(self, message: SpareCredits) -> None:
+        """Note how much may be sent without a grant, and use it."""
+        self._source.credits = message.count
+        if message.count > 0:
+            self._pump(self._source.entry.service_id)
+
+    def _refused(self, message: Refused) -> None:
+        """Queue a refused request again, or end it by its verdict."""
+        flight = self.flights.get(message.request_id)
+        if flight is None or flight.endpoint_id != self._source.entry.endpoint_id:
+            return
+        if message.reason == "no-room":
+            self._source.credits = 0
+            self._requeue(flight)
+            return
+        if flight.resumed:
+            self._finish_flight(flight, learn=False)
+            self._end(message.request_id, Refusal(message.verdict, message.reason))
+            return
+        self._retry_or_end(flight, Refusal(message.verdict, message.reason))
+
+    def _chunks(self, message: Chunks) -> None:
+        """Pass events on, each once and in order."""
+        for chunk in message.chunks:
+            self._chunk(chunk)
+
+    def _chunk(self, chunk: Chunk) -> None:
+        """Charge and pass on one chunk, or ask again after a gap."""
+        flight = self.flights.get(chunk.request_id)
+        endpoint_id = self._source.entry.endpoint_id
+        if flight is None or flight.endpoint_id != endpoint_id:
+            self._command(endpoint_id, Cancel(chunk.request_id))
+            return
+        self._charge(flight, chunk)
+        if flight.detached or (chunk.last <= flight.last and chunk.outcome is None):
+            return
+        if chunk.first != flight.last + 1:
+            self._ask_rest(flight)
+            return
+        if self._retries_unrun(flight, chunk):
+            return
+        flight.last = chunk.last
+        self._actions.append(
+            Deliver(chunk.request_id, chunk.last, chunk.sse, chunk.outcome)
+        )
+        if chunk.outcome is not None:
+            if chunk.outcome.verdict is Verdict.NOT_RUN:
+                self._free_claim(flight.request)
+            if chunk.outcome.verdict is Verdict.RAN and chunk.outcome.complete:
+                self._source.note_success()
+            self._finish_flight(flight, learn=chunk.outcome.complete)
+            self.request_by_id.pop(chunk.request_id, None)
+            self._pump(flight.request.service_id)
+
+    def _retries_unrun(self, flight: Flight, chunk: Chunk) -> bool:
+        """Try elsewhere when the endpoint failed before the first event."""
+        if chunk.outcome is None or chunk.outcome.complete:
+            return False
+        if chunk.first != 1 or chunk.last != 1 or flight.has_delivered():
+            return False
+        if not self._may_retry(flight, chunk.outcome.verdict):
+            return False
+        self._source.note_failure(self.now)
+        self._retry(flight)
+        return True
+
+    def _charge(self, flight: Flight, chunk: Chunk) -> None:
+        """Charge what the chunk adds to the cost of its request."""
+        if flight.cost == float("inf"):
+            flight.cost = chunk.base_cost
+        self.queue_by_service[flight.request.service_id].charge_progress(
+            flight, chunk.cost
+        )
+
+    def _endpoint_draining(self, message: Draining) -> None:
+        """Send nothing new to an endpoint that leaves."""
+        self._source.draining = True
+        self._source.credits = 0
+
+    def _nothing(self, message: object) -> None:
+        """Take note of nothing."""
+
+    # Control.
+
+    def _heartbeat_answered(self, message: HeartbeatAnswered) -> None:
+        """Take in totals and floors."""
+        reply = message.reply
+        if reply.expired:
+            for service_id, queue in self.queue_by_service.items():
+                closed = [e for e in reply.closed if e.service_id == service_id]
+                queue.ledger.start_incarnation(closed)
+            return
+        for floor in reply.floors:
+            queue_or_none = self.queue_by_service.get(floor.service_id)
+            if queue_or_none is not None:
+                queue_or_none.ledger.apply_floor(floor.floor)
+        for total in reply.totals:
+            queue_or_none = self.queue_by_service.get(total.service_id)
+            if queue_or_none is not None:
+                queue_or_none.apply_total(total)
+
+    def _new_revision(self, message: NewRevision) -> None:
+        """Use new declarations, all at once; never older ones."""
+        if message.revision.number < self.revision.number:
+            return
+        self.revision = message.revision
+        for service_id, queue in self.queue_by_service.items():
+            service = message.revision.service_by_id.get(service_id)
+            if service is not None:
+                queue.apply_revision(service, message.revision)
+                continue
+            for item in queue.pop_all(self.now):
+                refusal = Refusal(Verdict.NOT_RUN, "unknown-service", service_id)
+                self._end(item.request.request_id, refusal)
+
+    def _drain(self, message: Drain) -> None:
+        """Hand back what waits; what is in flight goes on."""
+        self.draining = True
+        waiting = [entry.item for entry in self.delayed]
+        self.delayed = []
+        for queue in self.queue_by_service.values():
+            waiting.extend(queue.pop_all(self.now))
+        for item in waiting:
+            self._end(
+                item.request.request_id,
+                Refusal(
+                    Verdict.NOT_RUN,
+                    "draining",
+                    "this router is leaving; ask another",
+                    DRAIN_RETRY_AFTER_SECONDS,
+                ),
+            )
+
+    def _tick(self, message: Tick) -> None:
+        """Do what is due: retries, deadlines, lost flights, bids."""
+        while self.delayed and self.delayed[0].at <= self.now:
+            item = heappop(self.delayed).item
+            self.queue_by_service[item.request.service_id].put_back(item, self.now)
+            self._stale_services.add(item.request.service_id)
+        for queue in self.queue_by_service.values():
+            for item in queue.pop_overdue(self.now):
+                self._end_overdue(item)
+        self._end_lost_flights()
+        for service_id, queue in self.queue_by_service.items():
+            if queue.queues.count or service_id in self._stale_services:
+                self._pump(service_id)
+        self._stale_services.clear()
+
+    def _end_overdue(self, item: WaitingRequest) -> None:
+        """End a request that waited too long."""
+        refusal = Refusal(
+            Verdict.NOT_RUN,
+            "queue-timeout",
+            "no room within the queue time of the preset",
+            EMPTY_SERVICE_RETRY_SECONDS,
+        )
+        self._end(item.request.request_id, refusal)
+
+    def _end_lost_flights(self) -> None:
+        """Give up flights whose session did not come back."""
+        limit = self.now - self.settings.reattach_seconds
+        for flight in list(self.flights.flight_by_id.values()):
+            if flight.lost_at is not None and flight.lost_at <= limit:
+                self._flight_lost(flight, "the endpoint's sidecar did not come back")
+
+    # Sending.
+
+    def _pump(self, service_id: str) -> None:
+        """Send what spare credits allow; bid for the rest."""
+        queue = self.queue_by_service[service_id]
+        while queue.queues.count:
+            state = self.endpoints.with_credit(service_id, self.now)
+            if state is None:
+                break
+            item = queue.next_request(self.now)
+            if item is None:
+                break
+            state.credits -= 1
+            self._dispatch(item, state, "")
+        for state in self.endpoints.of_service(service_id):
+            if state.usable(self.now):
+                self._refresh_bids(state)
+
+    def _dispatch(
+        self, item: WaitingRequest, state: EndpointState, grant_id: str
+    ) -> None:
+        """Send one request to an endpoint, with the bids of those that wait."""
+        request = item.request
+        queue = self.queue_by_service[request.service_id]
+        flight = Flight(
+            request,
+            state.entry.endpoint_id,
+            state.incarnation,
+            self.revision.weight_of(request.account_id),
+            queue.charge_dispatch(item, self.now),
+            item.attempts + 1,
+            grant_id,
+        )
+        self._add_flight(flight, state)
+        bids = queue.bids(self.now)
+        self._note_bids(state, bids)
+        self._command(
+            state.entry.endpoint_id,
+            Dispatch(
+                request.request_id,
+                request.account_id,
+                request.input,
+                request.max_output_tokens,
+                grant_id,
+                request.attempt_id,
+                Bids(bids),
+            ),
+        )
+        self._actions.append(
+            RequestSent(
+                request.request_id,
+                request.account_id,
+                state.entry.endpoint_id,
+                flight.attempts,
+            )
+        )
+
+    def _refresh_bids(self, state: EndpointState) -> None:
+        """Send new bids when they matter: the first, the last, and now and then."""
+        queue = self.queue_by_service[state.entry.service_id]
+        if not queue.queues.count and not state.bids_sent:
+            return
+        age = self.now - state.bids_sent_at
+        if state.bids_sent and queue.queues.count and age < BID_REFRESH_SECONDS:
+            return
+        bids = queue.bids(self.now)
+        if [_core_of(bid) for bid in bids] == [_core_of(b) for b in state.bids_sent]:
+            state.bids_sent_at = self.now
+            return
+        self._note_bids(state, bids)
+        self._command(state.entry.endpoint_id, Bids(bids))
+
+    def _note_bids(self, state: EndpointState, bids: list[Bid]) -> None:
+        """Remember what an endpoint was told."""
+        state.bids_sent = bids
+        state.bids_sent_at = self.now
+
+    def _ask_rest(self, flight: Flight) -> None:
+        """Ask for the events after the last one passed on."""
+        self._command(
+            flight.endpoint_id,
+            Resume(flight.request.request_id, flight.request.account_id, flight.last),
+        )
+
+    # Ends and retries.
+
+    def _flight_lost(self, flight: Flight, detail: str) -> None:
+        """Decide about a request whose endpoint is gone."""
+        refusal = Refusal(Verdict.MAY_HAVE_RUN, "endpoint-lost", detail)
+        self._retry_or_end(flight, refusal)
+
+    def _retry_or_end(self, flight: Flight, refusal: Refusal) -> None:
+        """Send the request elsewhere if that is safe, else end it."""
+        state = self.endpoints.state_by_id.get(flight.endpoint_id)
+        if state is not None:
+            state.note_failure(self.now)
+        if self._may_retry(flight, refusal.verdict):
+            self._retry(flight)
+            return
+        self._finish_flight(flight, learn=False)
+        self._end(flight.request.request_id, refusal)
+
+    def _may_retry(self, flight: Flight, verdict: Verdict) -> bool:
+        """Tell whether another attempt is safe, useful and within the budget."""
+        if flight.has_delivered() or self.draining or flight.attempts >= MAX_ATTEMPTS:
+            return False
+        service = self.revision.service_by_id.get(flight.request.service_id)
+        if service is None or not verdict.allows_retry(service.repeatable):
+            return False
+        return self.budget.withdraw()
+
+    def _retry(self, flight: Flight) -> None:
+        """Queue the request again after a random delay."""
+        item = self._take_back(flight)
+        item.attempts = flight.attempts
+        at = self.now + retry_delay(flight.attempts, self.rng)
+        self.delayed_count += 1
+        heappush(self.delayed, DelayedRetry(at, self.delayed_count, item))
+
+    def _requeue(self, flight: Flight) -> None:
+        """Queue again a request that the endpoint did not take."""
+        item = self._take_back(flight)
+        item.attempts = flight.attempts - 1
+        self.queue_by_service[flight.request.service_id].put_back(item, self.now)
+        self._pump(flight.request.service_id)
+
+    def _take_back(self, flight: Flight) -> WaitingRequest:
+        """Turn a flight into a waiting request again, with a fresh deadline."""
+        queue = self.queue_by_service[flight.request.service_id]
+        self._remove_flight(flight)
+        queue.settle(flight, learn=False)
+        estimate = queue.estimator.estimate(
+            flight.request.account_id, flight.request.max_output_tokens
+        )
+        deadline = self.now + self.revision.preset.queue_seconds
+        return WaitingRequest(flight.request, estimate, deadline)
+
+    def _finish_flight(self, flight: Flight, learn: bool) -> None:
+        """Drop a flight that ended."""
+        self._remove_flight(flight)
+        queue = self.queue_by_service[flight.request.service_id]
+        queue.settle(flight, learn=learn and not flight.resumed)
+
+    def _add_flight(self, flight: Flight, state: EndpointState) -> None:
+        """Keep a new flight."""
+        self.flights.add(flight)
+        state.in_flight += 1
+
+    def _remove_flight(self, flight: Flight) -> None:
+        """Forget a flight."""
+        self.flights.remove(flight.request.request_id)
+        state = self.endpoints.state_by_id.get(flight.endpoint_id)
+        if state is not None:
+            state.in_flight -= 1
+
+    def _end(self, request_id: str, refusal: Refusal) -> None:
+        """End the caller's request; free the key of one that was not run."""
+        request = self.request_by_id.pop(request_id, None)
+        self._actions.append(EndRequest(request_id, refusal))
+        if request is not None and refusal.verdict is Verdict.NOT_RUN:
+            self._free_claim(request)
+
+    def _free_claim(self, request: CallerRequest) -> None:
+        """Free the idempotency key of a request that was not run."""
+        if request.attempt_id:
+            self._actions.append(FreeClaim(request.attempt_id))
+
+    def _command(self, endpoint_id: str, message: RouterMessage) -> None:
+        """Send a message to a sidecar."""
+        self._actions.append(SendCommand(endpoint_id, message))
+
+    def _queue(self, service_id: str) -> ServiceQueue | None:
+        """Return the queue of a declared service, made at its first use."""
+        queue = self.queue_by_service.get(service_id)
+        if queue is not None:
+            return queue
+        service: Service | None = self.revision.service_by_id.get(service_id)
+        if service is None:
+            return None
+        queue = ServiceQueue(service, self.revision, self.pool)
+        self.queue_by_service[service_id] = queue
+        return queue
+
+    def _seconds_each(self, request: CallerRequest) -> float:
+        """Guess the seconds between two requests of an account, for Retry-After."""
+        states = self.endpoints.of_service(request.service_id)
+        return 1.0 / max(1, sum(state.in_flight for state in states))
+
+
+def _cancelled(verdict: Verdict) -> Refusal:
+    """Return the end of a request that its caller gave up."""
+    return Refusal(verdict, "cancelled", "the caller asked to stop")
+
+
+def _withdrawal(message: CancelRequest) -> Cancel | Detach:
+    """Return what tells a sidecar that the caller left; it may come back."""
+    if message.hung_up:
+        return Detach(message.request_id, HANGUP_KEEP_SECONDS)
+    return Cancel(message.request_id)
+
+
+@frozen
+class BidCore:
+    """The part of a bid whose change is worth a message."""
+
+    account_id: str
+    virtual: float
+    count: int
+
+
+def _core_of(bid: Bid) -> BidCore:
+    """Return what matters of a bid."""
+    return BidCore(bid.account_id, bid.virtual, min(bid.count, 2))
--- /dev/null
+++ b/pistachiolever/router/endpoints.py
@@ -0,0 +1,88 @@
+"""What a router knows of its endpoints: sessions, credits and failures."""
+
+from attrs import define, field
+
+from pistachiolever.router.const import EJECT_MOST_SECONDS, EJECT_SECONDS
+from pistachiolever.wire.models import Bid, EndpointEntry
+
+
+@define
+class EndpointState:
+    """One endpoint as this router sees it; times are in seconds."""
+
+    entry: EndpointEntry
+    incarnation: str = ""
+    connected: bool = False
+    leased: bool = True
+    draining: bool = False
+    credits: int = 0
+    in_flight: int = 0
+    failures: int = 0
+    ejected_until: float = 0.0
+    lost_at: float = 0.0
+    bids_sent: list[Bid] = field(factory=list)
+    bids_sent_at: float = float("-inf")
+
+    def usable(self, now: float) -> bool:
+        """Tell whether new work may go there."""
+        return (
+            self.connected
+            and self.leased
+            and not self.draining
+            and now >= self.ejected_until
+        )
+
+    def note_failure(self, now: float) -> None:
+        """Keep away from the endpoint, longer after each failure in a row."""
+        self.failures += 1
+        wait = EJECT_SECONDS * 2.0 ** (self.failures - 1)
+        self.ejected_until = now + min(EJECT_MOST_SECONDS, wait)
+        self.credits = 0
+
+    def note_success(self) -> None:
+        """Trust the endpoint again."""
+        self.failures = 0
+
+
+@define
+class EndpointBook:
+    """All endpoints of a router, by id and by service."""
+
+    state_by_id: dict[str, EndpointState] = field(factory=dict)
+    states_by_service: dict[str, dict[str, EndpointState]] = field(factory=dict)
+
+    def ensure(self, entry: EndpointEntry) -> EndpointState:
+        """Return the endpoint's state, made when it is new."""
+        state = self.state_by_id.get(entry.endpoint_id)
+        if state is None:
+            state = EndpointState(entry)
+            self.state_by_id[entry.endpoint_id] = state
+        state.entry = entry
+        by_id = self.states_by_service.setdefault(entry.service_id, {})
+        by_id[entry.endpoint_id] = state
+        return state
+
+    def forget(self, endpoint_id: str) -> None:
+        """Drop an endpoint whose lease ended."""
+        state = self.state_by_id.pop(endpoint_id, None)
+        if state is not None:
+            del self.states_by_service[state.entry.service_id][endpoint_id]
+
+    def of_service(self, service_id: str) -> list[EndpointState]:
+        """Return the endpoints of a service."""
+        return list(self.states_by_service.get(service_id, {}).values())
+
+    def with_credit(self, service_id: str, now: float) -> EndpointState | None:
+        """Return the usable endpoint with the most spare credits for its load."""
+        best: EndpointState | None = None
+        for state in self.of_service(service_id):
+            if state.credits <= 0 or not state.usable(now):
+                continue
+            if best is None or _preference(state) > _preference(best):
+                best = state
+        return best
+
+
+def _preference(state: EndpointState) -> tuple[int, int]:
+    """Order endpoints: most credits first, then least in flight."""
+    return state.credits, -state.in_flight
--- /dev/null
+++ b/pistachiolever/router/tasks.py
@@ -0,0 +1,261 @@
+"""The tasks of a router process: they own its sockets and perform its actions."""
+
+from anyio import Event, create_task_group, move_on_after, sleep
+from anyio.abc import TaskGroup
+from attrs import define, field
+
+from pistachiolever.core.actor import Actor
+from pistachiolever.core.errors import Refusal
+from pistachiolever.declarations.models import Revision
+from pistachiolever.edge.client import FleetClient, PeerError
+from pistachiolever.edge.context import ProcessContext
+from pistachiolever.edge.control_client import ControlClient
+from pistachiolever.events.const import EventCode
+from pistachiolever.router.claims import ClaimClient
+from pistachiolever.router.const import TICK_SECONDS
+from pistachiolever.router.core import RouterCore
+from pistachiolever.router.models import (
+    Deliver,
+    Drain,
+    EndpointGone,
+    EndpointSeen,
+    EndRequest,
+    FreeClaim,
+    HeartbeatAnswered,
+    NewRevision,
+    ReaderSlow,
+    RequestSent,
+    RouterAction,
+    RouterInput,
+    SendCommand,
+    Tick,
+)
+from pistachiolever.router.sessions import SidecarSession
+from pistachiolever.router.streams import CallerStream
+from pistachiolever.settings.models import RouterSettings
+from pistachiolever.wire.const import ROUTER_HEARTBEAT_PATH
+from pistachiolever.wire.models import (
+    AccountLift,
+    EndpointSet,
+    Outcome,
+    RouterHeartbeat,
+    RouterHeartbeatReply,
+)
+
+
+@define
+class RouterProcess:
+    """One router: its decisions, callers, sessions and heartbeats."""
+
+    context: ProcessContext
+    settings: RouterSettings
+    client: FleetClient
+    control: ControlClient
+    revision: Revision
+    core: RouterCore = field(init=False)
+    actor: Actor[RouterInput, RouterAction] = field(init=False)
+    claims: ClaimClient = field(init=False)
+    stream_by_request: dict[str, CallerStream] = field(factory=dict)
+    account_by_request: dict[str, str] = field(factory=dict)
+    session_by_endpoint: dict[str, SidecarSession] = field(factory=dict)
+    stopped: Event = field(factory=Event)
+    known_set: str = ""
+    full_due: bool = True
+    draining: bool = False
+    _group: TaskGroup = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Make the decisions and the task that owns them."""
+        self.core = RouterCore(self.settings, self.context.rng, self.revision)
+        self.claims = ClaimClient(self.context, self.control)
+        self.actor = Actor(self.core, self.perform, self.context.now)
+
+    async def run(self) -> None:
+        """Work until the router has drained."""
+        self.context.recorder.record(EventCode.PROCESS_STARTED, detail="role=router")
+        async with create_task_group() as group:
+            self._group = group
+            group.start_soon(self.actor.run)
+            group.start_soon(self.actor.tick, Tick(), TICK_SECONDS)
+            group.start_soon(self._keep_heartbeat)
+            group.start_soon(self.control.watch, self._apply_revision)
+            await self.stopped.wait()
+            group.cancel_scope.cancel()
+        self.context.recorder.record(EventCode.PROCESS_STOPPED)
+
+    async def drain(self) -> None:
+        """Leave: refuse what is new or waits, finish what is in flight, stop."""
+        self.context.recorder.record(EventCode.PROCESS_DRAINING)
+        self.draining = True
+        self.actor.post(Drain())
+        with move_on_after(self.context.settings.drain_seconds):
+            while not self.core.draining or not self.core.is_idle():
+                await sleep(TICK_SECONDS)
+            while self.stream_by_request or self.claims.unfreed:
+                await sleep(TICK_SECONDS)
+        with move_on_after(self.context.settings.heartbeat_seconds):
+            await self._heartbeat()
+        self.stopped.set()
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send callers here."""
+        states = self.core.endpoints.state_by_id.values()
+        return not self.draining and any(state.connected for state in states)
+
+    def free_later(self, attempt_id: str) -> None:
+        """Free a key in the background."""
+        self._group.start_soon(self.claims.free, attempt_id)
+
+    # Streams of callers.
+
+    def open_stream(self, request_id: str, account_id: str) -> CallerStream:
+        """Prepare the buffer of a caller; a newer reader replaces an older one."""
+        stream = CallerStream(request_id, self.settings.stream_buffer_bytes)
+        self.stream_by_request[request_id] = stream
+        self.account_by_request[request_id] = account_id
+        return stream
+
+    def close_stream(self, stream: CallerStream) -> bool:
+        """Forget a caller; tell whether it was still the current reader."""
+        if self.stream_by_request.get(stream.request_id) is not stream:
+            return False
+        del self.stream_by_request[stream.request_id]
+        del self.account_by_request[stream.request_id]
+        return True
+
+    # Actions.
+
+    def perform(self, action: RouterAction) -> None:
+        """Do what the decisions ask for."""
+        match action:
+            case Deliver(request_id, _, sse, outcome):
+                self._deliver(request_id, sse, outcome)
+            case SendCommand(endpoint_id, message):
+                session = self.session_by_endpoint.get(endpoint_id)
+                if session is not None:
+                    session.outbox.put(message)
+            case EndRequest(request_id, refusal):
+                self._end(request_id, refusal)
+            case RequestSent():
+                self._note_sent(action)
+            case FreeClaim(attempt_id):
+                self.free_later(attempt_id)
+
+    def _deliver(self, request_id: str, sse: str, outcome: Outcome | None) -> None:
+        """Put events into the caller's buffer."""
+        stream = self.stream_by_request.get(request_id)
+        if stream is None:
+            return
+        if stream.deliver(sse, outcome):
+            self.actor.post(ReaderSlow(request_id))
+        if outcome is not None:
+            self.context.metrics.incr(f"verdict.{outcome.verdict.value.lower()}")
+            self.context.recorder.record(
+                EventCode.REQUEST_FINISHED,
+                request_id=request_id,
+                account_id=self.account_by_request[request_id],
+                endpoint_id=stream.endpoint_id,
+                detail=f"verdict={outcome.verdict.value} complete={outcome.complete}",
+            )
+
+    def _end(self, request_id: str, refusal: Refusal) -> None:
+        """End a caller's answer with a refusal."""
+        self.context.metrics.incr(f"refused.{refusal.reason}")
+        self.context.recorder.record(
+            EventCode.REQUEST_REFUSED,
+            request_id=request_id,
+            account_id=self.account_by_request.get(request_id, ""),
+            detail=f"verdict={refusal.verdict.value} reason={refusal.reason}",
+        )
+        stream = self.stream_by_request.get(request_id)
+        if stream is not None:
+            stream.end(refusal)
+
+    def _note_sent(self, action: RequestSent) -> None:
+        """Put a dispatch on the time line."""
+        stream = self.stream_by_request.get(action.request_id)
+        if stream is not None:
+            stream.endpoint_id = action.endpoint_id
+        self.context.recorder.record(
+            EventCode.REQUEST_DISPATCHED,
+            request_id=action.request_id,
+            account_id=action.account_id,
+            endpoint_id=action.endpoint_id,
+            detail=f"attempt={action.attempt}",
+        )
+
+    # Control.
+
+    async def _apply_revision(self, revision: Revision) -> None:
+        """Switch to new declarations."""
+        self.revision = revision
+        self.actor.post(NewRevision(revision))
+
+    async def _keep_heartbeat(self) -> None:
+        """Renew the lease and exchange counters."""
+        while True:
+            await self._heartbeat()
+            seconds = self.context.settings.heartbeat_seconds
+            await sleep(seconds * (0.9 + 0.2 * self.context.rng.random()))
+
+    async def _heartbeat(self) -> None:
+        """Publish counters; take in totals and endpoints."""
+        full = self.full_due
+        heartbeat = RouterHeartbeat(
+            self.context.sender(),
+            self.context.settings.address,
+            self.context.settings.failure_domain,
+            self.context.revision,
+            self.core.heartbeat_accounts(full),
+            self.core.backlogs(),
+            self.known_set,
+            full,
+            self.draining,
+            self._lifts() if full else [],
+        )
+        try:
+            reply = await self.control.call(
+                ROUTER_HEARTBEAT_PATH, heartbeat, RouterHeartbeatReply
+            )
+        except PeerError:
+            self.core.heartbeat_lost()
+            return
+        self.full_due = reply.need_full
+        self.context.observe(reply.sender.stamp)
+        if reply.expired:
+            self.context.renew_incarnation()
+            self.full_due = True
+        self.actor.post(HeartbeatAnswered(reply))
+        if reply.endpoint_set is not None:
+            self._apply_endpoints(reply.endpoint_set)
+
+    def _lifts(self) -> list[AccountLift]:
+        """Return the lifts that a control process without memory needs."""
+        lifts: list[AccountLift] = []
+        for service_id, queue in self.core.queue_by_service.items():
+            lifts.extend(queue.ledger.lifts(service_id))
+        return lifts
+
+    def _apply_endpoints(self, endpoint_set: EndpointSet) -> None:
+        """Open sessions to new endpoints, close those to endpoints that left."""
+        self.known_set = endpoint_set.version
+        entry_by_id = {entry.endpoint_id: entry for entry in endpoint_set.endpoints}
+        for endpoint_id, entry in entry_by_id.items():
+            session = self.session_by_endpoint.get(endpoint_id)
+            if session is not None and session.entry == entry:
+                self.actor.post(EndpointSeen(endpoint_id))
+                continue
+            if session is not None:
+                session.close()
+            session = SidecarSession(self.context, self.client, entry, self.actor.post)
+            self.session_by_endpoint[endpoint_id] = session
+            self._group.start_soon(session.run)
+        for endpoint_id in set(self.session_by_endpoint) - set(entry_by_id):
+            self.actor.post(EndpointGone(endpoint_id))
+            self._close_when_unused(endpoint_id)
+
+    def _close_when_unused(self, endpoint_id: str) -> None:
+        """Close the session of an endpoint that left, once nothing is in flight."""
+        if self.core.flights.at_endpoint(endpoint_id):
+            return
+        self.session_by_endpoint.pop(endpoint_id).close()
--- /dev/null
+++ b/pistachiolever/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one process."""
--- /dev/null
+++ b/pistachiolever/settings/models.py
@@ -0,0 +1,94 @@
+"""Settings of one process."""
+
+from attrs import field, frozen
+
+from pistachiolever.settings.const import (
+    DEFAULT_ATTACH_COUNT,
+    DEFAULT_BUFFER_BYTES,
+    DEFAULT_CLAIM_WINDOW_SECONDS,
+    DEFAULT_DRAIN_SECONDS,
+    DEFAULT_GRANT_SECONDS,
+    DEFAULT_HEARTBEAT_SECONDS,
+    DEFAULT_LEASE_SECONDS,
+    DEFAULT_MAX_ANSWER_BYTES,
+    DEFAULT_MAX_QUEUE_BYTES,
+    DEFAULT_MAX_REQUEST_BYTES,
+    DEFAULT_ORPHAN_SECONDS,
+    DEFAULT_REATTACH_SECONDS,
+    DEFAULT_REPLAY_BYTES,
+    DEFAULT_REPLAY_SECONDS,
+    DEFAULT_STALL_SECONDS,
+)
+
+
+@frozen
+class TlsSettings:
+    """Paths of PEM files; an empty path leaves TLS off for that side."""
+
+    certificate_file: str = ""
+    key_file: str = ""
+    authority_file: str = ""
+
+
+@frozen
+class StatsdSettings:
+    """Where metrics go, by IP number; port 0 sends none."""
+
+    host: str = "127.0.0.1"
+    port: int = 0
+    prefix: str = "pistachiolever"
+
+
+@frozen
+class RouterSettings:
+    """What a router needs to know."""
+
+    max_queue_bytes: int = DEFAULT_MAX_QUEUE_BYTES
+    max_request_bytes: int = DEFAULT_MAX_REQUEST_BYTES
+    stream_buffer_bytes: int = DEFAULT_BUFFER_BYTES
+    reattach_seconds: float = DEFAULT_REATTACH_SECONDS
+
+
+@frozen
+class SidecarSettings:
+    """What a sidecar needs to know of its endpoint."""
+
+    endpoint_id: str
+    service_id: str
+    endpoint_url: str
+    max_answer_bytes: int = DEFAULT_MAX_ANSWER_BYTES
+    replay_bytes: int = DEFAULT_REPLAY_BYTES
+    replay_seconds: float = DEFAULT_REPLAY_SECONDS
+    orphan_seconds: float = DEFAULT_ORPHAN_SECONDS
+    stall_seconds: float = DEFAULT_STALL_SECONDS
+    grant_seconds: float = DEFAULT_GRANT_SECONDS
+
+
+@frozen
+class ControlSettings:
+    """What a control process needs to know."""
+
+    data_folder: str
+    operator_key_sha256: str
+    attach_count: int = DEFAULT_ATTACH_COUNT
+    claim_window_seconds: float = DEFAULT_CLAIM_WINDOW_SECONDS
+
+
+@frozen
+class ProcessSettings:
+    """Everything that one process is told at its start."""
+
+    process_id: str
+    address: str
+    failure_domain: str
+    fleet_secret: str
+    control_addresses: list[str]
+    heartbeat_seconds: float = DEFAULT_HEARTBEAT_SECONDS
+    lease_seconds: float = DEFAULT_LEASE_SECONDS
+    drain_seconds: float = DEFAULT_DRAIN_SECONDS
+    event_file: str = ""
+    tls: TlsSettings = field(factory=TlsSettings)
+    statsd: StatsdSettings = field(factory=StatsdSettings)
+    router: RouterSettings | None = None
+    sidecar: SidecarSettings | None = None
+    control: ControlSettings | None = None
--- /dev/null
+++ b/pistachiolever/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecar: the only way to an endpoint."""
--- /dev/null
+++ b/pistachiolever/sidecar/http.py
@@ -0,0 +1,173 @@
+"""The HTTP face of a sidecar towards routers."""
+
+from anyio import create_task_group, move_on_after
+from attrs import define
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+from starlette.types import Receive, Scope, Send
+
+from pistachiolever.const import OLDEST_PROTOCOL_VERSION
+from pistachiolever.core.errors import ProtocolError
+from pistachiolever.edge.server import (
+    BodyTooLargeError,
+    is_fleet_call,
+    json_response,
+    read_body,
+    read_inner_body,
+)
+from pistachiolever.events.const import EventCode
+from pistachiolever.sidecar.const import KEEPALIVE_SECONDS
+from pistachiolever.sidecar.models import FromRouter
+from pistachiolever.sidecar.sessions import RouterSession, merge_chunks
+from pistachiolever.sidecar.tasks import SidecarProcess
+from pistachiolever.wire.codec import decode, encode
+from pistachiolever.wire.const import (
+    COMMANDS_PATH,
+    MAX_INNER_BODY_BYTES,
+    SESSION_PATH,
+    STATUS_PATH,
+)
+from pistachiolever.wire.models import (
+    RouterCommands,
+    RunStatusQuery,
+    Sender,
+    SidecarBatch,
+    SidecarHello,
+    SidecarMessage,
+)
+
+
+def make_sidecar_app(process: SidecarProcess) -> Starlette:
+    """Return the application that routers call."""
+    face = SidecarFace(process)
+    return Starlette(
+        routes=[
+            Route(SESSION_PATH, SessionEndpoint(process), methods=["POST"]),
+            Route(COMMANDS_PATH, face.commands, methods=["POST"]),
+            Route(STATUS_PATH, face.status, methods=["POST"]),
+            Route("/health", face.health),
+            Route("/ops/events", face.events),
+        ]
+    )
+
+
+@define
+class SidecarFace:
+    """Short calls of routers."""
+
+    process: SidecarProcess
+
+    async def commands(self, request: Request) -> Response:
+        """Take a batch of commands; 409 says that none of it was taken."""
+        if not is_fleet_call(request, self.process.context.settings):
+            return Response(status_code=401)
+        try:
+            commands = decode(await read_inner_body(request), RouterCommands)
+        except (ProtocolError, BodyTooLargeError):
+            return Response(status_code=400)
+        if not self._accepts(commands):
+            return Response(status_code=409)
+        self.process.context.observe(commands.sender.stamp)
+        for message in commands.messages:
+            self.process.actor.post(FromRouter(commands.sender.process_id, message))
+        return json_response(b"true")
+
+    def _accepts(self, commands: RouterCommands) -> bool:
+        """Tell whether the batch is meant for this incarnation and session."""
+        if commands.to_incarnation != self.process.context.incarnation:
+            return False
+        return commands.sender.process_id in self.process.session_by_router
+
+    async def status(self, request: Request) -> Response:
+        """Tell how a request stands here."""
+        if not is_fleet_call(request, self.process.context.settings):
+            return Response(status_code=401)
+        try:
+            query = decode(await read_inner_body(request), RunStatusQuery)
+        except (ProtocolError, BodyTooLargeError):
+            return Response(status_code=400)
+        status = self.process.core.status(query.request_id, query.account_id)
+        return json_response(encode(status))
+
+    async def health(self, request: Request) -> Response:
+        """Tell that the process lives."""
+        return json_response(b'{"healthy":true}')
+
+    async def events(self, request: Request) -> Response:
+        """Return the kept events of the time line."""
+        if not is_fleet_call(request, self.process.context.settings):
+            return Response(status_code=401)
+        return json_response(encode(self.process.context.recorder.after(0)))
+
+
+@define
+class SessionEndpoint:
+    """The long answer on which a router receives everything."""
+
+    process: SidecarProcess
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Send batches until the router leaves or a newer session replaces this."""
+        request = Request(scope, receive)
+        if not is_fleet_call(request, self.process.context.settings):
+            await Response(status_code=401)(scope, receive, send)
+            return
+        try:
+            sender = decode(await read_body(receive, MAX_INNER_BODY_BYTES), Sender)
+        except (ProtocolError, BodyTooLargeError):
+            await Response(status_code=400)(scope, receive, send)
+            return
+        if sender.protocol_version < OLDEST_PROTOCOL_VERSION:
+            self.process.context.recorder.record(
+                EventCode.PEER_REFUSED,
+                detail=f"peer={sender.process_id} version={sender.protocol_version}",
+            )
+            await Response(status_code=426)(scope, receive, send)
+            return
+        self.process.context.observe(sender.stamp)
+        session = self.process.open_session(sender.process_id)
+        try:
+            async with create_task_group() as group:
+                group.start_soon(self._write, session, send)
+                await _wait_for_disconnect(receive)
+                group.cancel_scope.cancel()
+        finally:
+            self.process.close_session(session)
+
+    async def _write(self, session: RouterSession, send: Send) -> None:
+        """Write the hello and then what the outbox holds."""
+        await send({"type": "http.response.start", "status": 200, "headers": []})
+        await self._send(send, [self._hello()])
+        while not session.outbox.is_closed():
+            messages: list[SidecarMessage] = []
+            with move_on_after(KEEPALIVE_SECONDS):
+                messages = await session.outbox.take_all()
+            await self._send(send, merge_chunks(messages))
+        await send({"type": "http.response.body", "body": b""})
+
+    def _hello(self) -> SidecarHello:
+        """Return who this sidecar is."""
+        settings = self.process.context.settings
+        sidecar = self.process.settings
+        return SidecarHello(
+            self.process.context.sender(),
+            sidecar.endpoint_id,
+            sidecar.service_id,
+            settings.failure_domain,
+        )
+
+    async def _send(self, send: Send, messages: list[SidecarMessage]) -> None:
+        """Write one line."""
+        stamp = self.process.context.recorder.stamp()
+        body = encode(SidecarBatch(stamp, messages)) + b"\n"
+        await send({"type": "http.response.body", "body": body, "more_body": True})
+
+
+async def _wait_for_disconnect(receive: Receive) -> None:
+    """Return when the peer has closed its connection."""
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return
--- /dev/null
+++ b/pistachiolever/sidecar/tasks.py
@@ -0,0 +1,234 @@
+"""The tasks of a sidecar process: they own its sockets and perform its actions."""
+
+from anyio import CancelScope, Event, create_task_group, move_on_after, sleep
+from anyio.abc import TaskGroup
+from attrs import define, field
+
+from pistachiolever.core.actor import Actor
+from pistachiolever.declarations.models import Revision, Service
+from pistachiolever.edge.client import FleetClient, PeerError
+from pistachiolever.edge.context import ProcessContext
+from pistachiolever.edge.control_client import ControlClient
+from pistachiolever.events.const import EventCode
+from pistachiolever.settings.models import SidecarSettings
+from pistachiolever.sidecar.adapters import EndpointAdapter, make_adapter
+from pistachiolever.sidecar.const import (
+    CLAIM_RETRY_MOST_SECONDS,
+    CLAIM_RETRY_SECONDS,
+    TICK_SECONDS,
+)
+from pistachiolever.sidecar.core import SidecarCore
+from pistachiolever.sidecar.models import (
+    CancelRun,
+    Drain,
+    LimitNoted,
+    NewRevision,
+    ReportClaim,
+    RouterDown,
+    RouterUp,
+    RunNoted,
+    SendToRouter,
+    SidecarAction,
+    SidecarInput,
+    StartRun,
+    Tick,
+)
+from pistachiolever.sidecar.sessions import RouterSession
+from pistachiolever.wire.const import CLAIM_CLOSE_PATH, SIDECAR_HEARTBEAT_PATH
+from pistachiolever.wire.models import (
+    ClaimClose,
+    ClaimClosed,
+    Dispatch,
+    EndpointEntry,
+    SidecarHeartbeat,
+    SidecarHeartbeatReply,
+)
+
+
+@define
+class SidecarProcess:
+    """One sidecar: its decisions, sessions, runs and lease."""
+
+    context: ProcessContext
+    settings: SidecarSettings
+    service: Service
+    client: FleetClient
+    control: ControlClient
+    core: SidecarCore = field(init=False)
+    actor: Actor[SidecarInput, SidecarAction] = field(init=False)
+    adapter: EndpointAdapter = field(init=False)
+    session_by_router: dict[str, RouterSession] = field(factory=dict)
+    scope_by_request: dict[str, CancelScope] = field(factory=dict)
+    stopped: Event = field(factory=Event)
+    open_claims: int = 0
+    _group: TaskGroup = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Make the decisions and the task that owns them."""
+        self.core = SidecarCore(self.settings, self.context.rng, self.service)
+        self.actor = Actor(self.core, self.perform, self.context.now)
+        self.adapter = make_adapter(self.settings, self.service)
+
+    async def run(self) -> None:
+        """Work until the sidecar has drained."""
+        self.context.recorder.record(EventCode.PROCESS_STARTED, detail="role=sidecar")
+        async with create_task_group() as group:
+            self._group = group
+            group.start_soon(self.actor.run)
+            group.start_soon(self.actor.tick, Tick(), TICK_SECONDS)
+            group.start_soon(self._keep_lease)
+            group.start_soon(self.control.watch, self._apply_revision)
+            await self.stopped.wait()
+            group.cancel_scope.cancel()
+        self.context.recorder.record(EventCode.PROCESS_STOPPED)
+
+    async def drain(self) -> None:
+        """Leave: take nothing new at once, finish what runs, then stop."""
+        self.context.recorder.record(EventCode.PROCESS_DRAINING)
+        self.actor.post(Drain())
+        with move_on_after(self.context.settings.drain_seconds):
+            await self._send_heartbeat(draining=True)
+            while not (self.core.draining and self.core.is_idle()):
+                await sleep(TICK_SECONDS)
+            while self.open_claims or any(
+                len(session.outbox) for session in self.session_by_router.values()
+            ):
+                await sleep(TICK_SECONDS)
+        for session in self.session_by_router.values():
+            session.outbox.close()
+        await sleep(TICK_SECONDS)
+        self.stopped.set()
+
+    def open_session(self, router_id: str) -> RouterSession:
+        """Start the session of a router, in place of an older one."""
+        former = self.session_by_router.get(router_id)
+        if former is not None:
+            former.outbox.close()
+            self.actor.post(RouterDown(router_id))
+        session = RouterSession(router_id)
+        self.session_by_router[router_id] = session
+        self.context.recorder.record(
+            EventCode.ROUTER_ATTACHED, detail=f"router={router_id}"
+        )
+        self.actor.post(RouterUp(router_id))
+        return session
+
+    def close_session(self, session: RouterSession) -> None:
+        """End the session of a router that left."""
+        if self.session_by_router.get(session.router_id) is not session:
+            return
+        del self.session_by_router[session.router_id]
+        self.context.recorder.record(
+            EventCode.ROUTER_DETACHED, detail=f"router={session.router_id}"
+        )
+        self.actor.post(RouterDown(session.router_id))
+
+    def perform(self, action: SidecarAction) -> None:
+        """Do what the decisions ask for."""
+        match action:
+            case SendToRouter(router_id, message):
+                session = self.session_by_router.get(router_id)
+                if session is not None:
+                    session.outbox.put(message)
+            case StartRun(dispatch):
+                self._group.start_soon(self._run_request, dispatch)
+            case CancelRun(request_id):
+                scope = self.scope_by_request.get(request_id)
+                if scope is not None:
+                    scope.cancel()
+            case ReportClaim():
+                self.open_claims += 1
+                self._group.start_soon(self._report_claim, action)
+            case RunNoted():
+                self._note_run(action)
+            case LimitNoted(limit):
+                self.context.metrics.gauge("limit", limit)
+                self.context.recorder.record(
+                    EventCode.LIMIT_CHANGED,
+                    endpoint_id=self.settings.endpoint_id,
+                    detail=f"limit={limit}",
+                )
+
+    async def _run_request(self, dispatch: Dispatch) -> None:
+        """Run one request at the endpoint."""
+        self.context.recorder.record(
+            EventCode.RUN_STARTED,
+            request_id=dispatch.request_id,
+            account_id=dispatch.account_id,
+            endpoint_id=self.settings.endpoint_id,
+        )
+        self.context.metrics.incr("runs")
+        with CancelScope() as scope:
+            self.scope_by_request[dispatch.request_id] = scope
+            await self.adapter.run(dispatch, self.actor.post)
+        del self.scope_by_request[dispatch.request_id]
+
+    def _note_run(self, action: RunNoted) -> None:
+        """Put the end of a run on the time line."""
+        self.context.metrics.incr(f"verdict.{action.verdict.value.lower()}")
+        self.context.recorder.record(
+            EventCode.RUN_FINISHED,
+            request_id=action.request_id,
+            account_id=action.account_id,
+            endpoint_id=self.settings.endpoint_id,
+            detail=f"verdict={action.verdict.value} complete={action.complete} "
+            f"parts={action.parts} {action.reason}".rstrip(),
+        )
+
+    async def _report_claim(self, action: ReportClaim) -> None:
+        """Store an outcome with control; try until it is stored."""
+        wait = CLAIM_RETRY_SECONDS
+        while True:
+            try:
+                await self.control.call(
+                    CLAIM_CLOSE_PATH,
+                    ClaimClose(
+                        self.context.sender(),
+                        action.attempt_id,
+                        action.verdict,
+                        action.outcome_sse,
+                    ),
+                    ClaimClosed,
+                )
+                self.open_claims -= 1
+                return
+            except PeerError:
+                await sleep(wait * (0.5 + self.context.rng.random()))
+                wait = min(CLAIM_RETRY_MOST_SECONDS, wait * 2)
+
+    async def _apply_revision(self, revision: Revision) -> None:
+        """Switch to new declarations."""
+        self.actor.post(NewRevision(revision))
+
+    async def _keep_lease(self) -> None:
+        """Announce the endpoint again and again."""
+        while True:
+            await self._send_heartbeat(draining=False)
+            seconds = self.context.settings.heartbeat_seconds
+            await sleep(seconds * (0.9 + 0.2 * self.context.rng.random()))
+
+    async def _send_heartbeat(self, draining: bool) -> None:
+        """Announce the endpoint, or say that it leaves."""
+        core = self.core
+        entry = EndpointEntry(
+            self.settings.endpoint_id,
+            self.settings.service_id,
+            self.context.settings.address,
+            self.context.settings.failure_domain,
+        )
+        heartbeat = SidecarHeartbeat(
+            self.context.sender(),
+            entry,
+            self.context.revision,
+            core.limiter.allowed(),
+            core.runs.running,
+            core.grants.has_bids(),
+            draining or core.draining,
+        )
+        try:
+            reply = await self.control.call(
+                SIDECAR_HEARTBEAT_PATH, heartbeat, SidecarHeartbeatReply
+            )
+        except PeerError:
+            return
+        self.context.observe(reply.sender.stamp)
--- /dev/null
+++ b/pistachiolever/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The inner protocol: typed messages and their codec."""
--- /dev/null
+++ b/stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for endpoints: a model engine and a booking desk."""
--- /dev/null
+++ b/stand_ins/booking_desk.py
@@ -0,0 +1,65 @@
+"""A booking desk that counts every execution."""
+
+from anyio import sleep, sleep_forever
+from attrs import define, field
+from orjson import loads
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from stand_ins.faults import FaultKind, FaultSwitch
+
+
+class CutError(Exception):
+    """The desk drops a connection on purpose."""
+
+
+@define
+class BookingDesk:
+    """Books whatever it is asked, as often as it is asked."""
+
+    service_seconds: float = 0.01
+    count_by_input: dict[str, int] = field(factory=dict)
+    faults: FaultSwitch = field(factory=FaultSwitch)
+
+    def app(self) -> Starlette:
+        """Return the desk's HTTP application."""
+        return Starlette(
+            routes=[
+                Route("/call", self.call, methods=["POST"]),
+                Route("/executions", self.executions),
+                Route("/fault", self.fault, methods=["POST"]),
+            ]
+        )
+
+    async def call(self, request: Request) -> Response:
+        """Book; a fault may hide that it was done."""
+        document = loads(await request.body())
+        fault = self.faults.take()
+        if fault is FaultKind.OVERLOAD:
+            return Response(status_code=429)
+        text = document["input"]
+        count = self.count_by_input.get(text, 0) + 1
+        self.count_by_input[text] = count
+        await sleep(self.service_seconds)
+        if fault is FaultKind.STALL:
+            await sleep_forever()
+        if fault is FaultKind.CUT:
+            raise CutError
+        if fault is FaultKind.ERROR:
+            return Response(status_code=500)
+        if fault is FaultKind.GARBAGE:
+            return Response("{not json")
+        return JSONResponse({"booked": text, "number": len(self.count_by_input)})
+
+    async def executions(self, request: Request) -> Response:
+        """Return how often each input was booked."""
+        return JSONResponse(self.count_by_input)
+
+    async def fault(self, request: Request) -> Response:
+        """Set the fault of the next calls."""
+        document = loads(await request.body())
+        kind = FaultKind(document["kind"])
+        self.faults.set(kind, document.get("after", 0), document.get("calls", 1))
+        return JSONResponse({"set": kind.value})
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of pistachiolever; the folders mirror the package."""
