Prove answers, verdicts and at-most-once through killed processes

Change: a sidecar runs again what it failed before (never a claimed attempt); ejection yields when no other endpoint is open; an overload moves the concurrency limit instead of ejecting.

--- a/pistachiolever/router/core.py
+++ b/pistachiolever/router/core.py
@@ -17,6 +17,7 @@
     EMPTY_SERVICE_RETRY_SECONDS,
     HANGUP_KEEP_SECONDS,
     MAX_ATTEMPTS,
+    OVERLOADED_REASON,
     SLOW_READER_KEEP_SECONDS,
 )
 from pistachiolever.router.endpoints import EndpointBook, EndpointState
@@ -433,7 +434,8 @@
             return False
         if not self._may_retry(flight, chunk.outcome.verdict):
             return False
-        self._source.note_failure(self.now)
+        if chunk.outcome.reason != OVERLOADED_REASON:
+            self._source.note_failure(self.now)
         self._retry(flight)
         return True
 
@@ -550,9 +552,13 @@
                 break
             state.credits -= 1
             self._dispatch(item, state, "")
+        usable = self.endpoints.usable(service_id, self.now)
         for state in self.endpoints.of_service(service_id):
-            if state.usable(self.now):
+            if state in usable:
                 self._refresh_bids(state)
+            elif state.connected and state.bids_sent:
+                self._note_bids(state, [])
+                self._command(state.entry.endpoint_id, Bids([]))
 
     def _dispatch(
         self, item: WaitingRequest, state: EndpointState, grant_id: str
--- a/pistachiolever/router/endpoints.py
+++ b/pistachiolever/router/endpoints.py
@@ -23,14 +23,9 @@
     bids_sent: list[Bid] = field(factory=list)
     bids_sent_at: float = float("-inf")
 
-    def usable(self, now: float) -> bool:
-        """Tell whether new work may go there."""
-        return (
-            self.connected
-            and self.leased
-            and not self.draining
-            and now >= self.ejected_until
-        )
+    def open(self) -> bool:
+        """Tell whether the endpoint takes new work."""
+        return self.connected and self.leased and not self.draining
 
     def note_failure(self, now: float) -> None:
         """Keep away from the endpoint, longer after each failure in a row."""
@@ -72,11 +67,21 @@
         """Return the endpoints of a service."""
         return list(self.states_by_service.get(service_id, {}).values())
 
+    def usable(self, service_id: str, now: float) -> list[EndpointState]:
+        """Return where new work may go.
+
+        Endpoints that failed are kept out for a while, unless no other is open:
+        then trying them is better than leaving work to wait.
+        """
+        open_states = [state for state in self.of_service(service_id) if state.open()]
+        trusted = [state for state in open_states if now >= state.ejected_until]
+        return trusted or open_states
+
     def with_credit(self, service_id: str, now: float) -> EndpointState | None:
         """Return the usable endpoint with the most spare credits for its load."""
         best: EndpointState | None = None
-        for state in self.of_service(service_id):
-            if state.credits <= 0 or not state.usable(now):
+        for state in self.usable(service_id, now):
+            if state.credits <= 0:
                 continue
             if best is None or _preference(state) > _preference(best):
                 best = state
--- a/pistachiolever/sidecar/adapters.py
+++ b/pistachiolever/sidecar/adapters.py
@@ -25,6 +25,7 @@
     REQUEST_ID_HEADER,
 )
 from pistachiolever.settings.models import SidecarSettings
+from pistachiolever.sidecar.const import OVERLOADED_REASON
 from pistachiolever.sidecar.models import (
     PartArrived,
     ResultArrived,
@@ -189,7 +190,7 @@
     if status == 200:
         return None
     if status in (429, 503) and (status == 429 or overload_is_refusal):
-        return _ended(request_id, Verdict.NOT_RUN, "endpoint-overloaded")
+        return _ended(request_id, Verdict.NOT_RUN, OVERLOADED_REASON)
     if 400 <= status < 500:
         return _ended(request_id, Verdict.NOT_RUN, "endpoint-rejected")
     return _ended(request_id, Verdict.MAY_HAVE_RUN, "endpoint-error")
--- a/pistachiolever/sidecar/core.py
+++ b/pistachiolever/sidecar/core.py
@@ -11,7 +11,11 @@
 from pistachiolever.declarations.models import Service
 from pistachiolever.edge.sse import final_event, part_event, result_event
 from pistachiolever.settings.models import SidecarSettings
-from pistachiolever.sidecar.const import SEEN_ATTEMPTS_MOST, TOMBSTONE_SECONDS
+from pistachiolever.sidecar.const import (
+    OVERLOADED_REASON,
+    SEEN_ATTEMPTS_MOST,
+    TOMBSTONE_SECONDS,
+)
 from pistachiolever.sidecar.grants import GrantBook
 from pistachiolever.sidecar.limiter import ConcurrencyLimiter
 from pistachiolever.sidecar.models import (
@@ -162,7 +166,8 @@
         if message.bids is not None:
             self._bids(message.bids)
         had_grant = self.grants.use(message.grant_id)
-        if message.request_id in self.runs.run_by_id:
+        known = self.runs.run_by_id.get(message.request_id)
+        if known is not None and self._attach_again(known):
             return
         refused = self._refusal_of(message, had_grant)
         if refused is not None:
@@ -177,6 +182,21 @@
         self.limiter.see_running(self.runs.running)
         self._actions.append(StartRun(message))
 
+    def _attach_again(self, run: Run) -> bool:
+        """Serve a request that was sent here before; tell whether that was done.
+
+        A run that goes on or is whole is sent again; one that failed may be
+        repeated, which its router decides by the verdict.
+        """
+        if run.outcome is not None and not run.outcome.complete:
+            self.runs.drop(run)
+            return False
+        run.router_id = self._router_id
+        run.abandoned_at = None
+        run.sent = 0
+        self._send_events(run)
+        return True
+
     def _refusal_of(self, message: Dispatch, had_grant: bool) -> Refused | None:
         """Return why a request must not start, or None."""
         request_id = message.request_id
@@ -294,6 +314,8 @@
                 run.cost,
                 self.service.cost.cost_of(message.input_tokens, message.output_tokens),
             )
+        if message.reason == OVERLOADED_REASON:
+            self.limiter.see_overload()
         self._end(run, message.verdict, message.complete, message.reason)
 
     def _load_reported(self, message: LoadReported) -> None:
--- a/pistachiolever/sidecar/limiter.py
+++ b/pistachiolever/sidecar/limiter.py
@@ -38,6 +38,7 @@
     baseline: float = 0.0
     window_started: float = 0.0
     was_full: bool = False
+    overloaded: bool = False
     reported_waiting: int = 0
     first_parts: list[float] = field(factory=list)
     gaps: list[float] = field(factory=list)
@@ -63,6 +64,10 @@
         """Take in the endpoint's late report of requests that it holds back."""
         self.reported_waiting = waiting
 
+    def see_overload(self) -> None:
+        """Take in that the endpoint refused a request for lack of room."""
+        self.overloaded = True
+
     def adjust(self, now: float) -> bool:
         """Move the limit at the end of a window; tell whether it moved."""
         if now - self.window_started < LIMIT_WINDOW_SECONDS:
@@ -74,12 +79,15 @@
             self.limit = min(float(self.most), self.limit + LIMIT_STEP)
         self.window_started = now
         self.was_full = False
+        self.overloaded = False
         self.first_parts.clear()
         self.gaps.clear()
         return self.allowed() != before
 
     def _is_slow(self) -> bool:
         """Tell whether the endpoint holds requests back or steps slowly."""
+        if self.overloaded:
+            return True
         is_model = self.kind is ServiceKind.MODEL
         if is_model and self.gaps and _high(self.gaps) > GAP_TARGET_SECONDS:
             return True
--- a/pistachiolever/sidecar/runs.py
+++ b/pistachiolever/sidecar/runs.py
@@ -68,13 +68,17 @@
             run.dispatch.request_id
         )
 
+    def drop(self, run: Run) -> None:
+        """Forget a run that ended."""
+        del self.run_by_id[run.dispatch.request_id]
+        self.kept_bytes -= run.buffer.size_bytes
+
     def forget_old(self, now: float) -> None:
         """Drop answers that are too old, or the oldest when there are too many."""
-        for request_id, run in list(self.run_by_id.items()):
+        for run in list(self.run_by_id.values()):
             if run.outcome is None:
                 continue
             is_old = now - run.ended_at > self.keep_seconds
             if not is_old and self.kept_bytes <= self.most_bytes:
                 return
-            del self.run_by_id[request_id]
-            self.kept_bytes -= run.buffer.size_bytes
+            self.drop(run)
--- /dev/null
+++ b/tests/system/__init__.py
@@ -0,0 +1,1 @@
+"""Tests through real processes."""
--- /dev/null
+++ b/tests/system/test_failures.py
@@ -0,0 +1,257 @@
+"""Failures through real processes: what callers are told is whole and true."""
+
+import signal
+import time
+from concurrent.futures import ThreadPoolExecutor
+from hashlib import sha256
+from unittest import TestCase
+
+from httpx import ReadTimeout
+from nose2.tools import params
+
+from stand_ins.batch import answer_tokens
+from tests.system.answers import Answer, resume, send
+from tests.system.fleet import DEPOT, Fleet, FleetShape, wait_until
+
+
+def expected_text(prompt: str) -> str:
+    """Return what every stand-in engine answers to a prompt."""
+    return "".join(answer_tokens(1, prompt, 2048))
+
+
+class FailureTest(TestCase):
+    """One fleet; each test breaks something and mends it."""
+
+    fleet: Fleet
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Start the fleet."""
+        cls.fleet = Fleet(FleetShape(desk_seconds=0.2))
+        cls.fleet.start()
+
+    @classmethod
+    def tearDownClass(cls) -> None:
+        """End the fleet."""
+        cls.fleet.stop()
+
+    def setUp(self) -> None:
+        """Begin with a whole fleet."""
+        for number in range(2):
+            self.fleet.wait_ready(f"router-{number}")
+
+    def assert_whole(self, answer: Answer, prompt: str) -> None:
+        """Check that an answer is the whole one to its own prompt."""
+        self.assertEqual(answer.text(), expected_text(prompt))
+        self.assertEqual(answer.final.get("verdict"), "RAN")
+        self.assertTrue(answer.final["complete"])
+        digest = sha256(answer.text().encode()).hexdigest()
+        self.assertEqual(answer.final["digest"], f"sha256:{digest}")
+
+    def test_many_callers_get_their_own_answers(self) -> None:
+        prompts = [f"tokens={n % 30 + 1} question {n}" for n in range(40)]
+        with ThreadPoolExecutor(20) as pool:
+            answers = list(
+                pool.map(
+                    lambda n: send(self.fleet, f"router-{n % 2}", prompts[n]),
+                    range(40),
+                )
+            )
+        for answer, prompt in zip(answers, prompts, strict=True):
+            self.assert_whole(answer, prompt)
+
+    @params(
+        ("cut", 3, "endpoint-cut"),
+        ("garbage", 3, "endpoint-garbled"),
+        ("stall", 3, "endpoint-stalled"),
+    )
+    def test_engine_fails_in_mid_stream(
+        self, kind: str, after: int, reason: str
+    ) -> None:
+        for number in range(2):
+            self.fleet.set_fault(f"stand-in-engine-{number}", kind, after)
+        answer = send(self.fleet, "router-0", f"tokens=20 {kind}")
+        self.assertEqual(len(answer.texts), after)
+        self.assertEqual(answer.final["verdict"], "MAY_HAVE_RUN")
+        self.assertFalse(answer.final["complete"])
+        self.assertEqual(answer.final["reason"], reason)
+        for number in range(2):
+            self.fleet.set_fault(f"stand-in-engine-{number}", "none")
+
+    def test_overloaded_engine_is_retried_elsewhere(self) -> None:
+        self.fleet.set_fault("stand-in-engine-0", "overload", calls=1)
+        self.fleet.set_fault("stand-in-engine-1", "overload", calls=1)
+        prompt = "tokens=5 retried"
+        self.assert_whole(send(self.fleet, "router-0", prompt), prompt)
+        for number in range(2):
+            self.fleet.set_fault(f"stand-in-engine-{number}", "none")
+
+    def test_router_killed_then_resumed_through_another(self) -> None:
+        prompt = "tokens=150 long plan"
+        with ThreadPoolExecutor(1) as pool:
+            running = pool.submit(send, self.fleet, "router-0", prompt)
+            time.sleep(0.6)
+            self.fleet.kill("router-0")
+            answer = running.result()
+        self.assertTrue(answer.broken)
+        self.assertFalse(answer.final)
+        self.assertGreater(len(answer.texts), 0)
+        answer = resume(self.fleet, "router-1", answer)
+        self.assert_whole(answer, prompt)
+        self.fleet.restart("router-0")
+
+    def test_caller_leaves_and_resumes(self) -> None:
+        prompt = "tokens=60 left early"
+        answer = send(self.fleet, "router-0", prompt, stop_after=5)
+        answer = resume(self.fleet, "router-0", answer)
+        self.assert_whole(answer, prompt)
+
+    def test_another_account_cannot_resume(self) -> None:
+        answer = send(self.fleet, "router-0", "tokens=10 secret")
+        stolen = Answer(request_id=answer.request_id)
+        resume(self.fleet, "router-1", stolen, DEPOT)
+        self.assertEqual(stolen.status, 404)
+        self.assertEqual(stolen.texts, [])
+
+    def test_drain_cuts_no_stream(self) -> None:
+        prompt = "tokens=100 while draining"
+        with ThreadPoolExecutor(1) as pool:
+            running = pool.submit(send, self.fleet, "router-0", prompt)
+            time.sleep(0.3)
+            self.fleet.signal("router-0", signal.SIGTERM)
+            time.sleep(0.3)
+            ready = self.fleet.http.get(self.fleet.url("router-0", "/ready"))
+            self.assertEqual(ready.status_code, 503)
+            refused = self.fleet.submit("router-0", "planning", "tokens=3 late")
+            self.assertEqual(refused.status_code, 503)
+            self.assertEqual(refused.json()["verdict"], "NOT_RUN")
+            self.assertIn("retry-after", refused.headers)
+            self.assert_whole(running.result(), prompt)
+        process = self.fleet.process_by_name["router-0"]
+        self.assertEqual(process.wait(10), 0)
+        self.fleet.restart("router-0")
+
+    def test_leaving_endpoint_finishes_and_gets_nothing_new(self) -> None:
+        prompts = [f"tokens=80 leaving {n}" for n in range(4)]
+        with ThreadPoolExecutor(4) as pool:
+            running = [pool.submit(send, self.fleet, "router-0", p) for p in prompts]
+            time.sleep(0.3)
+            self.fleet.signal("sidecar-engine-0", signal.SIGTERM)
+            time.sleep(0.2)
+            stats = self.fleet.url("stand-in-engine-0", "/stats")
+            before = self.fleet.http.get(stats).json()["runs_by_prompt"]
+            later = [f"tokens=4 later {n}" for n in range(6)]
+            for prompt in later:
+                self.assert_whole(send(self.fleet, "router-1", prompt), prompt)
+            after = self.fleet.http.get(stats).json()["runs_by_prompt"]
+            self.assertEqual(before, after)
+            for prompt, answer in zip(prompts, running, strict=True):
+                self.assert_whole(answer.result(), prompt)
+        self.fleet.process_by_name["sidecar-engine-0"].wait(10)
+        self.fleet.restart("sidecar-engine-0")
+
+    def test_resend_before_during_and_after(self) -> None:
+        text = "release 1"
+
+        def book(router: str) -> tuple[int, str]:
+            """Send the release once."""
+            response = self.fleet.submit(
+                router, "booking", text, idempotency_key="release-1"
+            )
+            return response.status_code, response.json()["verdict"]
+
+        with ThreadPoolExecutor(3) as pool:
+            first = pool.submit(book, "router-0")
+            time.sleep(0.05)
+            during = pool.submit(book, "router-1")
+            self.assertEqual(during.result(), (409, "MAY_HAVE_RUN"))
+            self.assertEqual(first.result(), (200, "RAN"))
+        wait_until(lambda: book("router-1") == (200, "RAN"), "the stored outcome")
+        self.assertEqual(self.fleet.executions()[text], 1)
+
+    def test_key_with_another_input_is_refused(self) -> None:
+        self.fleet.submit("router-0", "booking", "first", idempotency_key="twice")
+        other = self.fleet.submit(
+            "router-0", "booking", "second", idempotency_key="twice"
+        )
+        self.assertEqual(other.status_code, 409)
+        self.assertEqual(other.json()["verdict"], "NOT_RUN")
+        self.assertNotIn("second", self.fleet.executions())
+
+    def test_desk_that_refuses_frees_the_key(self) -> None:
+        self.fleet.set_fault("stand-in-desk-0", "overload", calls=20)
+        refused = self.fleet.submit(
+            "router-0", "booking", "refused", idempotency_key="refused"
+        )
+        self.assertEqual(refused.json()["verdict"], "NOT_RUN")
+        self.fleet.set_fault("stand-in-desk-0", "none")
+        self.assertNotIn("refused", self.fleet.executions())
+
+        def booked() -> bool:
+            """Tell whether the resend ran."""
+            response = self.fleet.submit(
+                "router-0", "booking", "refused", idempotency_key="refused"
+            )
+            return response.status_code == 200
+
+        wait_until(booked, "the freed key to be usable")
+        self.assertEqual(self.fleet.executions()["refused"], 1)
+
+    @params(("cut", "endpoint-cut"), ("stall", "endpoint-stalled"))
+    def test_desk_that_hides_its_work_is_not_asked_twice(
+        self, kind: str, reason: str
+    ) -> None:
+        self.fleet.set_fault("stand-in-desk-0", kind)
+        key = f"hidden-{kind}"
+        first = self.fleet.submit("router-0", "booking", key, idempotency_key=key)
+        self.assertEqual(first.json()["verdict"], "MAY_HAVE_RUN")
+        again = self.fleet.submit("router-1", "booking", key, idempotency_key=key)
+        self.assertEqual(again.json()["verdict"], "MAY_HAVE_RUN")
+        self.assertEqual(again.json()["reason"], reason)
+        self.assertEqual(self.fleet.executions()[key], 1)
+
+    def test_sidecar_killed_in_a_booking(self) -> None:
+        with ThreadPoolExecutor(1) as pool:
+            running = pool.submit(
+                self.fleet.submit,
+                "router-0",
+                "booking",
+                "killed",
+                idempotency_key="killed",
+            )
+            time.sleep(0.1)
+            self.fleet.kill("sidecar-desk-0")
+            self.fleet.restart("sidecar-desk-0")
+            first = running.result()
+        self.assertEqual(first.json()["verdict"], "MAY_HAVE_RUN")
+        self.fleet.wait_ready("router-0")
+        again = self.fleet.submit(
+            "router-0", "booking", "killed", idempotency_key="killed"
+        )
+        self.assertEqual(again.json()["verdict"], "MAY_HAVE_RUN")
+        self.assertEqual(self.fleet.executions()["killed"], 1)
+
+    def test_control_out_of_reach(self) -> None:
+        self.fleet.kill("control-0")
+        prompt = "tokens=5 without control"
+        self.assert_whole(send(self.fleet, "router-0", prompt), prompt)
+        refused = self.fleet.submit(
+            "router-0", "booking", "no ledger", idempotency_key="no-ledger"
+        )
+        self.assertEqual(refused.status_code, 503)
+        self.assertEqual(refused.json()["verdict"], "NOT_RUN")
+        self.assertNotIn("no ledger", self.fleet.executions())
+        self.fleet.restart("control-0")
+
+        def booked() -> bool:
+            """Tell whether a resend with the same key runs."""
+            try:
+                response = self.fleet.submit(
+                    "router-0", "booking", "no ledger", idempotency_key="no-ledger"
+                )
+            except ReadTimeout:
+                return False
+            return response.status_code == 200
+
+        wait_until(booked, "control to take claims again")
+        self.assertEqual(self.fleet.executions()["no ledger"], 1)
