--- a/pistachiolever/raft/core.py
+++ b/pistachiolever/raft/core.py
@@ -74,6 +74,7 @@
     applied_index: int = field(init=False)
     leader: str = ""
     is_leader: bool = False
+    led_since: float = 0.0
     election_at: float = 0.0
     heard_at: float = float("-inf")
     sequence: int = 0
@@ -138,10 +139,21 @@
         if envelope.receiver != self.member_id or envelope.sender not in self.peers:
             return
         message = envelope.message
+        if self._protects_leader(message):
+            return
         if message.term > self.term and not _is_tentative(message):
             self._step_down(message.term, "")
         self._handler_by_type[type(message)](envelope.sender, message)
 
+    def _protects_leader(self, message: RaftMessage) -> bool:
+        """Tell whether a candidate must be ignored: a leader was just heard.
+
+        Its lease counts on it, also against a candidate whose pre-votes are old.
+        """
+        if not isinstance(message, VoteRequest) or message.is_pre_vote:
+            return False
+        return self.now - self.heard_at < ELECTION_SECONDS
+
     def _compacted(self, message: Compacted) -> None:
         """Drop entries that a snapshot covers."""
         if message.snapshot.index <= self.log.snapshot.index:
@@ -153,7 +165,8 @@
     def _tick(self) -> None:
         """Do what is due: heartbeats, elections, stepping down."""
         if self.is_leader:
-            if self.peers and self.now - self._quorum_time() > ELECTION_SECONDS:
+            followed_at = max(self._quorum_time(), self.led_since)
+            if self.peers and self.now - followed_at > ELECTION_SECONDS:
                 self._step_down(self.term, "")
                 return
             self._send_appends()
@@ -238,12 +251,11 @@
     def _become_leader(self) -> None:
         """Lead: place an empty entry, by which older ones become committed."""
         self.is_leader = True
+        self.led_since = self.now
         self.leader = self.member_id
         self.votes = set()
         next_index = self.log.last_index() + 1
-        self.progress_by_peer = {
-            peer: PeerProgress(next_index, answered_at=self.now) for peer in self.peers
-        }
+        self.progress_by_peer = {peer: PeerProgress(next_index) for peer in self.peers}
         self.sent_at_by_sequence = {}
         entry = Entry(next_index, self.term, "")
         self.log.append(entry)
--- /dev/null
+++ b/tests/fairness/test_fleet_machine.py
@@ -0,0 +1,136 @@
+"""Stateful fuzzing of a fleet of cores under cuts, kills, losses and delays."""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from pistachiolever.core.verdict import Verdict
+from tests.support.memory_fleet import MemoryFleet, MemoryShape, RequestRecord
+from tests.support.profile import STATEFUL
+from tests.support.workload import Backlog, gap_bound
+
+ROUTERS = [f"router-{number}" for number in range(3)]
+ENDPOINTS = [f"endpoint-{number}" for number in range(3)]
+ACCOUNTS = [f"account-{number}" for number in range(5)]
+GREATEST = 200
+DEPTH = 4
+SETTLE_SECONDS = 60.0
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """The oracle: one verdict each, NOT_RUN never ran, all ends, the gap holds."""
+
+    def __init__(self) -> None:
+        """Start a whole fleet."""
+        super().__init__()
+        self.shape = MemoryShape(accounts=len(ACCOUNTS), endpoints=3, batch=3)
+        self.fleet = MemoryFleet(self.shape)
+        self.router_by_request: dict[str, int] = {}
+        self.lives = dict.fromkeys(ROUTERS, 1)
+
+    @rule(
+        router=st.sampled_from(ROUTERS),
+        account=st.sampled_from(ACCOUNTS),
+        tokens=st.integers(1, GREATEST),
+        count=st.integers(1, 12),
+    )
+    def submit(self, router: str, account: str, tokens: int, count: int) -> None:
+        """Send some requests through a router."""
+        if not self.fleet.router_by_id[router].alive:
+            return
+        for _ in range(count):
+            record = self.fleet.submit(router, account, tokens)
+            self.router_by_request[record.request_id] = id(
+                self.fleet.router_by_id[router]
+            )
+
+    @rule(seconds=st.floats(0.0001, 5.0))
+    def let_time_pass(self, seconds: float) -> None:
+        """Run for a while."""
+        self.fleet.run(seconds)
+
+    @rule(router=st.sampled_from(ROUTERS), endpoint=st.sampled_from(ENDPOINTS))
+    def cut(self, router: str, endpoint: str) -> None:
+        """Cut a router off from an endpoint."""
+        self.fleet.cut(router, endpoint)
+
+    @rule(router=st.sampled_from(ROUTERS), endpoint=st.sampled_from(ENDPOINTS))
+    def heal(self, router: str, endpoint: str) -> None:
+        """Join them again."""
+        self.fleet.heal(router, endpoint)
+
+    @rule(router=st.sampled_from(ROUTERS), is_cut=st.booleans())
+    def cut_from_hub(self, router: str, is_cut: bool) -> None:
+        """Cut a router off from the hub, or join it."""
+        self.fleet.router_by_id[router].hub_cut = is_cut
+
+    @rule(loss=st.sampled_from([0.0, 0.3, 0.9]))
+    def lose_heartbeats(self, loss: float) -> None:
+        """Lose heartbeats or their answers."""
+        self.fleet.heartbeat_loss = loss
+
+    @rule(router=st.sampled_from(ROUTERS))
+    def restart(self, router: str) -> None:
+        """Kill a router and start it without any state."""
+        self.fleet.kill_router(router)
+        self.fleet.start_router(router)
+
+    @invariant()
+    def each_ends_once_and_not_run_never_ran(self) -> None:
+        """Check every verdict that was given."""
+        for record in self.fleet.record_by_id.values():
+            assert len(record.ends) <= 1, record
+            if record.ends == [Verdict.NOT_RUN]:
+                assert record.runs == 0, record
+
+    @invariant()
+    def no_endpoint_over_its_limit(self) -> None:
+        """Check that promised and running requests fit."""
+        for core in self.fleet.sidecar_by_id.values():
+            taken = core.runs.running + len(core.grants.open_by_id)
+            assert taken <= self.shape.batch, taken
+
+    def teardown(self) -> None:
+        """Heal everything: all ends, capacity is busy and the gap is bounded."""
+        self.fleet.heartbeat_loss = 0.0
+        for router in ROUTERS:
+            self.fleet.router_by_id[router].hub_cut = False
+            for endpoint in ENDPOINTS:
+                self.fleet.heal(router, endpoint)
+        self._check_all_end()
+        self._check_gap()
+
+    def _check_all_end(self) -> None:
+        """Every request of a router that still lives ends."""
+        tokens = sum(record.tokens for record in self._living() if not record.ends)
+        slots = self.shape.batch * self.shape.endpoints
+        longest = tokens * self.shape.token_seconds
+        # Lost runs go on for a while at endpoints whose router was cut off.
+        self.fleet.run(longest / slots * 3 + SETTLE_SECONDS)
+        for record in self._living():
+            assert len(record.ends) == 1, record
+
+    def _living(self) -> list[RequestRecord]:
+        """Return the requests whose router was not restarted since."""
+        alive = {id(router) for router in self.fleet.router_by_id.values()}
+        return [
+            record
+            for record in self.fleet.record_by_id.values()
+            if self.router_by_request.get(record.request_id) in alive
+        ]
+
+    def _check_gap(self) -> None:
+        """Backlogged accounts get the same, whatever happened before."""
+        homes = {
+            account: [ROUTERS[number % 3]] for number, account in enumerate(ACCOUNTS)
+        }
+        homes[ACCOUNTS[-1]] = ROUTERS
+        work = Backlog(self.fleet, self.shape, homes, lambda account: 100, DEPTH)
+        work.start()
+        self.fleet.run(SETTLE_SECONDS / 2)
+        work.watch(40)
+        assert work.worst_gap <= gap_bound(self.shape, GREATEST, DEPTH), work.got()
+        assert work.utilisation() >= 0.98, work.utilisation()
+
+
+FleetMachine.TestCase.settings = STATEFUL
+FleetMachineTest = FleetMachine.TestCase
--- /dev/null
+++ b/tests/raft/test_raft_core.py
@@ -0,0 +1,70 @@
+"""Focused cases of the agreement."""
+
+from random import Random
+from unittest import TestCase
+
+from nose2.tools import params
+
+from pistachiolever.raft.core import RaftCore
+from pistachiolever.raft.models import (
+    Append,
+    Apply,
+    Propose,
+    RaftEnvelope,
+    RaftTick,
+    Received,
+    SendRaft,
+    StoredLog,
+    VoteReply,
+    VoteRequest,
+)
+
+
+def member(may_vote: bool = True, peers: int = 2) -> RaftCore:
+    """Return member a of three."""
+    others = ["b", "c"][:peers]
+    return RaftCore("a", others, Random(1), StoredLog(), may_vote)
+
+
+def vote_replies(core: RaftCore, request: VoteRequest, now: float) -> list[VoteReply]:
+    """Return what a member answers to a vote request of b."""
+    envelope = RaftEnvelope("b", "a", request)
+    actions = core.handle(Received(envelope), now)
+    replies = [a.envelope.message for a in actions if isinstance(a, SendRaft)]
+    return [reply for reply in replies if isinstance(reply, VoteReply)]
+
+
+class RaftCoreTest(TestCase):
+    """Leases, lost disks and lone members."""
+
+    @params((0.1, False), (0.5, False), (0.7, True))
+    def test_no_vote_soon_after_a_leader_was_heard(
+        self, seconds: float, granted: bool
+    ) -> None:
+        # The pre-votes of b may be older than the leader c, whose lease still runs.
+        core = member()
+        heartbeat = Append(1, "c", 0, 0, [], 0, 1)
+        core.handle(Received(RaftEnvelope("c", "a", heartbeat)), 10.0)
+        request = VoteRequest(2, "b", 0, 0, is_pre_vote=False)
+        replies = vote_replies(core, request, 10.0 + seconds)
+        self.assertEqual([reply.granted for reply in replies], [True] * granted)
+        self.assertEqual(core.term, 2 if granted else 1)
+
+    @params((True, True), (False, False))
+    def test_lost_disk_has_no_vote(self, may_vote: bool, granted: bool) -> None:
+        core = member(may_vote)
+        request = VoteRequest(1, "b", 0, 0, is_pre_vote=False)
+        replies = vote_replies(core, request, 10.0)
+        self.assertEqual([reply.granted for reply in replies], [granted])
+        core.handle(RaftTick(), 20.0)
+        stands = core.handle(RaftTick(), 40.0)
+        asked = [action for action in stands if isinstance(action, SendRaft)]
+        self.assertEqual(bool(asked), may_vote)
+
+    def test_lone_member_leads_and_commits_at_once(self) -> None:
+        core = member(peers=0)
+        core.handle(RaftTick(), 1.0)
+        actions = core.handle(Propose(1, "x"), 1.0)
+        applied = [a.entry.command for a in actions if isinstance(a, Apply)]
+        self.assertEqual(applied, ["x"])
+        self.assertTrue(core.has_lease(1.0))
