Let the concurrency limit ramp up and know slow engines by nature

Cause: before an engine at the target pace of 44 ms a token the limit fell to 1 (seen on the time line: 3, 2, 1 within 3.5 s); from 4 it grew by 1 a window, so that 200 streams waited for minutes. Change: slowness counts against the least gap and first part seen; the limit doubles until it was slow once. Add the relay benchmark.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each prints one JSON object. Results stand in docs/MEASUREMENTS.md."""
--- /dev/null
+++ b/benchmarks/relay.py
@@ -0,0 +1,281 @@
+"""CPU per relayed event: the router's path against a bare hypercorn-httpx relay.
+
+Run: python -m benchmarks.relay. Both relays run as processes of their own in the
+same run, before the same source of events; their processor time is read from the
+system. Load goes to loopback only and ends by itself.
+"""
+
+import json
+import os
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Final
+
+from anyio import create_task_group, run, sleep
+from attrs import define, field
+from click import command, option
+from httpx import AsyncClient, Limits, Timeout
+
+from pistachiolever.cli.const import DEMO_FLEET_SECRET, DEMO_OPERATOR_KEY
+from pistachiolever.declarations.codec import to_text
+from pistachiolever.declarations.models import (
+    Account,
+    CostRule,
+    Declarations,
+    Preset,
+    Service,
+    ServiceKind,
+)
+from pistachiolever.edge.keys import key_digest
+
+ROOT: Final = Path(__file__).parents[1]
+KEY: Final = "benchmark-key"
+TICKS_PER_SECOND: Final = os.sysconf("SC_CLK_TCK")
+
+
+def free_address() -> str:
+    """Return a loopback address whose port is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(") ", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
+
+
+def rss_mb(pid: int) -> float:
+    """Return the resident memory of a process in MB."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def declarations() -> Declarations:
+    """Return one account and one service with room for all streams."""
+    service = Service(
+        "planning", ServiceKind.MODEL, True, "m", CostRule(0.1, 1.0, 1.0), 4096, 4096
+    )
+    preset = Preset("ordinary-day", queue_count_per_account=5000)
+    account = Account("bench", [key_digest(KEY)], ["planning"])
+    return Declarations([account], [service], presets=[preset])
+
+
+@define
+class Processes:
+    """The processes of one measurement."""
+
+    folder: str
+    by_name: dict[str, "subprocess.Popen[bytes]"] = field(factory=dict)
+
+    def start(self, name: str, arguments: list[str]) -> None:
+        """Start a Python module as a process."""
+        log = Path(self.folder) / f"{name}.log"
+        with log.open("ab") as output:
+            self.by_name[name] = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                cwd=ROOT,
+                stdout=output,
+                stderr=output,
+            )
+
+    def start_role(
+        self, role: str, address: str, control: str, settings: dict[str, object]
+    ) -> None:
+        """Start a role of the fleet."""
+        document = {
+            "process_id": role,
+            "address": address,
+            "failure_domain": "local",
+            "fleet_secret": DEMO_FLEET_SECRET,
+            "control_addresses": [control],
+            role: settings,
+        }
+        path = Path(self.folder) / f"{role}.json"
+        path.write_text(json.dumps(document))
+        self.start(role, ["pistachiolever", role, "--settings", str(path)])
+
+    def stop(self) -> None:
+        """End all processes."""
+        for process in self.by_name.values():
+            process.kill()
+            process.wait()
+
+
+@define
+class StreamResult:
+    """What the callers saw, in seconds and events."""
+
+    events: int = 0
+    first_parts: list[float] = field(factory=list)
+    lates: list[float] = field(factory=list)
+
+
+async def read_stream(
+    http: AsyncClient, url: str, tokens: int, step: float, result: StreamResult
+) -> None:
+    """Read one answer; note when its parts come against an even pace."""
+    started = time.perf_counter()
+    body = {"service": "planning", "input": f"tokens={tokens} {started}"}
+    headers = {"authorization": f"Bearer {KEY}"}
+    last = 0.0
+    async with http.stream("POST", url, json=body, headers=headers) as response:
+        async for data in response.aiter_raw():
+            count = data.count(b'"text"')
+            if not count:
+                continue
+            now = time.perf_counter()
+            result.events += count
+            if last == 0.0:
+                result.first_parts.append(now - started)
+            else:
+                result.lates.append(now - last - step)
+            last = now
+
+
+async def load(address: str, streams: int, tokens: int, step: float) -> StreamResult:
+    """Read many answers at once."""
+    result = StreamResult()
+    limits = Limits(max_connections=streams + 1)
+    url = f"http://{address}/v1/requests"
+    async with (
+        AsyncClient(trust_env=False, timeout=Timeout(120), limits=limits) as http,
+        create_task_group() as group,
+    ):
+        for _ in range(streams):
+            group.start_soon(read_stream, http, url, tokens, step, result)
+            await sleep(step / streams)
+    return result
+
+
+async def wait_for(address: str, path: str, headers: dict[str, str]) -> None:
+    """Wait until a process answers with 200."""
+    async with AsyncClient(trust_env=False) as http:
+        for _ in range(300):
+            try:
+                response = await http.get(f"http://{address}{path}", headers=headers)
+                if response.status_code == 200:
+                    return
+            except Exception:
+                pass
+            await sleep(0.1)
+    raise RuntimeError(f"{address}{path} did not become ready")
+
+
+def percentile(values: list[float], fraction: float) -> float:
+    """Return a percentile of a list that is not empty."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * fraction))]
+
+
+async def declare(control: str) -> None:
+    """Put the declarations in force."""
+    headers = {"authorization": f"Bearer {DEMO_OPERATOR_KEY}"}
+    change = {
+        "change_id": "bench",
+        "base_revision": 0,
+        "document": to_text(declarations()),
+    }
+    async with AsyncClient(trust_env=False, headers=headers) as http:
+        for _ in range(100):
+            try:
+                response = await http.post(f"http://{control}/ops/apply", json=change)
+                if response.status_code == 200:
+                    return
+            except Exception:
+                pass
+            await sleep(0.1)
+
+
+async def measure(streams: int, tokens: int, step: float) -> dict[str, float]:
+    """Run both relays one after the other before the same source."""
+    with TemporaryDirectory(prefix="pistachiolever-bench-") as folder:
+        processes = Processes(folder)
+        try:
+            return await measure_in(processes, streams, tokens, step)
+        finally:
+            processes.stop()
+
+
+async def measure_in(
+    processes: Processes, streams: int, tokens: int, step: float
+) -> dict[str, float]:
+    """Start everything, load each relay, and compare."""
+    source, bare, control, sidecar, router = (free_address() for _ in range(5))
+    processes.start(
+        "source",
+        ["benchmarks.source", "--address", source, "--step-seconds", str(step)],
+    )
+    processes.start(
+        "bare", ["benchmarks.bare_relay", "--address", bare, "--source", source]
+    )
+    processes.start_role(
+        "control",
+        control,
+        control,
+        {
+            "data_folder": f"{processes.folder}/data",
+            "operator_key_sha256": key_digest(DEMO_OPERATOR_KEY),
+        },
+    )
+    await wait_for(source, "/health", {})
+    await wait_for(bare, "/health", {})
+    await declare(control)
+    processes.start_role(
+        "sidecar",
+        sidecar,
+        control,
+        {
+            "endpoint_id": "engine-1",
+            "service_id": "planning",
+            "endpoint_url": f"http://{source}",
+        },
+    )
+    processes.start_role("router", router, control, {})
+    await wait_for(router, "/ready", {})
+    await sleep(1)
+    idle = {name: rss_mb(p.pid) for name, p in processes.by_name.items()}
+    results: dict[str, float] = {}
+    for name, address in (("bare", bare), ("router", router)):
+        await load(address, streams // 4, tokens, step)
+        pid = processes.by_name[name].pid
+        before = cpu_seconds(pid)
+        sidecar_before = cpu_seconds(processes.by_name["sidecar"].pid)
+        seen = await load(address, streams, tokens, step)
+        results[f"{name}_us_per_event"] = (
+            (cpu_seconds(pid) - before) / seen.events * 1e6
+        )
+        results[f"{name}_events"] = seen.events
+        results[f"{name}_first_part_p95_ms"] = 1e3 * percentile(seen.first_parts, 0.95)
+        results[f"{name}_late_p95_ms"] = 1e3 * percentile(seen.lates, 0.95)
+        if name == "router":
+            used = cpu_seconds(processes.by_name["sidecar"].pid) - sidecar_before
+            results["sidecar_us_per_event"] = used / seen.events * 1e6
+    results["cpu_ratio"] = results["router_us_per_event"] / results["bare_us_per_event"]
+    results["added_gap_p95_ms"] = (
+        results["router_late_p95_ms"] - results["bare_late_p95_ms"]
+    )
+    for name in ("router", "sidecar", "control", "bare"):
+        results[f"{name}_idle_rss_mb"] = idle[name]
+    return results
+
+
+@command()
+@option("--streams", default=200)
+@option("--tokens", default=100)
+@option("--step-seconds", default=0.044)
+def main(streams: int, tokens: int, step_seconds: float) -> None:
+    """Print the comparison as JSON."""
+    results = run(measure, streams, tokens, step_seconds)
+    print(json.dumps({name: round(value, 3) for name, value in results.items()}))
+
+
+if __name__ == "__main__":
+    main()
--- a/pistachiolever/sidecar/limiter.py
+++ b/pistachiolever/sidecar/limiter.py
@@ -8,6 +8,7 @@
 from pistachiolever.sidecar.const import (
     BASELINE_DECAY,
     FIRST_PART_TARGET_SECONDS,
+    GAP_FACTOR,
     GAP_TARGET_SECONDS,
     LATENCY_FACTOR,
     LATENCY_FLOOR_SECONDS,
@@ -29,6 +30,8 @@
 class ConcurrencyLimiter:
     """Adds one while all is quick and full, takes a tenth when it gets slow.
 
+    Until it was slow for the first time the limit doubles instead.
+
     Before a model engine it is driven by what the sidecar sees itself: the seconds
     to the first part and the seconds between parts. Calls of a plain service
     differ too much for that: there only refusals for lack of room count, and it
@@ -40,9 +43,11 @@
     most: int
     limit: float = field(init=False)
     baseline: float = 0.0
+    gap_baseline: float = 0.0
     window_started: float = 0.0
     was_full: bool = False
     overloaded: bool = False
+    ramping: bool = True
     reported_waiting: int = 0
     first_parts: list[float] = field(factory=list)
     gaps: list[float] = field(factory=list)
@@ -84,8 +89,10 @@
         before = self.allowed()
         if self._is_slow():
             self.limit = max(LIMIT_LEAST, min(self.limit, self.most) * LIMIT_BACKOFF)
+            self.ramping = False
         elif self.was_full and self.reported_waiting == 0:
-            self.limit = min(float(self.most), self.limit + LIMIT_STEP)
+            grown = self.limit * 2 if self.ramping else self.limit + LIMIT_STEP
+            self.limit = min(float(self.most), grown)
         self.window_started = now
         self.was_full = False
         self.overloaded = False
@@ -99,15 +106,30 @@
             return True
         if self.kind is ServiceKind.PLAIN:
             return False
-        if self.gaps and _high(self.gaps) > GAP_TARGET_SECONDS:
-            return True
+        return self._steps_slowly() or self._holds_back()
+
+    def _steps_slowly(self) -> bool:
+        """Tell whether gaps are over the target, and not by the engine's nature."""
+        if not self.gaps:
+            return False
+        self.gap_baseline = _lower(self.gap_baseline, median(self.gaps))
+        allowed = max(GAP_TARGET_SECONDS, GAP_FACTOR * self.gap_baseline)
+        return _high(self.gaps) > allowed
+
+    def _holds_back(self) -> bool:
+        """Tell whether first parts come as late as if requests were queued."""
         if not self.first_parts:
             return False
-        quickest = min(self.first_parts)
-        if self.baseline == 0.0:
-            self.baseline = quickest
-        self.baseline = min(self.baseline * BASELINE_DECAY, quickest)
-        if _high(self.first_parts) > FIRST_PART_TARGET_SECONDS:
-            return True
+        self.baseline = _lower(self.baseline, min(self.first_parts))
         usual = median(self.first_parts)
-        return usual > max(LATENCY_FLOOR_SECONDS, LATENCY_FACTOR * self.baseline)
+        relative = LATENCY_FACTOR * self.baseline
+        if usual > max(LATENCY_FLOOR_SECONDS, relative):
+            return True
+        return _high(self.first_parts) > max(FIRST_PART_TARGET_SECONDS, relative)
+
+
+def _lower(baseline: float, seen: float) -> float:
+    """Return the least value seen, which slowly forgets."""
+    if baseline == 0.0:
+        return seen
+    return min(baseline * BASELINE_DECAY, seen)
