--- a/benchmarks/fairness.py
+++ b/benchmarks/fairness.py
@@ -5,14 +5,19 @@
 
 import json
 import time
-from random import Random
 
 from attrs import evolve
 from click import command, option
 
 from tests.support.baselines import NaiveFleet, OmniscientChooser, RoundRobinChooser
 from tests.support.memory_fleet import MemoryFleet, MemoryShape
-from tests.support.workload import AnyFleet, Backlog, gap_bound
+from tests.support.workload import (
+    AnyFleet,
+    Backlog,
+    crowded_homes,
+    gap_bound,
+    mixed_tokens,
+)
 
 GREATEST = 400
 DEPTH = 4
@@ -20,29 +25,10 @@
 NORDESTE = MemoryShape(routers=4, endpoints=5, accounts=16, batch=4)
 
 
-def homes(shape: MemoryShape) -> dict[str, list[str]]:
-    """Spread accounts unevenly: half on the first tenth of routers, one on three."""
-    routers = [f"router-{number}" for number in range(shape.routers)]
-    crowded = max(1, shape.routers // 10)
-    by_account = {}
-    for number in range(shape.accounts):
-        many = number < shape.accounts // 2
-        home = number % crowded if many else number % shape.routers
-        by_account[shape.account(number)] = [routers[home]]
-    by_account[shape.account(shape.accounts - 1)] = routers[:3]
-    return by_account
-
-
 def run_one(fleet: AnyFleet, shape: MemoryShape, seconds: float) -> dict[str, float]:
     """Return the worst gap and the utilisation of one fleet."""
-    rng = Random(3)
-    sizes = {name: rng.choice([(20, 60), (20, GREATEST)]) for name in homes(shape)}
-
-    def tokens(account_id: str) -> int:
-        """Accounts differ in the length of their requests."""
-        return rng.randint(*sizes[account_id])
-
-    backlog = Backlog(fleet, shape, homes(shape), tokens, DEPTH)
+    tokens = mixed_tokens(shape, GREATEST, 3)
+    backlog = Backlog(fleet, shape, crowded_homes(shape), tokens, DEPTH)
     started = time.perf_counter()
     backlog.start()
     fleet.run(10)
--- a/tests/fairness/test_fleet_fairness.py
+++ b/tests/fairness/test_fleet_fairness.py
@@ -7,7 +7,14 @@
 
 from tests.support.baselines import NaiveFleet, OmniscientChooser, RoundRobinChooser
 from tests.support.memory_fleet import PARTS_EACH, MemoryFleet, MemoryShape
-from tests.support.workload import Backlog, Tokens, gap_bound, staleness
+from tests.support.workload import (
+    Backlog,
+    Tokens,
+    crowded_homes,
+    gap_bound,
+    mixed_tokens,
+    staleness,
+)
 
 GREATEST = 400
 DEPTH = 4
@@ -95,11 +102,12 @@
     def test_gap_within_bound_with_many_routers(self) -> None:
         # Found by benchmarks.fairness at ten times Bengal: each endpoint granted to
         # the same lowest bid, and routers spent the surplus on their other accounts.
-        shape = MemoryShape(routers=10, endpoints=20, accounts=60)
-        fleet = Backlog(MemoryFleet(shape), shape, uneven(shape), spread_tokens(13))
+        shape = MemoryShape(routers=30, endpoints=60, accounts=160)
+        tokens = mixed_tokens(shape, GREATEST, 3)
+        fleet = Backlog(MemoryFleet(shape), shape, crowded_homes(shape), tokens)
         fleet.start()
         fleet.fleet.run(10)
-        fleet.watch(40)
+        fleet.watch(25)
         self.assertLessEqual(fleet.worst_gap, gap_bound(shape, GREATEST, DEPTH))
         self.assertGreaterEqual(fleet.utilisation(), 0.98)
 
--- a/tests/support/workload.py
+++ b/tests/support/workload.py
@@ -103,3 +103,24 @@
 def staleness(shape: MemoryShape) -> float:
     """Return how old a router's totals may be without faults, in seconds."""
     return 2 * 1.1 * shape.heartbeat_seconds + 2 * shape.latency_seconds
+
+
+def crowded_homes(shape: MemoryShape) -> dict[str, list[str]]:
+    """Spread accounts unevenly: half on a tenth of the routers, one on three."""
+    routers = [f"router-{number}" for number in range(shape.routers)]
+    crowded = max(1, shape.routers // 10)
+    by_account = {}
+    for number in range(shape.accounts):
+        is_crowded = number < shape.accounts // 2
+        home = number % crowded if is_crowded else number % shape.routers
+        by_account[shape.account(number)] = [routers[home]]
+    by_account[shape.account(shape.accounts - 1)] = routers[:3]
+    return by_account
+
+
+def mixed_tokens(shape: MemoryShape, greatest: int, seed: int) -> Tokens:
+    """Return token counts: short for about half of the accounts, mixed for others."""
+    rng = Random(seed)
+    names = [shape.account(number) for number in range(shape.accounts)]
+    most_by_account = {name: rng.choice([60, greatest]) for name in names}
+    return lambda account_id: rng.randint(20, most_by_account[account_id])
