--- a/pistachiolever/control/hub.py
+++ b/pistachiolever/control/hub.py
@@ -2,7 +2,7 @@
 
 from attrs import define, field
 
-from pistachiolever.control.const import WARM_UP_SECONDS
+from pistachiolever.control.const import WARM_UP_LEASES
 from pistachiolever.control.directory import Directory, LeaseEnd
 from pistachiolever.fairness.totals import FleetTotals
 from pistachiolever.wire.models import (
@@ -67,7 +67,8 @@
         endpoint_set = self.directory.set_for(heartbeat.sender.process_id, now)
         if endpoint_set.version == heartbeat.known_set:
             return None
-        if heartbeat.known_set and now - self.started_at < WARM_UP_SECONDS:
+        warm_up = WARM_UP_LEASES * self.directory.lease_seconds
+        if heartbeat.known_set and now - self.started_at < warm_up:
             return None
         return endpoint_set
 
--- a/pistachiolever/edge/control_client.py
+++ b/pistachiolever/edge/control_client.py
@@ -1,7 +1,7 @@
 """Calls to control: any of its processes that answers."""
 
 from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from typing import Final, TypeVar
 
 from anyio import sleep
 from attrs import define, field
@@ -12,13 +12,15 @@
 from pistachiolever.edge.const import CALL_SECONDS
 from pistachiolever.edge.context import ProcessContext
 from pistachiolever.events.const import EventCode
+from pistachiolever.settings.models import ProcessSettings
 from pistachiolever.wire.const import WATCH_PATH
 from pistachiolever.wire.models import WatchReply, WatchRequest
 
 T = TypeVar("T")
 
-WATCH_WAIT_SECONDS = 20.0
-RETRY_SECONDS = 0.5
+WATCH_WAIT_SECONDS: Final = 20.0
+RETRY_SECONDS: Final = 0.5
+HEARTBEAT_TRIES_PER_LEASE: Final = 4.0
 
 
 @define
@@ -91,3 +93,8 @@
         if self.reachable and not reachable:
             self.context.recorder.record(EventCode.CONTROL_UNREACHABLE, detail=detail)
         self.reachable = reachable
+
+
+def heartbeat_timeout(settings: ProcessSettings) -> float:
+    """Return the seconds to wait for one control process, several in a lease."""
+    return settings.lease_seconds / HEARTBEAT_TRIES_PER_LEASE
--- a/pistachiolever/router/core.py
+++ b/pistachiolever/router/core.py
@@ -303,6 +303,7 @@
             return
         state.connected = False
         state.credits = 0
+        state.bids_sent = []
         for flight in self.flights.at_endpoint(message.endpoint_id):
             flight.lost_at = self.now
 
@@ -334,18 +335,19 @@
 
     def _commands_failed(self, message: CommandsFailed) -> None:
         """Queue again what never left; wait for the session for the rest."""
-        for command in message.messages:
-            if isinstance(command, Dispatch):
-                flight = self.flights.get(command.request_id)
-                if flight is None or flight.endpoint_id != message.endpoint_id:
-                    continue
-                if message.may_have_arrived:
-                    flight.lost_at = self.now
-                else:
-                    self._requeue(flight)
         state = self.endpoints.state_by_id.get(message.endpoint_id)
         if state is not None:
             state.note_failure(self.now)
+        for command in message.messages:
+            if not isinstance(command, Dispatch):
+                continue
+            flight = self.flights.get(command.request_id)
+            if flight is None or flight.endpoint_id != message.endpoint_id:
+                continue
+            if message.may_have_arrived:
+                flight.lost_at = self.now
+            else:
+                self._requeue(flight)
 
     _source: EndpointState = field(init=False)
 
--- a/pistachiolever/router/sessions.py
+++ b/pistachiolever/router/sessions.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from anyio import create_task_group, sleep
+from anyio import CancelScope, create_task_group, sleep
 from attrs import define, field
 from httpx import HTTPError, Timeout
 
@@ -42,21 +42,27 @@
     outbox: Mailbox[RouterMessage] = field(factory=Mailbox)
     incarnation: str = ""
     closed: bool = False
+    scope: CancelScope = field(factory=CancelScope)
 
     async def run(self) -> None:
         """Connect again and again, with growing random waits, until closed."""
         wait = RECONNECT_SECONDS
-        while not self.closed:
-            was_up = await self._connect_once()
-            wait = (
-                RECONNECT_SECONDS if was_up else min(RECONNECT_MOST_SECONDS, wait * 2)
-            )
-            await sleep(wait * self.context.rng.random())
+        with self.scope:
+            while not self.closed:
+                was_up = await self._connect_once()
+                wait = RECONNECT_SECONDS if was_up else wait * 2
+                wait = min(RECONNECT_MOST_SECONDS, wait)
+                await sleep(wait * self.context.rng.random())
 
     def close(self) -> None:
-        """Stop connecting; the outbox takes nothing more."""
+        """End the session now; a new one to the endpoint may follow at once.
+
+        The loss is told here, since told later it would be taken for the new one's.
+        """
         self.closed = True
         self.outbox.close()
+        self.scope.cancel()
+        self._note_lost()
 
     async def _connect_once(self) -> bool:
         """Hold one session; tell whether it was ever up."""
@@ -69,14 +75,18 @@
                     group.cancel_scope.cancel()
         except* (HTTPError, ProtocolError):
             pass
-        was_up = bool(self.incarnation)
+        return self._note_lost()
+
+    def _note_lost(self) -> bool:
+        """Tell the decisions that the session broke, if it was up."""
+        if not self.incarnation:
+            return False
         self.incarnation = ""
-        if was_up:
-            self.context.recorder.record(
-                EventCode.SESSION_LOST, endpoint_id=self.entry.endpoint_id
-            )
-            self.post(SessionLost(self.entry.endpoint_id))
-        return was_up
+        self.context.recorder.record(
+            EventCode.SESSION_LOST, endpoint_id=self.entry.endpoint_id
+        )
+        self.post(SessionLost(self.entry.endpoint_id))
+        return True
 
     async def _read_session(self) -> None:
         """Read batches until the sidecar goes or falls silent."""
--- a/pistachiolever/router/tasks.py
+++ b/pistachiolever/router/tasks.py
@@ -9,7 +9,7 @@
 from pistachiolever.declarations.models import Revision
 from pistachiolever.edge.client import FleetClient, PeerError
 from pistachiolever.edge.context import ProcessContext
-from pistachiolever.edge.control_client import ControlClient
+from pistachiolever.edge.control_client import ControlClient, heartbeat_timeout
 from pistachiolever.events.const import EventCode
 from pistachiolever.router.claims import ClaimClient
 from pistachiolever.router.const import TICK_SECONDS
@@ -215,7 +215,10 @@
         )
         try:
             reply = await self.control.call(
-                ROUTER_HEARTBEAT_PATH, heartbeat, RouterHeartbeatReply
+                ROUTER_HEARTBEAT_PATH,
+                heartbeat,
+                RouterHeartbeatReply,
+                heartbeat_timeout(self.context.settings),
             )
         except PeerError:
             self.core.heartbeat_lost()
--- a/pistachiolever/sidecar/tasks.py
+++ b/pistachiolever/sidecar/tasks.py
@@ -8,7 +8,7 @@
 from pistachiolever.declarations.models import Revision, Service
 from pistachiolever.edge.client import FleetClient, PeerError
 from pistachiolever.edge.context import ProcessContext
-from pistachiolever.edge.control_client import ControlClient
+from pistachiolever.edge.control_client import ControlClient, heartbeat_timeout
 from pistachiolever.events.const import EventCode
 from pistachiolever.settings.models import SidecarSettings
 from pistachiolever.sidecar.adapters import EndpointAdapter, make_adapter
@@ -227,7 +227,10 @@
         )
         try:
             reply = await self.control.call(
-                SIDECAR_HEARTBEAT_PATH, heartbeat, SidecarHeartbeatReply
+                SIDECAR_HEARTBEAT_PATH,
+                heartbeat,
+                SidecarHeartbeatReply,
+                heartbeat_timeout(self.context.settings),
             )
         except PeerError:
             return
--- /dev/null
+++ b/tests/router/test_router_core.py
@@ -0,0 +1,188 @@
+"""Focused cases of the router's decisions: late, doubled and lost messages."""
+
+from random import Random
+from unittest import TestCase
+
+from nose2.tools import params
+
+from pistachiolever.core.verdict import Verdict
+from pistachiolever.declarations.models import (
+    Account,
+    Declarations,
+    Preset,
+    Revision,
+    Service,
+    ServiceKind,
+)
+from pistachiolever.router.core import RouterCore
+from pistachiolever.router.models import (
+    CallerRequest,
+    CancelRequest,
+    CommandsFailed,
+    Deliver,
+    EndRequest,
+    FreeClaim,
+    FromSidecar,
+    RouterAction,
+    SendCommand,
+    SessionLost,
+    SessionUp,
+    Submit,
+    Tick,
+)
+from pistachiolever.settings.models import RouterSettings
+from pistachiolever.wire.models import (
+    Chunk,
+    Chunks,
+    Dispatch,
+    EndpointEntry,
+    Outcome,
+    Refused,
+    Resume,
+    SidecarMessage,
+    SpareCredits,
+)
+
+DONE = Outcome(Verdict.RAN, True)
+ENTRY = EndpointEntry("e1", "plan", "127.0.0.1:1", "fd")
+
+
+def make_core(repeatable: bool = True) -> RouterCore:
+    """Return a router with one endpoint that gives five credits."""
+    declarations = Declarations(
+        [Account("a", ["k"], ["plan"])],
+        [Service("plan", ServiceKind.MODEL, repeatable)],
+        presets=[Preset("ordinary-day")],
+    )
+    core = RouterCore(RouterSettings(), Random(1), Revision.of(1, declarations))
+    core.handle(SessionUp(ENTRY, "i1"), 0.0)
+    core.handle(FromSidecar("e1", SpareCredits(5)), 0.0)
+    return core
+
+
+def submit(core: RouterCore, request_id: str = "r1", attempt_id: str = "") -> None:
+    """Submit a request that is sent at once."""
+    request = CallerRequest(request_id, "a", "plan", "x", 10, 1, attempt_id)
+    actions = core.handle(Submit(request), 1.0)
+    assert any(isinstance(command, Dispatch) for command in commands(actions))
+
+
+def commands(actions: list[RouterAction]) -> list[object]:
+    """Return the commands among actions."""
+    return [action.message for action in actions if isinstance(action, SendCommand)]
+
+
+def hear(
+    core: RouterCore, message: SidecarMessage, now: float = 2.0
+) -> list[RouterAction]:
+    """Give the router a message of its endpoint."""
+    return core.handle(FromSidecar("e1", message), now)
+
+
+def delivered(actions: list[RouterAction]) -> list[str]:
+    """Return the events passed to callers."""
+    return [action.sse for action in actions if isinstance(action, Deliver)]
+
+
+def ends(actions: list[RouterAction]) -> list[Verdict]:
+    """Return the verdicts of refused requests."""
+    return [a.refusal.verdict for a in actions if isinstance(a, EndRequest)]
+
+
+class AnswerTest(TestCase):
+    """Each caller gets every event of its own answer, once and in order."""
+
+    def test_late_doubled_and_skipped_chunks(self) -> None:
+        core = make_core()
+        submit(core)
+        first = Chunks([Chunk("r1", 1, 2, 1.0, "12")])
+        self.assertEqual(delivered(hear(core, first)), ["12"])
+        self.assertEqual(delivered(hear(core, first)), [])
+        skipped = hear(core, Chunks([Chunk("r1", 5, 5, 3.0, "5")]))
+        self.assertEqual(delivered(skipped), [])
+        self.assertEqual(commands(skipped), [Resume("r1", "a", 2)])
+        rest = hear(core, Chunks([Chunk("r1", 3, 5, 3.0, "345", DONE)]))
+        self.assertEqual(delivered(rest), ["345"])
+        late = hear(core, Chunks([Chunk("r1", 5, 5, 3.0, "5", DONE)]))
+        self.assertEqual(delivered(late), [])
+
+    def test_answer_of_an_endpoint_that_was_given_up(self) -> None:
+        core = make_core()
+        submit(core)
+        core.handle(SessionLost("e1"), 3.0)
+        core.handle(Tick(), 10.0)
+        core.handle(SessionUp(ENTRY, "i1"), 10.1)
+        late = hear(core, Chunks([Chunk("r1", 1, 1, 1.0, "late")]), 10.2)
+        self.assertEqual(delivered(late), [])
+
+
+class VerdictTest(TestCase):
+    """Only what certainly did not run is called NOT_RUN or sent again."""
+
+    @params((True, []), (False, [Verdict.MAY_HAVE_RUN]))
+    def test_sidecar_restarted(self, repeatable: bool, expected: list[Verdict]) -> None:
+        core = make_core(repeatable)
+        submit(core, attempt_id="" if repeatable else "r1")
+        core.handle(SessionLost("e1"), 3.0)
+        actions = core.handle(SessionUp(ENTRY, "i2"), 3.5)
+        self.assertEqual(ends(actions), expected)
+
+    def test_session_back_in_time_asks_for_the_rest(self) -> None:
+        core = make_core(repeatable=False)
+        submit(core, attempt_id="r1")
+        core.handle(SessionLost("e1"), 3.0)
+        actions = core.handle(SessionUp(ENTRY, "i1"), 3.5)
+        self.assertIn(Resume("r1", "a", 0), commands(actions))
+
+    @params((False, True), (True, False))
+    def test_dispatch_that_failed(self, may_have_arrived: bool, again: bool) -> None:
+        core = make_core(repeatable=False)
+        submit(core, attempt_id="r1")
+        dispatch = Dispatch("r1", "a", "x", 10, "", "r1")
+        failed = CommandsFailed("e1", [dispatch], may_have_arrived)
+        actions = core.handle(failed, 2.0)
+        self.assertEqual(core.flights.get("r1") is None, again)
+        self.assertEqual(ends(actions), [])
+
+    def test_partial_answer_is_never_spliced(self) -> None:
+        core = make_core()
+        submit(core)
+        hear(core, Chunks([Chunk("r1", 1, 1, 1.0, "part")]))
+        core.handle(SessionLost("e1"), 3.0)
+        actions = core.handle(SessionUp(ENTRY, "i2"), 3.5)
+        self.assertEqual(ends(actions), [Verdict.MAY_HAVE_RUN])
+
+    def test_refused_claim_is_freed_once_it_ends(self) -> None:
+        core = make_core(repeatable=False)
+        freed = []
+        submit(core, attempt_id="r1")
+        now = 2.0
+        for _ in range(200):
+            now += 0.5
+            if core.flights.get("r1") is not None:
+                refused = Refused("r1", Verdict.NOT_RUN, "endpoint-draining")
+                actions = hear(core, refused, now)
+            else:
+                hear(core, SpareCredits(5), now)
+                actions = core.handle(Tick(), now)
+            freed += [a for a in actions if isinstance(a, FreeClaim)]
+        self.assertEqual(freed, [FreeClaim("r1")])
+
+    def test_cancel_tells_whether_it_may_have_run(self) -> None:
+        core = make_core()
+        submit(core)
+        self.assertEqual(
+            ends(core.handle(CancelRequest("r1"), 2.0)), [Verdict.MAY_HAVE_RUN]
+        )
+        hear(core, SpareCredits(0))
+        core.handle(Submit(CallerRequest("r2", "a", "plan", "x", 10, 1)), 2.0)
+        self.assertEqual(ends(core.handle(CancelRequest("r2"), 2.1)), [Verdict.NOT_RUN])
+
+    def test_overdue_request_ends_at_once_with_a_time_to_return(self) -> None:
+        core = make_core()
+        hear(core, SpareCredits(0))
+        core.handle(Submit(CallerRequest("r2", "a", "plan", "x", 10, 1)), 2.0)
+        actions = core.handle(Tick(), 2.0 + Preset("p").queue_seconds)
+        self.assertEqual(ends(actions), [Verdict.NOT_RUN])
+        refusal = next(a for a in actions if isinstance(a, EndRequest)).refusal
+        self.assertGreater(refusal.retry_after_seconds, 0)
