--- a/pistachiolever/router/sessions.py
+++ b/pistachiolever/router/sessions.py
@@ -33,16 +33,24 @@
 
 @define
 class SidecarSession:
-    """Keeps a session open, reads it, and sends commands."""
+    """Keeps a session open, reads it, and sends commands.
+
+    It has a connection pool of its own: a pool checks all its connections for each
+    call, which one pool for all endpoints would make dear.
+    """
 
     context: ProcessContext
-    client: FleetClient
     entry: EndpointEntry
     post: Callable[[RouterInput], None]
     outbox: Mailbox[RouterMessage] = field(factory=Mailbox)
     incarnation: str = ""
     closed: bool = False
     scope: CancelScope = field(factory=CancelScope)
+    client: FleetClient = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Open the connection pool."""
+        self.client = FleetClient(self.context.settings)
 
     async def run(self) -> None:
         """Connect again and again, with growing random waits, until closed."""
@@ -53,6 +61,8 @@
                 wait = RECONNECT_SECONDS if was_up else wait * 2
                 wait = min(RECONNECT_MOST_SECONDS, wait)
                 await sleep(wait * self.context.rng.random())
+        with CancelScope(shield=True):
+            await self.client.close()
 
     def close(self) -> None:
         """End the session now; a new one to the endpoint may follow at once.
--- a/pistachiolever/router/tasks.py
+++ b/pistachiolever/router/tasks.py
@@ -250,7 +250,7 @@
                 continue
             if session is not None:
                 session.close()
-            session = SidecarSession(self.context, self.client, entry, self.actor.post)
+            session = SidecarSession(self.context, entry, self.actor.post)
             self.session_by_endpoint[endpoint_id] = session
             self._group.start_soon(session.run)
         for endpoint_id in set(self.session_by_endpoint) - set(entry_by_id):
--- a/tests/fairness/test_fleet_machine.py
+++ b/tests/fairness/test_fleet_machine.py
@@ -4,7 +4,12 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from pistachiolever.core.verdict import Verdict
-from tests.support.memory_fleet import MemoryFleet, MemoryShape, RequestRecord
+from tests.support.memory_fleet import (
+    MemoryFleet,
+    MemoryRouter,
+    MemoryShape,
+    RequestRecord,
+)
 from tests.support.profile import STATEFUL
 from tests.support.workload import Backlog, gap_bound
 
@@ -24,7 +29,7 @@
         super().__init__()
         self.shape = MemoryShape(accounts=len(ACCOUNTS), endpoints=3, batch=3)
         self.fleet = MemoryFleet(self.shape)
-        self.router_by_request: dict[str, int] = {}
+        self.router_by_request: dict[str, MemoryRouter] = {}
         self.lives = dict.fromkeys(ROUTERS, 1)
 
     @rule(
@@ -39,9 +44,7 @@
             return
         for _ in range(count):
             record = self.fleet.submit(router, account, tokens)
-            self.router_by_request[record.request_id] = id(
-                self.fleet.router_by_id[router]
-            )
+            self.router_by_request[record.request_id] = self.fleet.router_by_id[router]
 
     @rule(seconds=st.floats(0.0001, 5.0))
     def let_time_pass(self, seconds: float) -> None:
@@ -111,11 +114,14 @@
 
     def _living(self) -> list[RequestRecord]:
         """Return the requests whose router was not restarted since."""
-        alive = {id(router) for router in self.fleet.router_by_id.values()}
+        living = list(self.fleet.router_by_id.values())
         return [
             record
             for record in self.fleet.record_by_id.values()
-            if self.router_by_request.get(record.request_id) in alive
+            if any(
+                self.router_by_request.get(record.request_id) is router
+                for router in living
+            )
         ]
 
     def _check_gap(self) -> None:
