Split the router's decisions and its HTTP face into small modules

Read as a newcomer, two faults showed: a request refused for lack of room got a fresh queue time each time, and one refused while its router drained waited for a grant that a draining router sends back. Change: state, dispatch and recovery layers under RouterCore; submit, resume, stream writer and access modules. A flight keeps its deadline; a draining router hands a refused request back as NOT_RUN.

--- a/pistachiolever/router/core.py
+++ b/pistachiolever/router/core.py
@@ -1,27 +1,23 @@
 """The router's decisions, without sockets, clocks or randomness of its own."""
 
 from collections.abc import Callable
-from heapq import heappop, heappush
-from random import Random
+from heapq import heappop
 from typing import Any
 
-from attrs import define, field, frozen
+from attrs import define, field
 
 from pistachiolever.core.errors import Refusal
 from pistachiolever.core.verdict import Verdict
-from pistachiolever.declarations.models import Revision, Service
 from pistachiolever.fairness.const import STARVATION_SECONDS
 from pistachiolever.router.const import (
-    BID_REFRESH_SECONDS,
-    DRAIN_RETRY_AFTER_SECONDS,
     EMPTY_SERVICE_RETRY_SECONDS,
     HANGUP_KEEP_SECONDS,
     MAX_ATTEMPTS,
     OVERLOADED_REASON,
     SLOW_READER_KEEP_SECONDS,
 )
-from pistachiolever.router.endpoints import EndpointBook, EndpointState
-from pistachiolever.router.flights import Flight, FlightBook
+from pistachiolever.router.endpoints import EndpointState
+from pistachiolever.router.flights import Flight
 from pistachiolever.router.models import (
     CallerRequest,
     CancelRequest,
@@ -30,31 +26,24 @@
     Drain,
     EndpointGone,
     EndpointSeen,
-    EndRequest,
-    FreeClaim,
     FromSidecar,
     HeartbeatAnswered,
     NewRevision,
     ReaderReady,
     ReaderSlow,
-    RequestSent,
     ResumeRequest,
     RouterAction,
     RouterInput,
-    SendCommand,
     SessionLost,
     SessionUp,
     Submit,
     Tick,
 )
-from pistachiolever.router.queues import MemoryPool, WaitingRequest
-from pistachiolever.router.retry import RetryBudget, retry_delay
+from pistachiolever.router.queues import WaitingRequest
+from pistachiolever.router.recovery import RecoveryLayer
 from pistachiolever.router.service_queue import ServiceQueue
-from pistachiolever.settings.models import RouterSettings
+from pistachiolever.router.state import draining_refusal
 from pistachiolever.wire.models import (
-    AccountService,
-    Bid,
-    Bids,
     Cancel,
     Chunk,
     Chunks,
@@ -65,45 +54,21 @@
     Refused,
     Resume,
     ReturnGrant,
-    RouterMessage,
-    ServiceBacklog,
     SidecarHello,
     SpareCredits,
 )
 
 
-@frozen(order=True)
-class DelayedRetry:
-    """A request that waits for its retry time."""
-
-    at: float
-    order: int
-    item: WaitingRequest = field(order=False)
-
-
 @define
-class RouterCore:
+class RouterCore(RecoveryLayer):
     """All decisions of one router: a message in, actions out."""
 
-    settings: RouterSettings
-    rng: Random
-    revision: Revision
-    endpoints: EndpointBook = field(factory=EndpointBook)
-    flights: FlightBook = field(factory=FlightBook)
-    budget: RetryBudget = field(factory=RetryBudget)
-    queue_by_service: dict[str, ServiceQueue] = field(factory=dict)
-    request_by_id: dict[str, CallerRequest] = field(factory=dict)
-    delayed: list[DelayedRetry] = field(factory=list)
-    delayed_count: int = 0
-    draining: bool = False
-    pool: MemoryPool = field(init=False)
-    now: float = 0.0
-    _actions: list[RouterAction] = field(factory=list)
+    _source: EndpointState = field(init=False)
     _handler_by_type: dict[type, Callable[[Any], None]] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Prepare the look-up of handlers."""
-        self.pool = MemoryPool(self.settings.max_queue_bytes)
+        super().__attrs_post_init__()
         self._handler_by_type = {
             Submit: self._submit,
             CancelRequest: self._cancel,
@@ -135,33 +100,6 @@
         self._handler_by_type[type(message)](message)
         return self._actions
 
-    # What the shell asks for.
-
-    def heartbeat_accounts(self, full: bool) -> list[AccountService]:
-        """Return the counters to publish."""
-        accounts: list[AccountService] = []
-        for service_id, queue in self.queue_by_service.items():
-            accounts.extend(queue.ledger.report(service_id, full))
-        return accounts
-
-    def heartbeat_lost(self) -> None:
-        """Publish everything again with the next heartbeat."""
-        for queue in self.queue_by_service.values():
-            queue.ledger.republish_all()
-
-    def backlogs(self) -> list[ServiceBacklog]:
-        """Return how many requests wait, by service."""
-        return [
-            ServiceBacklog(service_id, queue.queues.count)
-            for service_id, queue in self.queue_by_service.items()
-            if queue.queues.count
-        ]
-
-    def is_idle(self) -> bool:
-        """Tell whether nothing waits and nothing is in flight."""
-        waiting = any(queue.queues.count for queue in self.queue_by_service.values())
-        return not waiting and not self.delayed and not self.flights.flight_by_id
-
     # Callers.
 
     def _submit(self, message: Submit) -> None:
@@ -169,15 +107,7 @@
         request = message.request
         self.request_by_id[request.request_id] = request
         if self.draining:
-            self._end(
-                request.request_id,
-                Refusal(
-                    Verdict.NOT_RUN,
-                    "draining",
-                    "this router is leaving; ask another",
-                    DRAIN_RETRY_AFTER_SECONDS,
-                ),
-            )
+            self._end(request.request_id, draining_refusal())
             return
         queue = self._queue(request.service_id)
         if queue is None:
@@ -244,7 +174,13 @@
         )
         weight = self.revision.weight_of(message.account_id)
         flight = Flight(
-            request, message.endpoint_id, state.incarnation, weight, 0.0, MAX_ATTEMPTS
+            request,
+            message.endpoint_id,
+            state.incarnation,
+            weight,
+            0.0,
+            MAX_ATTEMPTS,
+            self.now,
         )
         flight.last = message.after
         flight.resumed = True
@@ -349,8 +285,6 @@
             else:
                 self._requeue(flight)
 
-    _source: EndpointState = field(init=False)
-
     def _grant(self, message: Grant) -> None:
         """Send the request of the account that stands lowest now."""
         state = self._source
@@ -498,15 +432,7 @@
         for queue in self.queue_by_service.values():
             waiting.extend(queue.pop_all(self.now))
         for item in waiting:
-            self._end(
-                item.request.request_id,
-                Refusal(
-                    Verdict.NOT_RUN,
-                    "draining",
-                    "this router is leaving; ask another",
-                    DRAIN_RETRY_AFTER_SECONDS,
-                ),
-            )
+            self._end(item.request.request_id, draining_refusal())
 
     def _tick(self, message: Tick) -> None:
         """Do what is due: retries, deadlines, lost flights, bids."""
@@ -523,12 +449,6 @@
             if self._bids_are_due(queue):
                 self._send_bids(queue)
 
-    def _bids_are_due(self, queue: ServiceQueue) -> bool:
-        """Tell whether bids are old, or stand although nothing waits."""
-        if not queue.queues.count:
-            return queue.has_bids_out
-        return self.now - queue.bids_sent_at >= BID_REFRESH_SECONDS
-
     def _end_overdue(self, item: WaitingRequest) -> None:
         """End a request that waited too long."""
         refusal = Refusal(
@@ -539,200 +459,6 @@
         )
         self._end(item.request.request_id, refusal)
 
-    def _end_lost_flights(self) -> None:
-        """Give up flights whose session did not come back."""
-        limit = self.now - self.settings.reattach_seconds
-        for flight in list(self.flights.flight_by_id.values()):
-            if flight.lost_at is not None and flight.lost_at <= limit:
-                self._flight_lost(flight, "the endpoint's sidecar did not come back")
-
-    # Sending.
-
-    def _pump(self, service_id: str) -> None:
-        """Send what spare credits allow; bid for the rest."""
-        queue = self.queue_by_service[service_id]
-        while queue.queues.count:
-            state = self.endpoints.with_credit(service_id, self.now)
-            if state is None:
-                break
-            item = queue.next_request(self.now)
-            if item is None:
-                break
-            state.credits -= 1
-            self._dispatch(item, state, "")
-        if queue.queues.count and not queue.has_bids_out:
-            self._send_bids(queue)
-
-    def _send_bids(self, queue: ServiceQueue) -> None:
-        """Tell every usable endpoint who waits; take bids back from the others."""
-        service_id = queue.service.id
-        bids = queue.bids(self.now)
-        usable = self.endpoints.usable(service_id, self.now)
-        for state in self.endpoints.of_service(service_id):
-            wanted = bids if state in usable else []
-            if state.connected and _differ(wanted, state.bids_sent):
-                state.bids_sent = wanted
-                self._command(state.entry.endpoint_id, Bids(wanted))
-        queue.has_bids_out = bool(bids)
-        queue.bids_sent_at = self.now
-
-    def _dispatch(
-        self, item: WaitingRequest, state: EndpointState, grant_id: str
-    ) -> None:
-        """Send one request to an endpoint, with the bids of those that wait."""
-        request = item.request
-        queue = self.queue_by_service[request.service_id]
-        flight = Flight(
-            request,
-            state.entry.endpoint_id,
-            state.incarnation,
-            self.revision.weight_of(request.account_id),
-            queue.charge_dispatch(item, self.now),
-            item.attempts + 1,
-            grant_id,
-        )
-        self._add_flight(flight, state)
-        bids = queue.bids(self.now)
-        state.bids_sent = bids
-        self._command(
-            state.entry.endpoint_id,
-            Dispatch(
-                request.request_id,
-                request.account_id,
-                request.input,
-                request.max_output_tokens,
-                grant_id,
-                request.attempt_id,
-                Bids(bids),
-            ),
-        )
-        self._actions.append(
-            RequestSent(
-                request.request_id,
-                request.account_id,
-                state.entry.endpoint_id,
-                flight.attempts,
-            )
-        )
-
-    def _correct_bids(self, state: EndpointState) -> None:
-        """Send one endpoint the bids as they stand now."""
-        bids = self.queue_by_service[state.entry.service_id].bids(self.now)
-        if _differ(bids, state.bids_sent):
-            state.bids_sent = bids
-            self._command(state.entry.endpoint_id, Bids(bids))
-
-    def _ask_rest(self, flight: Flight) -> None:
-        """Ask for the events after the last one passed on."""
-        self._command(
-            flight.endpoint_id,
-            Resume(flight.request.request_id, flight.request.account_id, flight.last),
-        )
-
-    # Ends and retries.
-
-    def _flight_lost(self, flight: Flight, detail: str) -> None:
-        """Decide about a request whose endpoint is gone."""
-        refusal = Refusal(Verdict.MAY_HAVE_RUN, "endpoint-lost", detail)
-        self._retry_or_end(flight, refusal)
-
-    def _retry_or_end(self, flight: Flight, refusal: Refusal) -> None:
-        """Send the request elsewhere if that is safe, else end it."""
-        state = self.endpoints.state_by_id.get(flight.endpoint_id)
-        if state is not None:
-            state.note_failure(self.now)
-        if self._may_retry(flight, refusal.verdict):
-            self._retry(flight)
-            return
-        self._finish_flight(flight, learn=False)
-        self._end(flight.request.request_id, refusal)
-
-    def _may_retry(self, flight: Flight, verdict: Verdict) -> bool:
-        """Tell whether another attempt is safe, useful and within the budget."""
-        if flight.has_delivered() or self.draining or flight.attempts >= MAX_ATTEMPTS:
-            return False
-        service = self.revision.service_by_id.get(flight.request.service_id)
-        if service is None or not verdict.allows_retry(service.repeatable):
-            return False
-        return self.budget.withdraw()
-
-    def _retry(self, flight: Flight) -> None:
-        """Queue the request again after a random delay."""
-        item = self._take_back(flight)
-        item.attempts = flight.attempts
-        at = self.now + retry_delay(flight.attempts, self.rng)
-        self.delayed_count += 1
-        heappush(self.delayed, DelayedRetry(at, self.delayed_count, item))
-
-    def _requeue(self, flight: Flight) -> None:
-        """Queue again a request that the endpoint did not take."""
-        item = self._take_back(flight)
-        item.attempts = flight.attempts - 1
-        self.queue_by_service[flight.request.service_id].put_back(item, self.now)
-        self._pump(flight.request.service_id)
-
-    def _take_back(self, flight: Flight) -> WaitingRequest:
-        """Turn a flight into a waiting request again, with a fresh deadline."""
-        queue = self.queue_by_service[flight.request.service_id]
-        self._remove_flight(flight)
-        queue.settle(flight, learn=False)
-        estimate = queue.estimator.estimate(
-            flight.request.account_id, flight.request.max_output_tokens
-        )
-        deadline = self.now + self.revision.preset.queue_seconds
-        return WaitingRequest(flight.request, estimate, deadline)
-
-    def _finish_flight(self, flight: Flight, learn: bool) -> None:
-        """Drop a flight that ended."""
-        self._remove_flight(flight)
-        queue = self.queue_by_service[flight.request.service_id]
-        queue.settle(flight, learn=learn and not flight.resumed)
-
-    def _add_flight(self, flight: Flight, state: EndpointState) -> None:
-        """Keep a new flight."""
-        self.flights.add(flight)
-        state.in_flight += 1
-
-    def _remove_flight(self, flight: Flight) -> None:
-        """Forget a flight."""
-        self.flights.remove(flight.request.request_id)
-        state = self.endpoints.state_by_id.get(flight.endpoint_id)
-        if state is not None:
-            state.in_flight -= 1
-
-    def _end(self, request_id: str, refusal: Refusal) -> None:
-        """End the caller's request; free the key of one that was not run."""
-        request = self.request_by_id.pop(request_id, None)
-        self._actions.append(EndRequest(request_id, refusal))
-        if request is not None and refusal.verdict is Verdict.NOT_RUN:
-            self._free_claim(request)
-
-    def _free_claim(self, request: CallerRequest) -> None:
-        """Free the idempotency key of a request that was not run."""
-        if request.attempt_id:
-            self._actions.append(FreeClaim(request.attempt_id))
-
-    def _command(self, endpoint_id: str, message: RouterMessage) -> None:
-        """Send a message to a sidecar."""
-        self._actions.append(SendCommand(endpoint_id, message))
-
-    def _queue(self, service_id: str) -> ServiceQueue | None:
-        """Return the queue of a declared service, made at its first use."""
-        queue = self.queue_by_service.get(service_id)
-        if queue is not None:
-            return queue
-        service: Service | None = self.revision.service_by_id.get(service_id)
-        if service is None:
-            return None
-        queue = ServiceQueue(service, self.revision, self.pool)
-        self.queue_by_service[service_id] = queue
-        return queue
-
-    def _seconds_each(self, request: CallerRequest) -> float:
-        """Guess the seconds between two requests of an account, for Retry-After."""
-        states = self.endpoints.of_service(request.service_id)
-        return 1.0 / max(1, sum(state.in_flight for state in states))
-
 
 def _cancelled(verdict: Verdict) -> Refusal:
     """Return the end of a request that its caller gave up."""
@@ -744,13 +470,3 @@
     if message.hung_up:
         return Detach(message.request_id, HANGUP_KEEP_SECONDS)
     return Cancel(message.request_id)
-
-
-def _differ(bids: list[Bid], others: list[Bid]) -> bool:
-    """Tell whether the difference is worth a message: who, and how much served."""
-    if len(bids) != len(others):
-        return True
-    return any(
-        bid.account_id != other.account_id or bid.virtual != other.virtual
-        for bid, other in zip(bids, others, strict=True)
-    )
--- a/pistachiolever/router/flights.py
+++ b/pistachiolever/router/flights.py
@@ -11,7 +11,8 @@
 
     `pending` is what is left of the estimate, `weight` the account's weight when
     it was sent, `cost` the measured cost that was charged, `last` the number of
-    the last event passed on. `lost_at` is set while the session is broken.
+    the last event passed on, `deadline` when it
+    must have been sent for good. `lost_at` is set while the session is broken.
     """
 
     request: CallerRequest
@@ -20,7 +21,7 @@
     weight: float
     pending: float
     attempts: int
-    grant_id: str = ""
+    deadline: float
     cost: float = 0.0
     last: int = 0
     detached: bool = False
--- /dev/null
+++ b/pistachiolever/router/stream_writer.py
@@ -0,0 +1,149 @@
+"""Writes answers to callers: as events, or whole."""
+
+from collections.abc import Callable
+
+from anyio import create_task_group
+from attrs import define
+from orjson import dumps, loads
+from starlette.types import Receive, Send
+
+from pistachiolever.core.errors import ProtocolError
+from pistachiolever.edge.const import (
+    REQUEST_ID_HEADER,
+    SSE_CONTENT_TYPE,
+)
+from pistachiolever.edge.server import (
+    json_response,
+    refusal_response,
+)
+from pistachiolever.edge.sse import refusal_event
+from pistachiolever.router.models import (
+    CancelRequest,
+    ReaderReady,
+)
+from pistachiolever.router.streams import CallerStream, StreamBatch
+from pistachiolever.router.tasks import RouterProcess
+
+
+@define
+class StreamWriter:
+    """Writes one caller's answer as server-sent events, or as one JSON text."""
+
+    process: RouterProcess
+    stream: CallerStream
+    as_stream: bool
+    last: StreamBatch | None = None
+
+    async def write(self, receive: Receive, send: Send) -> None:
+        """Write until the end, or stop when the caller leaves."""
+        async with create_task_group() as group:
+            group.start_soon(self._watch_caller, receive, group.cancel_scope.cancel)
+            if self.as_stream:
+                await self._write_events(send)
+            else:
+                await self._write_whole(send)
+            group.cancel_scope.cancel()
+
+    async def _watch_caller(self, receive: Receive, left: Callable[[], None]) -> None:
+        """Stop the writing when the caller hangs up."""
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                left()
+                return
+
+    async def _write_events(self, send: Send) -> None:
+        """Pass events on as they come, all that is ready at once."""
+        headers = [
+            (b"content-type", SSE_CONTENT_TYPE.encode()),
+            (b"cache-control", b"no-store"),
+            (REQUEST_ID_HEADER.encode(), self.stream.request_id.encode()),
+        ]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        data = dumps({"request_id": self.stream.request_id})
+        accepted = b"event: accepted\ndata: " + data + b"\n\n"
+        body = {"type": "http.response.body", "body": accepted, "more_body": True}
+        await send(body)
+        while self.last is None:
+            batch = await self.stream.take()
+            text = batch.sse
+            if batch.refusal is not None:
+                text += refusal_event(batch.refusal)
+            if batch.is_last():
+                self.last = batch
+            await send(
+                {
+                    "type": "http.response.body",
+                    "body": text.encode(),
+                    "more_body": self.last is None,
+                }
+            )
+            self._note_read()
+
+    async def _write_whole(self, send: Send) -> None:
+        """Collect the answer and write it as one JSON text."""
+        parts: list[str] = []
+        while self.last is None:
+            batch = await self.stream.take()
+            parts.append(batch.sse)
+            if batch.is_last():
+                self.last = batch
+            self._note_read()
+        if self.last.refusal is not None:
+            response = refusal_response(self.last.refusal, 503, self.stream.request_id)
+        else:
+            document = whole_answer("".join(parts))
+            document["request_id"] = self.stream.request_id
+            response = json_response(dumps(document))
+        scope = {"type": "http", "method": "POST", "headers": []}
+        await response(scope, _no_receive, send)
+
+    def _note_read(self) -> None:
+        """Let a slow reader's events flow again."""
+        if self.stream.slow:
+            self.stream.slow = False
+            self.process.actor.post(ReaderReady(self.stream.request_id))
+
+
+async def _no_receive() -> dict[str, object]:
+    """Stand in for a receive channel that is not read."""
+    raise ProtocolError("nothing to receive")
+
+
+def whole_answer(sse: str) -> dict[str, object]:
+    """Return the answer that a text of server-sent events carries."""
+    texts: list[str] = []
+    document: dict[str, object] = {}
+    for block in sse.split("\n\n"):
+        fields = dict(line.split(": ", 1) for line in block.split("\n") if ": " in line)
+        data = loads(fields.get("data", "{}"))
+        if fields.get("event") == "part":
+            texts.append(data["text"])
+        elif fields.get("event") == "result":
+            document["result"] = data
+        elif fields.get("event") == "final":
+            document.update(data)
+    if texts:
+        document["text"] = "".join(texts)
+    return document
+
+
+async def write_answer(
+    process: RouterProcess,
+    stream: CallerStream,
+    as_stream: bool,
+    receive: Receive,
+    send: Send,
+    claimed: bool = False,
+) -> None:
+    """Write an answer; when the caller leaves, withdraw its request.
+
+    A claimed request goes on: its outcome is what a resend will be told.
+    """
+    writer = StreamWriter(process, stream, as_stream)
+    try:
+        await writer.write(receive, send)
+    finally:
+        was_current = process.close_stream(stream)
+        if writer.last is None and was_current and not claimed:
+            process.actor.post(CancelRequest(stream.request_id, hung_up=True))
--- a/tests/router/test_requests.py
+++ b/tests/router/test_requests.py
@@ -9,8 +9,8 @@
 
 from pistachiolever.cli.standalone import demo_declarations
 from pistachiolever.declarations.models import Revision
-from pistachiolever.router.http import ResumePoint, parse_event_id
 from pistachiolever.router.requests import InvalidRequestError, parse_submission
+from pistachiolever.router.resume import ResumePoint, parse_event_id
 from tests.support.profile import MANY
 
 REVISION = Revision.of(1, demo_declarations())
--- a/tests/router/test_router_core.py
+++ b/tests/router/test_router_core.py
@@ -20,6 +20,7 @@
     CancelRequest,
     CommandsFailed,
     Deliver,
+    Drain,
     EndRequest,
     FreeClaim,
     FromSidecar,
@@ -186,3 +187,31 @@
         self.assertEqual(ends(actions), [Verdict.NOT_RUN])
         refusal = next(a for a in actions if isinstance(a, EndRequest)).refusal
         self.assertGreater(refusal.retry_after_seconds, 0)
+
+    def test_requeued_request_keeps_its_deadline(self) -> None:
+        # Found by reading: each refusal for lack of room renewed the queue time.
+        core = make_core()
+        submit(core)
+        now = 1.0
+        ended: list[Verdict] = []
+        while not ended and now < 3 * Preset("p").queue_seconds:
+            now += 1.0
+            if core.flights.get("r1") is not None:
+                hear(core, Refused("r1", Verdict.NOT_RUN, "no-room"), now)
+            hear(core, SpareCredits(1), now)
+            ended = ends(core.handle(Tick(), now))
+            if core.flights.get("r1") is not None:
+                ended += ends(
+                    hear(core, Refused("r1", Verdict.NOT_RUN, "no-room"), now)
+                )
+                ended += ends(core.handle(Tick(), now))
+        self.assertEqual(ended, [Verdict.NOT_RUN])
+        self.assertLessEqual(now, Preset("p").queue_seconds + 2.0)
+
+    def test_refused_while_draining_is_handed_back(self) -> None:
+        core = make_core()
+        submit(core)
+        core.handle(Drain(), 2.0)
+        actions = hear(core, Refused("r1", Verdict.NOT_RUN, "no-room"), 2.1)
+        self.assertEqual(ends(actions), [Verdict.NOT_RUN])
+        self.assertTrue(core.is_idle())
