--- a/pistachiolever/cli/fleet.py
+++ b/pistachiolever/cli/fleet.py
@@ -63,7 +63,7 @@
     "files",
     multiple=True,
     type=ClickPath(exists=True, path_type=Path),
-    help="A file that holds the events of a process.",
+    help="A file that `timeline --json` wrote before.",
 )
 @option(
     "--secret",
--- a/pistachiolever/sidecar/adapters.py
+++ b/pistachiolever/sidecar/adapters.py
@@ -25,7 +25,7 @@
     REQUEST_ID_HEADER,
 )
 from pistachiolever.settings.models import SidecarSettings
-from pistachiolever.sidecar.const import OVERLOADED_REASON
+from pistachiolever.sidecar.const import LOAD_SECONDS, OVERLOADED_REASON
 from pistachiolever.sidecar.models import (
     PartArrived,
     ResultArrived,
@@ -44,6 +44,24 @@
         """Post parts as they come, and exactly one `RunEnded`."""
 
 
+@define
+class LoadReader:
+    """Asks a model engine for its load; the report lags and is only a hint."""
+
+    settings: SidecarSettings
+    http: AsyncClient
+
+    async def read_waiting(self) -> int:
+        """Return how many requests the engine holds back; 0 when it does not say."""
+        try:
+            response = await self.http.get(
+                f"{self.settings.endpoint_url}/load", timeout=LOAD_SECONDS
+            )
+            return int(loads(response.content)["waiting"])
+        except (HTTPError, JSONDecodeError, KeyError, TypeError, ValueError):
+            return 0
+
+
 class GarbledAnswerError(Exception):
     """The endpoint wrote something that its protocol does not allow."""
 
@@ -160,14 +178,19 @@
     output_tokens: int = 0
 
 
-def make_adapter(settings: SidecarSettings, service: Service) -> EndpointAdapter:
-    """Return the adapter for the service's kind."""
-    http = AsyncClient(
+def endpoint_client(settings: SidecarSettings) -> AsyncClient:
+    """Return a client for the endpoint; answers may take any time."""
+    return AsyncClient(
         timeout=Timeout(None, connect=CONNECT_SECONDS),
         limits=Limits(max_connections=None),
         trust_env=False,
         verify=settings.endpoint_url.startswith("https"),
     )
+
+
+def make_adapter(settings: SidecarSettings, service: Service) -> EndpointAdapter:
+    """Return the adapter for the service's kind."""
+    http = endpoint_client(settings)
     if service.kind is ServiceKind.MODEL:
         return ModelAdapter(settings, service, http)
     return PlainAdapter(settings, http)
--- a/pistachiolever/sidecar/tasks.py
+++ b/pistachiolever/sidecar/tasks.py
@@ -5,16 +5,22 @@
 from attrs import define, field
 
 from pistachiolever.core.actor import Actor
-from pistachiolever.declarations.models import Revision, Service
+from pistachiolever.declarations.models import Revision, Service, ServiceKind
 from pistachiolever.edge.client import FleetClient, PeerError
 from pistachiolever.edge.context import ProcessContext
 from pistachiolever.edge.control_client import ControlClient, heartbeat_timeout
 from pistachiolever.events.const import EventCode
 from pistachiolever.settings.models import SidecarSettings
-from pistachiolever.sidecar.adapters import EndpointAdapter, make_adapter
+from pistachiolever.sidecar.adapters import (
+    EndpointAdapter,
+    LoadReader,
+    endpoint_client,
+    make_adapter,
+)
 from pistachiolever.sidecar.const import (
     CLAIM_RETRY_MOST_SECONDS,
     CLAIM_RETRY_SECONDS,
+    LOAD_SECONDS,
     TICK_SECONDS,
 )
 from pistachiolever.sidecar.core import SidecarCore
@@ -22,6 +28,7 @@
     CancelRun,
     Drain,
     LimitNoted,
+    LoadReported,
     NewRevision,
     ReportClaim,
     RouterDown,
@@ -77,6 +84,8 @@
             group.start_soon(self.actor.run)
             group.start_soon(self.actor.tick, Tick(), TICK_SECONDS)
             group.start_soon(self._keep_lease)
+            if self.service.kind is ServiceKind.MODEL:
+                group.start_soon(self._follow_load)
             group.start_soon(self.control.watch, self._apply_revision)
             await self.stopped.wait()
             group.cancel_scope.cancel()
@@ -200,6 +209,13 @@
         """Switch to new declarations."""
         self.actor.post(NewRevision(revision))
 
+    async def _follow_load(self) -> None:
+        """Take in the engine's reports of its load."""
+        reader = LoadReader(self.settings, endpoint_client(self.settings))
+        while True:
+            self.actor.post(LoadReported(await reader.read_waiting()))
+            await sleep(LOAD_SECONDS)
+
     async def _keep_lease(self) -> None:
         """Announce the endpoint again and again."""
         while True:
--- a/tests/declarations/test_check.py
+++ b/tests/declarations/test_check.py
@@ -111,6 +111,18 @@
         files = {Path(problem.file).name for problem in caught.exception.problems}
         self.assertEqual(files, {"accounts.json", "broken.json"})
 
+    def test_folder_names_the_file_of_a_duplicate(self) -> None:
+        with TemporaryDirectory() as folder:
+            for name in ("one", "two"):
+                document = {"services": GOOD["services"]}
+                if name == "one":
+                    document = {**GOOD}
+                (Path(folder) / f"{name}.json").write_bytes(dumps(document))
+            with self.assertRaises(InvalidDocumentError) as caught:
+                load_declarations(Path(folder))
+        found = [(Path(p.file).name, p.path) for p in caught.exception.problems]
+        self.assertEqual(found, [("two.json", "services.0.id")])
+
     def test_diff(self) -> None:
         after = {**GOOD, "preset_in_force": "q", "accounts": []}
         lines = [str(entry) for entry in diff_documents(GOOD, after)]
