Let a member with a lost disk catch up with the leader it had

(1) A leader never went back below what a member had acknowledged, so one whose disk was lost could not catch up until another leader came: the test passed before only because one did. (3) The desk's cut was an error answer.

--- a/pistachiolever/raft/core.py
+++ b/pistachiolever/raft/core.py
@@ -374,8 +374,10 @@
             progress.answered_at = max(progress.answered_at, sent_at)
         self._forget_old_sequences()
         if not message.success:
-            progress.next_index = min(progress.next_index, message.match_index + 1)
-            progress.next_index = max(progress.next_index, progress.match_index + 1)
+            # Less than it had: its disk was lost, or the reply is old. Either way
+            # sending again from there does no harm.
+            progress.match_index = min(progress.match_index, message.match_index)
+            progress.next_index = message.match_index + 1
             self._send_append(sender, progress)
             return
         progress.match_index = max(progress.match_index, message.match_index)
--- a/stand_ins/booking_desk.py
+++ b/stand_ins/booking_desk.py
@@ -1,11 +1,13 @@
 """A booking desk that counts every execution."""
 
+from collections.abc import AsyncIterator
+
 from anyio import sleep, sleep_forever
 from attrs import define, field
 from orjson import loads
 from starlette.applications import Starlette
 from starlette.requests import Request
-from starlette.responses import JSONResponse, Response
+from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
 from stand_ins.faults import FaultKind, FaultSwitch
@@ -15,6 +17,12 @@
     """The desk drops a connection on purpose."""
 
 
+async def _cut_answer() -> AsyncIterator[bytes]:
+    """Begin an answer and drop the connection."""
+    yield b'{"booked":'
+    raise CutError
+
+
 @define
 class BookingDesk:
     """Books whatever it is asked, as often as it is asked."""
@@ -46,7 +54,7 @@
         if fault is FaultKind.STALL:
             await sleep_forever()
         if fault is FaultKind.CUT:
-            raise CutError
+            return StreamingResponse(_cut_answer(), media_type="application/json")
         if fault is FaultKind.ERROR:
             return Response(status_code=500)
         if fault is FaultKind.GARBAGE:
--- a/tests/raft/test_raft_core.py
+++ b/tests/raft/test_raft_core.py
@@ -11,6 +11,7 @@
     Apply,
     Propose,
     RaftEnvelope,
+    RaftInput,
     RaftTick,
     Received,
     SendRaft,
@@ -61,6 +62,37 @@
         asked = [action for action in stands if isinstance(action, SendRaft)]
         self.assertEqual(bool(asked), may_vote)
 
+    def test_lost_disk_catches_up_with_the_same_leader(self) -> None:
+        # Found by a run of CI: the leader would not go back below what the member
+        # had acknowledged before its disk was lost.
+        leader, follower = member(peers=1), RaftCore("b", ["a"], Random(2), StoredLog())
+        cores = {"a": leader, "b": follower}
+
+        def exchange(now: float) -> None:
+            """Tick the leader and deliver until nobody speaks."""
+            waiting: list[tuple[str, RaftInput]] = [("a", RaftTick())]
+            for _ in range(200):
+                if not waiting:
+                    return
+                name, message = waiting.pop(0)
+                for action in cores[name].handle(message, now):
+                    if isinstance(action, SendRaft):
+                        envelope = action.envelope
+                        waiting.append((envelope.receiver, Received(envelope)))
+
+        exchange(1.0)
+        exchange(3.0)
+        self.assertTrue(leader.is_leader)
+        for token in range(5):
+            leader.handle(Propose(token, f"c{token}"), 3.0)
+        exchange(3.2)
+        exchange(3.4)
+        self.assertEqual(follower.commit_index, leader.commit_index)
+        cores["b"] = RaftCore("b", ["a"], Random(3), StoredLog(), False)
+        for step in range(5):
+            exchange(3.6 + 0.2 * step)
+        self.assertEqual(cores["b"].commit_index, leader.commit_index)
+
     def test_lone_member_leads_and_commits_at_once(self) -> None:
         core = member(peers=0)
         core.handle(RaftTick(), 1.0)
