--- a/tests/router/test_router_core.py
+++ b/tests/router/test_router_core.py
@@ -24,6 +24,8 @@
     EndRequest,
     FreeClaim,
     FromSidecar,
+    ReaderReady,
+    ReaderSlow,
     RouterAction,
     SendCommand,
     SessionLost,
@@ -35,6 +37,7 @@
 from pistachiolever.wire.models import (
     Chunk,
     Chunks,
+    Detach,
     Dispatch,
     EndpointEntry,
     Outcome,
@@ -116,6 +119,19 @@
         late = hear(core, Chunks([Chunk("r1", 1, 1, 1.0, "late")]), 10.2)
         self.assertEqual(delivered(late), [])
 
+    def test_slow_reader_is_detached_and_loses_nothing(self) -> None:
+        core = make_core()
+        submit(core)
+        hear(core, Chunks([Chunk("r1", 1, 2, 1.0, "12")]))
+        slow = commands(core.handle(ReaderSlow("r1"), 2.0))
+        self.assertEqual([type(command) for command in slow], [Detach])
+        on_its_way = hear(core, Chunks([Chunk("r1", 3, 3, 2.0, "3")]))
+        self.assertEqual(delivered(on_its_way), [])
+        ready = commands(core.handle(ReaderReady("r1"), 2.1))
+        self.assertEqual(ready, [Resume("r1", "a", 2)])
+        rest = hear(core, Chunks([Chunk("r1", 3, 4, 3.0, "34", DONE)]))
+        self.assertEqual(delivered(rest), ["34"])
+
 
 class VerdictTest(TestCase):
     """Only what certainly did not run is called NOT_RUN or sent again."""
