Do not try a rejected request elsewhere; drop unused constants

Cause: a request that an endpoint rejects as wrong (4xx) was sent to up to three endpoints, each of which would say the same. Change: it ends at once with NOT_RUN. Constants that nothing used are gone.

--- a/pistachiolever/cli/const.py
+++ b/pistachiolever/cli/const.py
@@ -14,6 +14,5 @@
 DEMO_OPERATOR_KEY: Final = "demo-operator-key-not-for-production"
 DEMO_FLEET_SECRET: Final = "demo-fleet-secret-not-for-production"
 DEMO_BASE_PORT: Final = 7100
-STOP_GRACE_SECONDS: Final = 1.0
 PLAN_SERVICE: Final = "planning"
 BOOKING_SERVICE: Final = "booking"
--- a/pistachiolever/router/core.py
+++ b/pistachiolever/router/core.py
@@ -14,6 +14,7 @@
     HANGUP_KEEP_SECONDS,
     MAX_ATTEMPTS,
     OVERLOADED_REASON,
+    REJECTED_REASON,
     SLOW_READER_KEEP_SECONDS,
 )
 from pistachiolever.router.endpoints import EndpointState
@@ -368,6 +369,9 @@
             return False
         if chunk.first != 1 or chunk.last != 1 or flight.has_delivered():
             return False
+        if chunk.outcome.reason == REJECTED_REASON:
+            # The request itself is at fault; other endpoints would say the same.
+            return False
         if not self._may_retry(flight, chunk.outcome.verdict):
             return False
         if chunk.outcome.reason != OVERLOADED_REASON:
--- a/pistachiolever/wire/const.py
+++ b/pistachiolever/wire/const.py
@@ -14,4 +14,3 @@
 MAX_INNER_BODY_BYTES: Final = 16 * 1024 * 1024
 MAX_BIDS_PER_MESSAGE: Final = 8
 KIND_FIELD: Final = "kind"
-PROTOCOL_HEADER: Final = "x-pistachiolever-protocol"
--- a/tests/router/test_router_core.py
+++ b/tests/router/test_router_core.py
@@ -204,6 +204,21 @@
         refusal = next(a for a in actions if isinstance(a, EndRequest)).refusal
         self.assertGreater(refusal.retry_after_seconds, 0)
 
+    @params(("endpoint-rejected", [Verdict.NOT_RUN]), ("endpoint-overloaded", [None]))
+    def test_rejected_request_is_not_tried_elsewhere(
+        self, reason: str, expected: list[Verdict | None]
+    ) -> None:
+        core = make_core()
+        submit(core)
+        outcome = Outcome(Verdict.NOT_RUN, False, reason)
+        actions = hear(core, Chunks([Chunk("r1", 1, 1, 0.0, "end", outcome)]))
+        seen = [
+            action.outcome.verdict
+            for action in actions
+            if isinstance(action, Deliver) and action.outcome is not None
+        ]
+        self.assertEqual(seen or [None], expected)
+
     def test_requeued_request_keeps_its_deadline(self) -> None:
         # Found by reading: each refusal for lack of room renewed the queue time.
         core = make_core()
