Name the shared refusal reasons once, in the inner protocol

Cause: reading the whole change: the reason of an overload stood as a constant in both the router and the sidecar, those of a rejection and of no room as bare texts on one side; a change on one side would have gone unnoticed. The memory fleet carried messages by two copies of one step. Change: the three reasons stand in wire/const.py; one step carries a message or loses it. Behaviour is the same.

--- a/pistachiolever/router/core.py
+++ b/pistachiolever/router/core.py
@@ -13,8 +13,6 @@
     EMPTY_SERVICE_RETRY_SECONDS,
     HANGUP_KEEP_SECONDS,
     MAX_ATTEMPTS,
-    OVERLOADED_REASON,
-    REJECTED_REASON,
     SLOW_READER_KEEP_SECONDS,
 )
 from pistachiolever.router.endpoints import EndpointState
@@ -44,6 +42,11 @@
 from pistachiolever.router.recovery import RecoveryLayer
 from pistachiolever.router.service_queue import ServiceQueue
 from pistachiolever.router.state import draining_refusal
+from pistachiolever.wire.const import (
+    NO_ROOM_REASON,
+    OVERLOADED_REASON,
+    REJECTED_REASON,
+)
 from pistachiolever.wire.models import (
     Cancel,
     Chunk,
@@ -320,7 +323,7 @@
         flight = self.flights.get(message.request_id)
         if flight is None or flight.endpoint_id != self._source.entry.endpoint_id:
             return
-        if message.reason == "no-room":
+        if message.reason == NO_ROOM_REASON:
             self._source.credits = 0
             self._requeue(flight)
             return
--- a/pistachiolever/sidecar/adapters.py
+++ b/pistachiolever/sidecar/adapters.py
@@ -25,13 +25,14 @@
     REQUEST_ID_HEADER,
 )
 from pistachiolever.settings.models import SidecarSettings
-from pistachiolever.sidecar.const import LOAD_SECONDS, OVERLOADED_REASON
+from pistachiolever.sidecar.const import LOAD_SECONDS
 from pistachiolever.sidecar.models import (
     PartArrived,
     ResultArrived,
     RunEnded,
     SidecarInput,
 )
+from pistachiolever.wire.const import OVERLOADED_REASON, REJECTED_REASON
 from pistachiolever.wire.models import Dispatch
 
 Post = Callable[[SidecarInput], None]
@@ -215,7 +216,7 @@
     if status in (429, 503) and (status == 429 or overload_is_refusal):
         return _ended(request_id, Verdict.NOT_RUN, OVERLOADED_REASON)
     if 400 <= status < 500:
-        return _ended(request_id, Verdict.NOT_RUN, "endpoint-rejected")
+        return _ended(request_id, Verdict.NOT_RUN, REJECTED_REASON)
     return _ended(request_id, Verdict.MAY_HAVE_RUN, "endpoint-error")
 
 
--- a/pistachiolever/sidecar/core.py
+++ b/pistachiolever/sidecar/core.py
@@ -12,7 +12,6 @@
 from pistachiolever.edge.sse import final_event, part_event, result_event
 from pistachiolever.settings.models import SidecarSettings
 from pistachiolever.sidecar.const import (
-    OVERLOADED_REASON,
     SEEN_ATTEMPTS_MOST,
     TOMBSTONE_SECONDS,
 )
@@ -39,6 +38,7 @@
     Tick,
 )
 from pistachiolever.sidecar.runs import Run, RunBook
+from pistachiolever.wire.const import NO_ROOM_REASON, OVERLOADED_REASON
 from pistachiolever.wire.models import (
     Bids,
     Cancel,
@@ -210,7 +210,9 @@
             return Refused(request_id, Verdict.NOT_RUN, "endpoint-draining")
         if not had_grant and self.room() <= 0:
             self.credits_by_router[self._router_id] = 0
-            return Refused(request_id, Verdict.NOT_RUN, "no-room", message.grant_id)
+            return Refused(
+                request_id, Verdict.NOT_RUN, NO_ROOM_REASON, message.grant_id
+            )
         return None
 
     def _remember_attempt(self, attempt_id: str) -> None:
--- a/pistachiolever/wire/const.py
+++ b/pistachiolever/wire/const.py
@@ -14,3 +14,6 @@
 MAX_INNER_BODY_BYTES: Final = 16 * 1024 * 1024
 MAX_BIDS_PER_MESSAGE: Final = 8
 KIND_FIELD: Final = "kind"
+NO_ROOM_REASON: Final = "no-room"
+OVERLOADED_REASON: Final = "endpoint-overloaded"
+REJECTED_REASON: Final = "endpoint-rejected"
--- a/tests/support/memory_fleet.py
+++ b/tests/support/memory_fleet.py
@@ -301,20 +301,32 @@
     ) -> None:
         """Carry a command to a sidecar, or tell that it failed."""
         pair = (process_id, endpoint_id)
+        arrived = sidecar_messages.FromRouter(process_id, message)
+        failed = router_messages.CommandsFailed(
+            endpoint_id, [message], pair in self.session_by_pair
+        )
+        self._carry(
+            pair,
+            lambda: self._to_sidecar(endpoint_id, arrived),
+            lambda: self._to_router(process_id, failed),
+        )
+
+    def _carry(
+        self,
+        pair: tuple[str, str],
+        deliver: Callable[[], None],
+        lose: Callable[[], None],
+    ) -> None:
+        """Deliver a message later, or lose it if its session breaks meanwhile."""
         session = self.session_by_pair.get(pair)
         self.messages += 1
 
         def arrive() -> None:
-            """Deliver unless the session broke meanwhile."""
+            """See whether the session is still the same."""
             if session is not None and self.session_by_pair.get(pair) == session:
-                self._to_sidecar(
-                    endpoint_id, sidecar_messages.FromRouter(process_id, message)
-                )
-                return
-            failed = router_messages.CommandsFailed(
-                endpoint_id, [message], session is not None
-            )
-            self._to_router(process_id, failed)
+                deliver()
+            else:
+                lose()
 
         self.after(self.shape.latency_seconds, arrive)
 
@@ -334,19 +346,13 @@
     def _send_reply(
         self, endpoint_id: str, process_id: str, message: SidecarMessage
     ) -> None:
-        """Carry a sidecar's message to a router."""
-        pair = (process_id, endpoint_id)
-        session = self.session_by_pair.get(pair)
-        self.messages += 1
-
-        def arrive() -> None:
-            """Deliver unless the session broke meanwhile."""
-            if session is not None and self.session_by_pair.get(pair) == session:
-                self._to_router(
-                    process_id, router_messages.FromSidecar(endpoint_id, message)
-                )
-
-        self.after(self.shape.latency_seconds, arrive)
+        """Carry a sidecar's message to a router; a lost one is asked for again."""
+        arrived = router_messages.FromSidecar(endpoint_id, message)
+        self._carry(
+            (process_id, endpoint_id),
+            lambda: self._to_router(process_id, arrived),
+            lambda: None,
+        )
 
     # Endpoints.
 
