--- /dev/null
+++ b/pistachiolever/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Who may go to an endpoint next: limits of the engine, shares of the accounts."""
--- /dev/null
+++ b/pistachiolever/admission/agent.py
@@ -0,0 +1,113 @@
+"""The process beside an engine: it decides which request its engine takes next."""
+
+from random import Random
+from typing import Protocol
+
+from anyio import create_task_group, current_time, sleep
+from attrs import define, field
+
+from pistachiolever.admission.const import (
+    BID_PATH,
+    PROGRESS_PATH,
+    REPORT_SECONDS,
+)
+from pistachiolever.admission.core import AdmissionCore, Capacity
+from pistachiolever.admission.desk import AdmissionDesk
+from pistachiolever.admission.models import (
+    Bid,
+    BidReply,
+    EngineReport,
+    Progress,
+    ProgressReply,
+)
+from pistachiolever.edge.errors import PeerError
+from pistachiolever.edge.peers import InnerFace
+from pistachiolever.events.const import EventCode
+from pistachiolever.events.lines import EventLines
+
+
+class EngineProbe(Protocol):
+    """Asks an engine how it stands."""
+
+    async def report(self) -> EngineReport:
+        """Return the engine's report; raise PeerError."""
+
+
+@define
+class AgentProcess:
+    """Admission before the engine on this VM."""
+
+    probe: EngineProbe
+    events: EventLines
+    rng: Random
+    desk: AdmissionDesk = field(init=False)
+    engine_born_ms: int = 0
+    engine_silent: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        """Start with no bids; the first one brings the engine's size."""
+        self.desk = AdmissionDesk(AdmissionCore(Capacity(1), self.rng), current_time)
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        async with create_task_group() as group:
+            group.start_soon(self.desk.run)
+            group.start_soon(self._watch_engine)
+
+    def face(self, secret: str = "") -> InnerFace:
+        """Return what answers routers."""
+        face = InnerFace(secret)
+        face.add(BID_PATH, Bid, self._take_bid)
+        face.add(PROGRESS_PATH, Progress, self._take_progress)
+        return face
+
+    async def _take_bid(self, bid: Bid) -> BidReply:
+        """Answer a bid once it is decided."""
+        begun = self.desk.now()
+        reply = await self.desk.acquire(bid)
+        self.events.record(
+            EventCode.GRANT_MADE if reply.granted else EventCode.GRANT_REFUSED,
+            bid.bid_id,
+            account=bid.account_id,
+            waited=round(self.desk.now() - begun, 4),
+            reason=reply.reason,
+            retry_after=round(reply.retry_after_seconds, 2),
+            prompt=bid.prompt_tokens,
+            cached=reply.cached_tokens,
+            unread=round(reply.load.unread_tokens),
+            queued=round(reply.load.queued_tokens),
+            waiting=reply.load.waiting,
+            running=reply.load.running,
+            free=round(reply.load.free_memory_tokens),
+            speed=round(reply.load.speed),
+            service=round(reply.service),
+            elsewhere=round(bid.elsewhere),
+        )
+        return reply
+
+    async def _take_progress(self, progress: Progress) -> ProgressReply:
+        """Take in what a router saw."""
+        return ProgressReply(self.desk.progress(progress.started, progress.ended))
+
+    async def _watch_engine(self) -> None:
+        """Compare the engine's own report with what was granted."""
+        while True:
+            await sleep(REPORT_SECONDS)
+            try:
+                report = await self.probe.report()
+            except PeerError as error:
+                self._note_silent(str(error))
+                continue
+            if self.engine_silent:
+                self.engine_silent = False
+                self.events.record(EventCode.ENGINE_ANSWERS, born=report.born_ms)
+            if self.engine_born_ms not in (0, report.born_ms):
+                self.desk.restarted()
+            self.engine_born_ms = report.born_ms
+            self.desk.report(report)
+
+    def _note_silent(self, error: str) -> None:
+        """Record once that the engine does not report."""
+        if not self.engine_silent:
+            self.engine_silent = True
+            self.events.record(EventCode.ENGINE_SILENT, error=error)
--- /dev/null
+++ b/pistachiolever/admission/core.py
@@ -0,0 +1,368 @@
+"""Decides which waiting request an endpoint takes next, and which are refused.
+
+Engines admit in order of arrival and preempt the newest request when their memory
+is full. So requests wait here, where the order can follow the accounts' shares, and
+only as much is handed on as keeps the engine busy.
+"""
+
+from random import Random
+
+from attrs import define, field
+
+from pistachiolever.admission.cache import PrefixCache, keyed_parts
+from pistachiolever.admission.const import (
+    FIRST_PART_SECONDS,
+    FIRST_SPEED,
+    GENERATED_WEIGHT,
+    LEAST_RETRY_SECONDS,
+    LEAST_SPEED,
+    LOST_RUN_SECONDS,
+    MAX_WAITING,
+    MEMORY_SHARE,
+    MOST_RETRY_SECONDS,
+    OWN_READING_SHARE,
+    PASS_SHARE,
+    REFUSE_AT_TARGETS,
+    SERVICE_MEMORY_SECONDS,
+    SPEED_DECAY,
+    SPEED_SAMPLE_TOKENS,
+    UNREAD_TOKENS,
+)
+from pistachiolever.admission.models import (
+    AdmissionAction,
+    Bid,
+    EngineReport,
+    Granted,
+    Load,
+    Refused,
+)
+from pistachiolever.admission.shares import FadingSum, RecentService
+
+
+@define
+class Capacity:
+    """What the endpoint holds: requests at once and, for an engine, tokens."""
+
+    slots: int
+    memory_tokens: float = 0.0
+
+
+@define(eq=False)
+class Waiting:
+    """A bid that waits; times are absolute seconds."""
+
+    bid: Bid
+    arrived_at: float
+    target_at: float
+    deadline_at: float
+    unread_tokens: float
+
+    @property
+    def cost(self) -> float:
+        """Return the weighted tokens that the account is charged."""
+        return self.bid.prompt_tokens + GENERATED_WEIGHT * self.bid.output_tokens
+
+
+@define(eq=False)
+class Run:
+    """A request that was granted and has not ended."""
+
+    bid: Bid
+    granted_at: float
+    unread_tokens: float
+    cost: float
+    started_at: float | None = None
+    missing_since: float | None = None
+
+
+@define
+class ReadingPace:
+    """Tokens that the engine reads in a second, from first parts that were seen."""
+
+    tokens: float = FIRST_SPEED
+    seconds: float = 1.0
+
+    @property
+    def speed(self) -> float:
+        """Return tokens a second."""
+        return max(LEAST_SPEED, self.tokens / self.seconds)
+
+    def see(self, tokens: float, seconds: float) -> None:
+        """Take in how long some tokens took."""
+        if tokens < SPEED_SAMPLE_TOKENS or seconds <= 0:
+            return
+        self.tokens = self.tokens * SPEED_DECAY + tokens
+        self.seconds = self.seconds * SPEED_DECAY + seconds
+
+
+@define
+class AdmissionCore:
+    """The bids and runs of one endpoint: calls in, grants and refusals out."""
+
+    capacity: Capacity
+    rng: Random
+    cache: PrefixCache = field(init=False)
+    service: RecentService = field(factory=RecentService)
+    pace: ReadingPace = field(factory=ReadingPace)
+    waiting_by_id: dict[str, Waiting] = field(factory=dict)
+    run_by_id: dict[str, Run] = field(factory=dict)
+    unread_ids: list[str] = field(factory=list)
+    front_since: float = 0.0
+    users_by_part: dict[str, int] = field(factory=dict)
+    memory_used: float = 0.0
+    foreign_running: int = 0
+    ends: FadingSum = field(factory=FadingSum)
+
+    def __attrs_post_init__(self) -> None:
+        """Start with an empty cache."""
+        self.cache = PrefixCache(self.capacity.memory_tokens)
+
+    # Calls.
+
+    def bid(self, bid: Bid, now: float) -> list[AdmissionAction]:
+        """Take in a bid."""
+        if len(self.waiting_by_id) >= MAX_WAITING:
+            return [Refused(bid.bid_id, "queue-full", self._retry_after(1.0))]
+        self.capacity.slots = bid.slots
+        self.capacity.memory_tokens = bid.memory_tokens
+        self.cache.capacity_tokens = bid.memory_tokens
+        self.service.hear(bid.account_id, bid.elsewhere, now)
+        unread = bid.prompt_tokens - self.cache.cached_tokens(bid.model, bid.parts)
+        self.waiting_by_id[bid.bid_id] = Waiting(
+            bid,
+            now,
+            now + bid.target_seconds,
+            now + bid.deadline_seconds,
+            max(0, unread),
+        )
+        return self.review(now)
+
+    def withdraw(self, bid_id: str, now: float) -> list[AdmissionAction]:
+        """Drop a bid whose router no longer wants it."""
+        self.waiting_by_id.pop(bid_id, None)
+        if bid_id in self.run_by_id:
+            return self.ended(bid_id, 0, now)
+        return []
+
+    def started(self, bid_id: str, now: float) -> list[AdmissionAction]:
+        """Note that the first part of an answer was seen."""
+        run = self.run_by_id.get(bid_id)
+        if run is None or run.started_at is not None:
+            return []
+        run.started_at = now
+        if bid_id in self.unread_ids:
+            begun = max(run.granted_at, self.front_since)
+            self.pace.see(run.unread_tokens, now - begun)
+            self.unread_ids.remove(bid_id)
+            self.front_since = now
+        self.cache.use(run.bid.model, run.bid.parts)
+        return self.review(now)
+
+    def ended(
+        self, bid_id: str, output_tokens: int, now: float
+    ) -> list[AdmissionAction]:
+        """Note that a run ended; charge what it really took."""
+        run = self.run_by_id.pop(bid_id, None)
+        if run is None:
+            return []
+        if bid_id in self.unread_ids:
+            if self.unread_ids[0] == bid_id:
+                self.front_since = now
+            self.unread_ids.remove(bid_id)
+        self._free_memory(run)
+        self.ends.add(1.0, now)
+        if run.started_at is None:
+            # Nothing was served; the account does not pay for a failed run.
+            self.service.charge(run.bid.account_id, -run.cost, now)
+        else:
+            wrong = GENERATED_WEIGHT * (output_tokens - run.bid.output_tokens)
+            self.service.charge(run.bid.account_id, wrong, now)
+        return self.review(now)
+
+    def report(self, report: EngineReport, now: float) -> list[AdmissionAction]:
+        """Compare the engine's own list with what was granted."""
+        listed = {run.request_id: run for run in report.runs}
+        self.foreign_running = max(0, report.running - len(self.run_by_id))
+        actions: list[AdmissionAction] = []
+        for bid_id, run in list(self.run_by_id.items()):
+            seen = listed.get(bid_id)
+            if seen is not None:
+                run.missing_since = None
+                if seen.events > 0 and run.started_at is None:
+                    actions.extend(self.started(bid_id, now))
+                continue
+            if report.waiting and run.started_at is None:
+                run.missing_since = None
+                continue
+            if run.missing_since is None:
+                run.missing_since = now
+            elif now - max(run.missing_since, run.granted_at) > LOST_RUN_SECONDS:
+                actions.extend(self.ended(bid_id, 0, now))
+        return actions
+
+    def restarted(self, now: float) -> list[AdmissionAction]:
+        """Forget what a former life of the engine held."""
+        self.cache.clear()
+        actions: list[AdmissionAction] = []
+        for bid_id in list(self.run_by_id):
+            actions.extend(self.ended(bid_id, 0, now))
+        return actions
+
+    def load(self, now: float) -> Load:
+        """Return what stands before the endpoint."""
+        return Load(
+            self.unread_tokens(now),
+            sum(waiting.unread_tokens for waiting in self.waiting_by_id.values()),
+            len(self.waiting_by_id),
+            len(self.run_by_id) + self.foreign_running,
+            self.capacity.slots,
+            max(0.0, self._memory_limit() - self.memory_used),
+            self.pace.speed,
+        )
+
+    # Decisions.
+
+    def review(self, now: float) -> list[AdmissionAction]:
+        """Grant what fits, in fair order, and refuse what comes too late."""
+        actions: list[AdmissionAction] = []
+        while (chosen := self._next(now)) is not None:
+            actions.append(self._grant(chosen, now))
+        actions.extend(self._refuse_late(now))
+        return actions
+
+    def unread_tokens(self, now: float) -> float:
+        """Return the tokens that the engine has still to read, as far as is known."""
+        if not self.unread_ids:
+            return 0.0
+        total = sum(self.run_by_id[bid_id].unread_tokens for bid_id in self.unread_ids)
+        front = self.run_by_id[self.unread_ids[0]]
+        passed = now - max(self.front_since, front.granted_at)
+        return total - min(front.unread_tokens, passed * self.pace.speed)
+
+    def _next(self, now: float) -> Waiting | None:
+        """Return the request to grant now, if the endpoint has room for it."""
+        if not self.waiting_by_id or self._is_full():
+            return None
+        if self.unread_ids and self.unread_tokens(now) >= UNREAD_TOKENS:
+            return None
+        for waiting in self._fair_order(now):
+            if self._fits(waiting):
+                return waiting
+            held = now - waiting.arrived_at
+            if held > PASS_SHARE * waiting.bid.target_seconds:
+                return None
+        return None
+
+    def _is_full(self) -> bool:
+        """Tell whether all slots are taken."""
+        return len(self.run_by_id) + self.foreign_running >= self.capacity.slots
+
+    def _fits(self, waiting: Waiting) -> bool:
+        """Tell whether the engine has memory for a request."""
+        if not self.capacity.memory_tokens or not self.run_by_id:
+            return True
+        return self.memory_used + self._memory_need(waiting.bid) <= self._memory_limit()
+
+    def _memory_limit(self) -> float:
+        """Return the tokens of memory that may be promised."""
+        return self.capacity.memory_tokens * MEMORY_SHARE
+
+    def _memory_need(self, bid: Bid) -> float:
+        """Return the memory a request takes beyond parts that running ones hold."""
+        held = sum(
+            part.tokens
+            for key, part in keyed_parts(bid.model, bid.parts)
+            if key in self.users_by_part
+        )
+        return max(0, bid.prompt_tokens - held) + bid.output_tokens
+
+    def _grant(self, waiting: Waiting, now: float) -> Granted:
+        """Promise room to a request."""
+        bid = waiting.bid
+        del self.waiting_by_id[bid.bid_id]
+        cached = self.cache.cached_tokens(bid.model, bid.parts)
+        self.memory_used += self._memory_need(bid)
+        for key, _ in keyed_parts(bid.model, bid.parts):
+            self.users_by_part[key] = self.users_by_part.get(key, 0) + 1
+        unread = max(0, bid.prompt_tokens - cached)
+        self.run_by_id[bid.bid_id] = Run(bid, now, unread, waiting.cost)
+        if not self.unread_ids:
+            self.front_since = now
+        self.unread_ids.append(bid.bid_id)
+        self.service.charge(bid.account_id, waiting.cost, now)
+        return Granted(bid.bid_id, cached)
+
+    def _free_memory(self, run: Run) -> None:
+        """Take back the memory that only an ended run held."""
+        bid = run.bid
+        held = 0
+        for key, part in keyed_parts(bid.model, bid.parts):
+            self.users_by_part[key] -= 1
+            if self.users_by_part[key]:
+                held += part.tokens
+            else:
+                del self.users_by_part[key]
+        freed = max(0, bid.prompt_tokens - held) + bid.output_tokens
+        self.memory_used = max(0.0, self.memory_used - freed)
+        if not self.run_by_id:
+            self.memory_used = 0.0
+
+    def _fair_order(self, now: float) -> list[Waiting]:
+        """Return what waits in the order in which it would be granted.
+
+        The account with the least recent service goes first and is charged for each
+        request in turn; within an account rank, then age decide.
+        """
+        queue_by_account: dict[str, list[Waiting]] = {}
+        for waiting in self.waiting_by_id.values():
+            queue_by_account.setdefault(waiting.bid.account_id, []).append(waiting)
+        total_by_account = {}
+        for account_id, queue in queue_by_account.items():
+            queue.sort(key=_rank_and_age, reverse=True)
+            total_by_account[account_id] = self.service.total(account_id, now)
+        order: list[Waiting] = []
+        while queue_by_account:
+            account_id = min(queue_by_account, key=total_by_account.__getitem__)
+            queue = queue_by_account[account_id]
+            waiting = queue.pop()
+            order.append(waiting)
+            total_by_account[account_id] += waiting.cost
+            if not queue:
+                del queue_by_account[account_id]
+        return order
+
+    def _refuse_late(self, now: float) -> list[AdmissionAction]:
+        """Refuse what can't have its first part in time, as things stand."""
+        if not self.waiting_by_id:
+            return []
+        speed = self.pace.speed
+        ahead = self.unread_tokens(now)
+        blocked = 0
+        is_full = self._is_full()
+        ends_per_second = max(1.0, self.ends.read(now) / SERVICE_MEMORY_SECONDS)
+        actions: list[AdmissionAction] = []
+        for waiting in self._fair_order(now):
+            blocked += is_full or not self._fits(waiting)
+            wait = max(ahead / speed, blocked / ends_per_second)
+            start = now + wait + FIRST_PART_SECONDS
+            target = waiting.bid.target_seconds
+            own = min(waiting.unread_tokens / speed, OWN_READING_SHARE * target)
+            latest = waiting.arrived_at + REFUSE_AT_TARGETS * target
+            if start + own > latest:
+                del self.waiting_by_id[waiting.bid.bid_id]
+                actions.append(
+                    Refused(waiting.bid.bid_id, "late", self._retry_after(wait))
+                )
+                continue
+            ahead += waiting.unread_tokens
+        return actions
+
+    def _retry_after(self, wait_seconds: float) -> float:
+        """Return when to come back: after the backlog, spread so that not all do."""
+        spread = wait_seconds * (1.0 + self.rng.random()) + self.rng.random()
+        return min(MOST_RETRY_SECONDS, max(LEAST_RETRY_SECONDS, spread))
+
+
+def _rank_and_age(waiting: Waiting) -> tuple[int, float]:
+    """Return what orders the requests of one account."""
+    return (waiting.bid.priority, waiting.arrived_at)
--- a/pistachiolever/control/commands.py
+++ b/pistachiolever/control/commands.py
@@ -42,7 +42,23 @@
     at_ms: int
 
 
-Command = ApplyDeclarations | OpenClaim | CloseClaim
+@frozen
+class StoreConfiguration:
+    """Put a whole configuration in force, if its version is the highest so far."""
+
+    version: int
+    document: str
+
+
+Command = ApplyDeclarations | OpenClaim | CloseClaim | StoreConfiguration
+
+
+@frozen
+class ConfigurationStored:
+    """What became of a configuration; `version` is the one in force."""
+
+    version: int
+    changed: bool
 
 
 @frozen
--- a/pistachiolever/control/const.py
+++ b/pistachiolever/control/const.py
@@ -16,3 +16,5 @@
 MAX_OUTCOME_BYTES: Final = 64 * 1024
 MAX_DECLARATIONS_BYTES: Final = 8 * 1024 * 1024
 MAX_CLOSED_BEFORE_OPEN: Final = 10_000
+# A full or failing disk is asked again after this.
+DISK_RETRY_SECONDS: Final = 0.1
--- a/pistachiolever/control/http.py
+++ b/pistachiolever/control/http.py
@@ -11,13 +11,10 @@
 from starlette.routing import Route
 
 from pistachiolever.const import OLDEST_PROTOCOL_VERSION
+from pistachiolever.control.agreement import NotLeadingError, OutcomeUnknownError
 from pistachiolever.control.commands import CloseClaim, OpenClaim
 from pistachiolever.control.operators import OperatorFace
-from pistachiolever.control.tasks import (
-    ControlProcess,
-    NotLeadingError,
-    OutcomeUnknownError,
-)
+from pistachiolever.control.tasks import ControlProcess
 from pistachiolever.core.errors import ProtocolError
 from pistachiolever.edge.context import wall_ms
 from pistachiolever.edge.server import (
@@ -232,6 +229,5 @@
 
     async def _raft(self, message: list[RaftEnvelope]) -> object:
         """Pass messages to the agreement."""
-        for envelope in message:
-            self.process.inbox.put(Received(envelope))
+        self.process.receive(message)
         return True
--- a/pistachiolever/control/operators.py
+++ b/pistachiolever/control/operators.py
@@ -6,13 +6,10 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from pistachiolever.control.agreement import NotLeadingError, OutcomeUnknownError
 from pistachiolever.control.commands import ApplyDeclarations, ChangeResult
 from pistachiolever.control.const import MAX_DECLARATIONS_BYTES
-from pistachiolever.control.tasks import (
-    ControlProcess,
-    NotLeadingError,
-    OutcomeUnknownError,
-)
+from pistachiolever.control.tasks import ControlProcess
 from pistachiolever.core.errors import ProtocolError
 from pistachiolever.core.verdict import Verdict
 from pistachiolever.declarations.check import check_declarations
--- a/pistachiolever/control/state.py
+++ b/pistachiolever/control/state.py
@@ -9,7 +9,10 @@
     ChangeResult,
     CloseClaim,
     Command,
+    ConfigurationStored,
     OpenClaim,
+    StoreConfiguration,
+    command_of,
 )
 from pistachiolever.control.const import (
     MAX_CHANGE_IDS,
@@ -45,7 +48,15 @@
     outcome_sse: str = ""
 
 
-Result = ChangeResult | ClaimAnswer | ClaimClosed
+@frozen
+class StoredConfiguration:
+    """The whole configuration in force, as it was sent."""
+
+    version: int = -1
+    document: str = ""
+
+
+Result = ChangeResult | ClaimAnswer | ClaimClosed | ConfigurationStored
 
 
 @define
@@ -58,6 +69,7 @@
     claim_by_key: dict[str, Claim] = field(factory=dict)
     key_by_attempt: dict[str, str] = field(factory=dict)
     closed_before_open: dict[str, int] = field(factory=dict)
+    configuration: StoredConfiguration = StoredConfiguration()
 
     def apply(self, command: Command) -> Result:
         """Run one committed command."""
@@ -65,8 +77,14 @@
             return self._apply_declarations(command)
         if isinstance(command, OpenClaim):
             return self._open_claim(command)
+        if isinstance(command, StoreConfiguration):
+            return self._store_configuration(command)
         return self._close_claim(command)
 
+    def apply_text(self, text: str) -> Result:
+        """Run one committed command as the log carries it."""
+        return self.apply(command_of(text))
+
     def current(self) -> StoredRevision | None:
         """Return the revision in force, if any was accepted yet."""
         return self.revisions[-1] if self.revisions else None
@@ -83,6 +101,16 @@
         self.claim_by_key = other.claim_by_key
         self.key_by_attempt = other.key_by_attempt
         self.closed_before_open = other.closed_before_open
+        self.configuration = other.configuration
+
+    # Whole configurations.
+
+    def _store_configuration(self, command: StoreConfiguration) -> ConfigurationStored:
+        """Take a configuration with a higher version; the first of equals stays."""
+        changed = command.version > self.configuration.version
+        if changed:
+            self.configuration = StoredConfiguration(command.version, command.document)
+        return ConfigurationStored(self.configuration.version, changed)
 
     # Declarations.
 
--- a/pistachiolever/control/storage.py
+++ b/pistachiolever/control/storage.py
@@ -38,6 +38,8 @@
     member_id: str
     may_vote: bool
     format_version: int = FORMAT_VERSION
+    founders: list[str] = field(factory=list)
+    joins: bool = False
 
 
 class Disk(Protocol):
@@ -95,10 +97,16 @@
             self.open_files[name] = descriptor
             if is_new:
                 self._sync_folder()
+        size = os.lseek(descriptor, 0, os.SEEK_END)
         view = memoryview(data)
-        while view:
-            view = view[os.write(descriptor, view) :]
-        os.fsync(descriptor)
+        try:
+            while view:
+                view = view[os.write(descriptor, view) :]
+            os.fsync(descriptor)
+        except OSError:
+            # The caller tries again; what was written of it must not stand before.
+            os.ftruncate(descriptor, size)
+            raise
 
     def replace(self, name: str, data: bytes) -> None:
         """Replace a file as one step and sync it and its folder."""
@@ -132,6 +140,7 @@
     """
 
     disk: Disk
+    log_bytes: int = 0
 
     def load(self) -> StoredLog:
         """Return what the disk holds; raise StorageError when it is damaged."""
@@ -142,7 +151,8 @@
             if isinstance(record, HardState):
                 hard_state = record
                 continue
-            if record.index <= snapshot.index:
+            # A log that an interrupted replacement left beside a newer snapshot.
+            if record.index <= snapshot.index or record.term < snapshot.term:
                 continue
             offset = record.index - snapshot.index - 1
             if offset > len(entries):
@@ -156,7 +166,9 @@
 
     def append(self, records: list[Record]) -> None:
         """Add records and sync them all at once."""
-        self.disk.append(LOG_FILE, b"".join(_line_of(record) for record in records))
+        data = b"".join(_line_of(record) for record in records)
+        self.disk.append(LOG_FILE, data)
+        self.log_bytes += len(data)
 
     def replace(
         self, snapshot: Snapshot, hard_state: HardState, entries: list[Entry]
@@ -165,7 +177,9 @@
         body = dumps(_converter.unstructure(snapshot))
         self.disk.replace(SNAPSHOT_FILE, _checked(body))
         records: list[Record] = [hard_state, *entries]
-        self.disk.replace(LOG_FILE, b"".join(_line_of(record) for record in records))
+        data = b"".join(_line_of(record) for record in records)
+        self.disk.replace(LOG_FILE, data)
+        self.log_bytes = len(data)
 
     def load_identity(self) -> Identity | None:
         """Return who the folder belongs to."""
@@ -217,6 +231,7 @@
             good_bytes += len(line) + 1
         if has_torn_end:
             self.disk.replace(LOG_FILE, data[:good_bytes])
+        self.log_bytes = good_bytes
         return records
 
 
--- a/pistachiolever/control/tasks.py
+++ b/pistachiolever/control/tasks.py
@@ -1,66 +1,28 @@
 """The tasks of a control process: they own its disk, peers and state."""
 
-from functools import partial
-
-from anyio import Event, create_task_group, fail_after, sleep, to_thread
+from anyio import Event, create_task_group, sleep
 from attrs import define, field
 
+from pistachiolever.control.agreement import Agreement, NotLeadingError
 from pistachiolever.control.attachment import AttachmentTable
-from pistachiolever.control.commands import Command, command_of, command_text
+from pistachiolever.control.commands import Command
 from pistachiolever.control.const import PROPOSE_SECONDS
 from pistachiolever.control.directory import Directory
 from pistachiolever.control.hub import Hub
 from pistachiolever.control.state import ControlState, Result
-from pistachiolever.control.storage import Identity, LogStorage, Record
+from pistachiolever.control.storage import Identity, LogStorage
 from pistachiolever.core.mailbox import Mailbox
-from pistachiolever.edge.client import FleetClient, PeerError
+from pistachiolever.edge.client import FleetClient
+from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.context import ProcessContext
 from pistachiolever.events.const import EventCode
-from pistachiolever.raft.const import RAFT_TICK_SECONDS, SNAPSHOT_ENTRIES
+from pistachiolever.raft.const import RAFT_TICK_SECONDS
 from pistachiolever.raft.core import RaftCore
-from pistachiolever.raft.models import (
-    Apply,
-    Compacted,
-    HardState,
-    PersistEntries,
-    PersistSnapshot,
-    PersistState,
-    ProposalPlaced,
-    ProposalRefused,
-    Propose,
-    RaftAction,
-    RaftEnvelope,
-    RaftInput,
-    RaftTick,
-    Restore,
-    RoleChanged,
-    SendRaft,
-    Snapshot,
-)
+from pistachiolever.raft.models import RaftEnvelope, Received, RoleChanged
 from pistachiolever.settings.models import ControlSettings
 from pistachiolever.wire.const import RAFT_PATH
 
 
-class NotLeadingError(Exception):
-    """This control process does not lead; nothing was done."""
-
-
-class OutcomeUnknownError(Exception):
-    """A command was placed, but it is not known whether it will be committed."""
-
-
-@define
-class Proposal:
-    """A command whose result a caller waits for."""
-
-    command: Command
-    done: Event = field(factory=Event)
-    index: int = 0
-    term: int = 0
-    result: Result | None = None
-    refused: bool = False
-
-
 @define
 class PeerLink:
     """The task that sends messages to one other member."""
@@ -92,11 +54,9 @@
     state: ControlState = field(init=False)
     core: RaftCore = field(init=False)
     hub: Hub | None = None
-    inbox: Mailbox[RaftInput] = field(factory=Mailbox)
+    agreement: Agreement = field(init=False)
     link_by_member: dict[str, PeerLink] = field(factory=dict)
-    proposal_by_token: dict[int, Proposal] = field(factory=dict)
-    proposals_by_index: dict[int, list[Proposal]] = field(factory=dict)
-    next_token: int = 0
+    seen_revision: int = 0
     changed: Event = field(factory=Event)
     stopped: Event = field(factory=Event)
     draining: bool = False
@@ -115,6 +75,10 @@
         # Members are named by address: ids of settings are not known to others.
         others = [address for address in addresses if address != own]
         self.core = RaftCore(own, others, self.context.rng, stored, identity.may_vote)
+        self.agreement = Agreement(
+            self.core, self.storage, self.state, self, self._send, self.context.now
+        )
+        self.seen_revision = self._revision()
         self.link_by_member = {
             address: PeerLink(address, address, self.client) for address in others
         }
@@ -135,8 +99,8 @@
         """Work until stopped."""
         self.context.recorder.record(EventCode.PROCESS_STARTED, detail="role=control")
         async with create_task_group() as group:
-            group.start_soon(self._agree)
-            group.start_soon(self._tick)
+            group.start_soon(self.agreement.run)
+            group.start_soon(self._expire_leases)
             for link in self.link_by_member.values():
                 group.start_soon(link.run)
             await self.stopped.wait()
@@ -152,25 +116,9 @@
 
     async def propose(self, command: Command) -> Result:
         """Commit a command; raise NotLeadingError or OutcomeUnknownError."""
-        if not self.core.is_leader or self.draining:
-            raise NotLeadingError
-        self.next_token += 1
-        token = self.next_token
-        proposal = Proposal(command)
-        self.proposal_by_token[token] = proposal
-        self.inbox.put(Propose(token, command_text(command)))
-        try:
-            with fail_after(PROPOSE_SECONDS):
-                await proposal.done.wait()
-        except TimeoutError as error:
-            raise OutcomeUnknownError from error
-        finally:
-            self.proposal_by_token.pop(token, None)
-        if proposal.refused:
+        if self.draining:
             raise NotLeadingError
-        if proposal.result is None:
-            raise OutcomeUnknownError
-        return proposal.result
+        return await self.agreement.propose(command)
 
     def leads(self) -> bool:
         """Tell whether this process may answer for the whole fleet now."""
@@ -178,12 +126,14 @@
             return False
         return self.core.has_lease(self.context.now())
 
-    # The agreement.
+    def receive(self, envelopes: list[RaftEnvelope]) -> None:
+        """Take messages of another member."""
+        for envelope in envelopes:
+            self.agreement.inbox.put(Received(envelope))
 
-    async def _tick(self) -> None:
-        """Let time pass for the agreement and the leases."""
+    async def _expire_leases(self) -> None:
+        """End the leases of endpoints that fell silent."""
         while True:
-            self.inbox.put(RaftTick())
             if self.hub is not None:
                 for ended in self.hub.expire(self.context.now()):
                     self.context.recorder.record(
@@ -193,73 +143,29 @@
                     )
             await sleep(RAFT_TICK_SECONDS)
 
-    async def _agree(self) -> None:
-        """Handle all waiting messages, sync once, then act."""
-        while messages := await self.inbox.take_all():
-            actions: list[RaftAction] = []
-            for message in messages:
-                actions.extend(self.core.handle(message, self.context.now()))
-            await self._persist(actions)
-            for action in actions:
-                self._perform(action)
-            self._compact_if_long()
+    def _send(self, envelope: RaftEnvelope) -> None:
+        """Leave a message for the task that sends to its receiver."""
+        self.link_by_member[envelope.receiver].outbox.put(envelope)
 
-    async def _persist(self, actions: list[RaftAction]) -> None:
-        """Write and sync what the actions demand, before any is performed."""
-        records: list[Record] = []
-        for action in actions:
-            if isinstance(action, PersistState):
-                records.append(action.hard_state)
-            elif isinstance(action, PersistEntries):
-                records.extend(action.entries)
-            elif isinstance(action, PersistSnapshot):
-                records = []
-                replace = partial(
-                    self.storage.replace,
-                    action.snapshot,
-                    self._hard_state(),
-                    action.entries,
-                )
-                await to_thread.run_sync(replace)
-        if records:
-            await to_thread.run_sync(self.storage.append, records)
-
-    def _perform(self, action: RaftAction) -> None:
-        """Do one action after everything was synced."""
-        match action:
-            case SendRaft(envelope):
-                self.link_by_member[envelope.receiver].outbox.put(envelope)
-            case Apply(entry):
-                self._apply(entry.index, entry.term, entry.command)
-            case Restore(snapshot):
-                self.state.load(snapshot.state)
-                self._signal_change()
-            case ProposalPlaced(token, index, term):
-                proposal = self.proposal_by_token.get(token)
-                if proposal is not None:
-                    proposal.index, proposal.term = index, term
-                    self.proposals_by_index.setdefault(index, []).append(proposal)
-            case ProposalRefused(token):
-                proposal = self.proposal_by_token.get(token)
-                if proposal is not None:
-                    proposal.refused = True
-                    proposal.done.set()
-            case RoleChanged(leads):
-                self._change_role(leads)
+    # What the agreement tells.
 
-    def _apply(self, index: int, term: int, text: str) -> None:
-        """Run a committed command and answer who waits for it."""
-        result: Result | None = None
-        revision_before = self._revision()
-        if text:
-            result = self.state.apply(command_of(text))
-        for proposal in self.proposals_by_index.pop(index, []):
-            if proposal.term == term:
-                proposal.result = result
-            proposal.done.set()
-        if self._revision() != revision_before:
+    def applied(self) -> None:
+        """Wake those who wait, if another revision came into force."""
+        if self._revision() != self.seen_revision:
+            self.seen_revision = self._revision()
             self._signal_change()
 
+    def members_changed(self, members: list[str]) -> None:
+        """Take no note: the members of this deployment are fixed."""
+
+    def disk_failed(self, error: OSError) -> None:
+        """Record that the disk refused a write."""
+        self.context.recorder.record(EventCode.DISK_FAILED, detail=str(error))
+
+    def role_changed(self, action: RoleChanged) -> None:
+        """Begin or cease to answer for the fleet."""
+        self._change_role(action.leads)
+
     def _change_role(self, leads: bool) -> None:
         """Begin or cease to answer for the fleet."""
         if not leads:
@@ -271,20 +177,6 @@
         )
         self.hub = Hub(directory, self.context.now())
 
-    def _compact_if_long(self) -> None:
-        """Write a snapshot when the log has grown long."""
-        if len(self.core.log.entries) < SNAPSHOT_ENTRIES:
-            return
-        index = self.core.applied_index
-        term = self.core.log.term_at(index)
-        if term is None or index == self.core.log.snapshot.index:
-            return
-        self.inbox.put(Compacted(Snapshot(index, term, self.state.dump())))
-
-    def _hard_state(self) -> HardState:
-        """Return the term and vote as they stand."""
-        return HardState(self.core.term, self.core.voted_for)
-
     def _signal_change(self) -> None:
         """Wake those who wait for a new revision."""
         self.context.revision = self._revision()
--- a/pistachiolever/edge/client.py
+++ b/pistachiolever/edge/client.py
@@ -8,25 +8,13 @@
 
 from pistachiolever.core.errors import ProtocolError
 from pistachiolever.edge.const import CALL_SECONDS, CONNECT_SECONDS, MAX_CONNECTIONS
+from pistachiolever.edge.errors import PeerError
 from pistachiolever.settings.models import ProcessSettings
 from pistachiolever.wire.codec import decode, encode
 
 T = TypeVar("T")
 
 
-class PeerError(Exception):
-    """A call to another process failed.
-
-    `may_have_arrived` is false only when the call certainly had no effect.
-    """
-
-    def __init__(self, detail: str, may_have_arrived: bool, status: int = 0) -> None:
-        """Keep what is known of the failure."""
-        super().__init__(detail)
-        self.may_have_arrived = may_have_arrived
-        self.status = status
-
-
 @define
 class FleetClient:
     """Calls processes of this fleet by address."""
--- /dev/null
+++ b/pistachiolever/edge/peers.py
@@ -0,0 +1,181 @@
+"""Calls between processes over kept connections, without a heavy HTTP stack."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, TypeVar
+
+from anyio import current_time, fail_after
+from attrs import define, field
+
+from pistachiolever.core.errors import ProtocolError
+from pistachiolever.edge.const import JSON_CONTENT_TYPE
+from pistachiolever.edge.errors import PeerError
+from pistachiolever.edge.keys import bearer_of, same_key
+from pistachiolever.http1.client import ClientConnection, open_connection
+from pistachiolever.http1.errors import PeerClosedError
+from pistachiolever.http1.models import Header, RequestHead, ResponseHead
+from pistachiolever.http1.server import Exchange
+from pistachiolever.wire.codec import decode, encode
+from pistachiolever.wire.const import MAX_INNER_BODY_BYTES
+
+T = TypeVar("T")
+
+# Idle connections kept for each peer; calls beyond them open their own.
+MAX_IDLE_CONNECTIONS: Final = 16
+# Kept shorter than the other side's idle time, so that it never closes first.
+KEEP_SECONDS: Final = 10.0
+JSON_HEADER: Final[Header] = (b"content-type", JSON_CONTENT_TYPE.encode())
+
+
+@define
+class ConnectionPool:
+    """Idle connections by address."""
+
+    idle_by_address: dict[str, list[ClientConnection]] = field(factory=dict)
+    most_idle: int = MAX_IDLE_CONNECTIONS
+
+    async def take(self, address: str, connect_seconds: float) -> ClientConnection:
+        """Return a kept connection that is still good, or a new one."""
+        idle = self.idle_by_address.get(address, [])
+        while idle:
+            connection = idle.pop()
+            if connection.is_fresh(current_time()):
+                return connection
+            await connection.close()
+        return await open_connection(address, connect_seconds)
+
+    async def give_back(
+        self, connection: ClientConnection, keep_seconds: float = KEEP_SECONDS
+    ) -> None:
+        """Keep a connection for the next request, or close it."""
+        idle = self.idle_by_address.setdefault(connection.address, [])
+        if len(idle) < self.most_idle and connection.finish(keep_seconds):
+            idle.append(connection)
+            return
+        await connection.close()
+
+    async def close(self, address: str) -> None:
+        """Close the idle connections to an address."""
+        for connection in self.idle_by_address.pop(address, []):
+            await connection.close()
+
+
+@define
+class PeerCaller:
+    """Calls processes of this fleet by address; `secret` may be empty."""
+
+    secret: str = ""
+    pool: ConnectionPool = field(factory=ConnectionPool)
+
+    async def call(
+        self,
+        address: str,
+        path: str,
+        message: object,
+        reply_type: type[T],
+        seconds: float,
+    ) -> T:
+        """Send a message; return the typed reply or raise PeerError."""
+        head, body = await self.post(address, path, encode(message), seconds)
+        if head.status != 200:
+            detail = f"{address}{path} answered {head.status}"
+            raise PeerError(detail, head.status != 409, head.status)
+        try:
+            return decode(body, reply_type)
+        except ProtocolError as error:
+            raise PeerError(str(error), True) from error
+
+    async def post(
+        self, address: str, path: str, body: bytes, seconds: float
+    ) -> tuple[ResponseHead, bytes]:
+        """Send a body; return the head and body of the answer."""
+        headers: list[Header] = [
+            (b"host", address.encode()),
+            (b"content-length", b"%d" % len(body)),
+            JSON_HEADER,
+        ]
+        if self.secret:
+            headers.append((b"authorization", b"Bearer " + self.secret.encode()))
+        request = RequestHead(b"POST", path.encode(), headers)
+        return await self.exchange(address, request, body, seconds)
+
+    async def exchange(
+        self, address: str, request: RequestHead, body: bytes, seconds: float
+    ) -> tuple[ResponseHead, bytes]:
+        """Send a request; return the head and body of the answer."""
+        connection: ClientConnection | None = None
+        try:
+            with fail_after(seconds):
+                connection = await self.pool.take(address, seconds)
+                head = await connection.exchange(request, body)
+                answer = await connection.read_whole(MAX_INNER_BODY_BYTES)
+                await self.pool.give_back(connection)
+                connection = None
+                return head, answer
+        except PeerClosedError as error:
+            raise PeerError(f"{address}: {error.detail}", error.sent) from error
+        except TimeoutError as error:
+            detail = f"{address} did not answer within {seconds:.1f} s"
+            raise PeerError(detail, True) from error
+        finally:
+            if connection is not None:
+                await connection.close()
+
+
+class CallRefusedError(Exception):
+    """A call is answered with a status instead of a reply."""
+
+    def __init__(self, status: int, detail: str = "") -> None:
+        """Keep the HTTP status and the reason."""
+        super().__init__(detail or str(status))
+        self.status = status
+        self.detail = detail
+
+
+@define
+class InnerService:
+    """A message type and what answers it."""
+
+    message_type: Any
+    handle: Callable[[Any], Awaitable[object]]
+
+
+@define
+class InnerFace:
+    """Answers the calls of other processes by path."""
+
+    secret: str = ""
+    service_by_path: dict[str, InnerService] = field(factory=dict)
+
+    def add(
+        self,
+        path: str,
+        message_type: type[T],
+        handle: Callable[[T], Awaitable[object]],
+    ) -> None:
+        """Answer a path by a function from message to reply."""
+        self.service_by_path[path] = InnerService(message_type, handle)
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one call."""
+        body = await exchange.read_body()
+        key = bearer_of((exchange.head.value(b"authorization") or b"").decode("latin-1"))
+        service = self.service_by_path.get(exchange.head.path)
+        if self.secret and not same_key(key, self.secret):
+            await exchange.respond(401, [], b"")
+        elif service is None:
+            await exchange.respond(404, [], b"")
+        else:
+            await self._answer(exchange, service, body)
+
+    async def _answer(
+        self, exchange: Exchange, service: InnerService, body: bytes
+    ) -> None:
+        """Decode, handle and encode."""
+        try:
+            reply = await service.handle(decode(body, service.message_type))
+        except ProtocolError as error:
+            await exchange.respond(400, [], str(error).encode()[:200])
+        except CallRefusedError as error:
+            await exchange.respond(error.status, [], error.detail.encode())
+        else:
+            await exchange.respond(200, [JSON_HEADER], encode(reply))
--- /dev/null
+++ b/pistachiolever/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The pass-through router: from a caller's connection to an endpoint's and back."""
--- /dev/null
+++ b/pistachiolever/gateway/const.py
@@ -0,0 +1,59 @@
+"""Times and weights of the pass-through router; times are in seconds."""
+
+from typing import Final
+
+# Repeats a router may make count only this part of the budget, since the windows of
+# the routers and of those who count do not start together.
+BUDGET_SHARE: Final = 0.8
+# Routers assumed to share the budget until the registry tells.
+UNKNOWN_ROUTERS: Final = 8
+# Memory of an endpoint's outcomes.
+HEALTH_MEMORY_SECONDS: Final = 4.0
+# What an endpoint whose requests all fail is set behind others in the choice.
+FAILURE_PENALTY_SECONDS: Final = 3.0
+# An endpoint that can't be reached is left alone, longer each time.
+FIRST_EJECTION_SECONDS: Final = 0.5
+MOST_EJECTION_SECONDS: Final = 8.0
+# A prompt that must be read again costs the fleet more than the wait it makes.
+REREAD_WEIGHT: Final = 2.0
+# A part is taken as kept by an engine for so long after its last use there.
+PART_HOME_SECONDS: Final = 15.0
+MAX_PART_HOMES: Final = 20_000
+# What a full endpoint is set behind others.
+FULL_PENALTY_SECONDS: Final = 0.3
+# What a fully busy plain endpoint is set behind an idle one.
+BUSY_PENALTY_SECONDS: Final = 0.2
+# What another failure domain is set behind the own one: about a round trip.
+DISTANCE_SECONDS: Final = 0.004
+# What an endpoint that still warms up is set behind others.
+COLD_PENALTY_SECONDS: Final = 0.05
+# Endpoints that are asked for room before a request is refused.
+MOST_BIDS: Final = 3
+# A bid is asked again elsewhere once so much of its target has passed.
+REBID_SHARE: Final = 0.25
+# A repeatable request without a first part is sent again elsewhere after its target
+# and this part of it.
+SILENCE_SHARE: Final = 0.6
+LEAST_SILENCE_SECONDS: Final = 0.8
+# A repeatable stream that falls silent between events is resumed elsewhere.
+GAP_SILENCE_SECONDS: Final = 1.2
+# Least time left with which a request is worth sending.
+LEAST_SEND_SECONDS: Final = 0.03
+# Answers of plain services up to this size are whole before they are passed on.
+WHOLE_ANSWER_BYTES: Final = 262_144
+# Engines close idle connections after a time they tell in whole seconds.
+KEEP_MARGIN_SECONDS: Final = 0.5
+UNKNOWN_KEEP_SECONDS: Final = 2.0
+MOST_KEEP_SECONDS: Final = 30.0
+# Share of a caller's remaining time after which it no longer honours Retry-After.
+RETRY_AFTER_SHARE: Final = 0.32
+DEFAULT_RETRY_SECONDS: Final = 1.0
+# An agent that did not answer is asked again after this.
+AGENT_RETRY_SECONDS: Final = 0.5
+BID_CALL_MARGIN_SECONDS: Final = 0.5
+# After the order to stop, the balancer asks twice more before it looks elsewhere.
+BALANCER_SECONDS: Final = 2.6
+# Set aside at the end of the grace period, to end before being killed.
+GRACE_MARGIN_SECONDS: Final = 0.3
+# A router without any endpoint is not ready until so long after its start.
+FIRST_ENDPOINTS_SECONDS: Final = 1.5
--- /dev/null
+++ b/pistachiolever/gateway/event_stream.py
@@ -0,0 +1,53 @@
+"""Cuts a stream into whole events, so that it can be resumed between two."""
+
+from attrs import define
+
+
+@define
+class EventSplitter:
+    """Holds back an event until its end; remembers the id of the last whole one."""
+
+    last_id: int = 0
+    count: int = 0
+    rest: bytes = b""
+    skip_through: int = 0
+    gap_found: bool = False
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the whole events within the data so far, as one piece."""
+        buffered = self.rest + data
+        end = buffered.rfind(b"\n\n")
+        if end < 0:
+            self.rest = buffered
+            return b""
+        whole, self.rest = buffered[: end + 2], buffered[end + 2 :]
+        events = [event + b"\n\n" for event in whole.split(b"\n\n")[:-1]]
+        return b"".join(event for event in events if self._take(event))
+
+    def restart(self) -> None:
+        """Begin a resumed stream: what was cut off within an event is dropped."""
+        self.rest = b""
+        self.skip_through = self.last_id
+
+    def _take(self, event: bytes) -> bool:
+        """Note an event; tell whether it goes on to the caller."""
+        event_id = event_id_of(event)
+        if event_id is None:
+            self.count += 1
+            return True
+        if event_id <= self.skip_through:
+            return False
+        if self.last_id and event_id != self.last_id + 1:
+            self.gap_found = True
+        self.last_id = event_id
+        self.count += 1
+        return True
+
+
+def event_id_of(event: bytes) -> int | None:
+    """Return the id of an event, if it has a numeric one."""
+    for line in event.split(b"\n"):
+        if line.startswith(b"id:"):
+            value = line[3:].strip()
+            return int(value) if value.isdigit() else None
+    return None
--- /dev/null
+++ b/pistachiolever/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 over sockets, as server and as client, by h11."""
--- /dev/null
+++ b/pistachiolever/http1/models.py
@@ -0,0 +1,60 @@
+"""Heads of requests and answers, and the bounds a server keeps."""
+
+from attrs import field, frozen
+
+from pistachiolever.http1.const import (
+    HEAD_SECONDS,
+    IDLE_SECONDS,
+    MAX_BODY_BYTES,
+    MAX_HEAD_BYTES,
+)
+
+Header = tuple[bytes, bytes]
+
+
+@frozen
+class HttpLimits:
+    """What a caller may send: bytes, and seconds for a head or between requests."""
+
+    max_head_bytes: int = MAX_HEAD_BYTES
+    max_body_bytes: int = MAX_BODY_BYTES
+    head_seconds: float = HEAD_SECONDS
+    idle_seconds: float = IDLE_SECONDS
+
+
+def first_value(headers: list[Header], name: bytes) -> bytes | None:
+    """Return the first value of a header (lowercase name), if it is there."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+@frozen
+class RequestHead:
+    """Method, target and headers (names in lowercase) as they arrived."""
+
+    method: bytes
+    target: bytes
+    headers: list[Header] = field(factory=list)
+
+    def value(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, if it is there."""
+        return first_value(self.headers, name)
+
+    @property
+    def path(self) -> str:
+        """Return the path of the target, without its query."""
+        return self.target.split(b"?", 1)[0].decode("latin-1")
+
+
+@frozen
+class ResponseHead:
+    """Status and headers (names in lowercase) of an answer."""
+
+    status: int
+    headers: list[Header] = field(factory=list)
+
+    def value(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, if it is there."""
+        return first_value(self.headers, name)
--- /dev/null
+++ b/pistachiolever/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates the platform's names, formats and calls; decides nothing."""
--- /dev/null
+++ b/pistachiolever/platform/names.py
@@ -0,0 +1,36 @@
+"""The platform's header names, paths and words."""
+
+from typing import Final
+
+from pistachiolever.gateway.dialect import Dialect
+
+SETTINGS_VARIABLE: Final = "PISTACHIOLEVER_BOOT"
+READY_PATH: Final = "/api/ready"
+CONFIGURATION_PATH: Final = "/api/config"
+INSTANCES_PATH: Final = "/api/instances/"
+REPORT_PATH: Final = "/api/report"
+
+DIALECT: Final = Dialect(
+    request_id=b"request-id",
+    deadline_ms=b"deadline-ms",
+    account=b"tenant",
+    model=b"model",
+    token_counts=b"token-counts",
+    prompt_parts=b"prompt-prefix",
+    length_hint=b"length-hint",
+    instance=b"expect-instance",
+    signature=b"server-stamp",
+    not_run=b"not-run",
+    load=b"server-load",
+    system_names=frozenset(
+        {
+            b"expect-version",
+            b"hold",
+            b"pin-ms",
+            b"kv-backup",
+            b"kv-fetch",
+            b"kv-from",
+        }
+    ),
+    answer_names=frozenset({b"instance-id"}),
+)
--- a/pistachiolever/raft/core.py
+++ b/pistachiolever/raft/core.py
@@ -10,18 +10,23 @@
     ELECTION_SECONDS,
     ELECTION_SPREAD_SECONDS,
     HEARTBEAT_SECONDS,
+    LEARNER_SECONDS,
     LEASE_SECONDS,
     MAX_APPEND_ENTRIES,
 )
 from pistachiolever.raft.log import MemberLog
+from pistachiolever.raft.membership import MemberView, next_members
 from pistachiolever.raft.models import (
     Append,
     AppendReply,
     Apply,
     Compacted,
     Entry,
+    HandOver,
     HardState,
     InstallSnapshot,
+    Join,
+    MembersChanged,
     PersistEntries,
     PersistSnapshot,
     PersistState,
@@ -33,10 +38,15 @@
     RaftInput,
     RaftMessage,
     RaftTick,
+    Read,
+    ReadReady,
+    ReadRefused,
     Received,
     Restore,
     RoleChanged,
     SendRaft,
+    Snapshot,
+    StandNow,
     StoredLog,
     VoteReply,
     VoteRequest,
@@ -51,14 +61,27 @@
     match_index: int = 0
     sent_at: float = float("-inf")
     answered_at: float = float("-inf")
+    heard_at: float = float("-inf")
+
+
+@define
+class PendingRead:
+    """A read that waits until a quorum has answered a message sent after it."""
+
+    token: int
+    index: int
+    sequence: int
+    answered: set[str] = field(factory=set)
 
 
 @define
 class RaftCore:
     """One member of the agreement: a message in, actions out.
 
-    `may_vote` is false for a member whose disk was lost: it follows, but neither
-    votes nor stands.
+    `may_vote` is false for a member whose disk was lost under its old id: it
+    follows, but neither votes nor stands. `peers` are the other members at the
+    start; entries of the log and the snapshot replace them. A member that `joins`
+    counts only once such an entry names it.
     """
 
     member_id: str
@@ -66,6 +89,7 @@
     rng: Random
     stored: StoredLog
     may_vote: bool = True
+    joins: bool = False
     now: float = 0.0
     term: int = field(init=False)
     voted_for: str = field(init=False)
@@ -75,6 +99,7 @@
     leader: str = ""
     is_leader: bool = False
     led_since: float = 0.0
+    led_index: int = 0
     election_at: float = 0.0
     heard_at: float = float("-inf")
     sequence: int = 0
@@ -82,6 +107,10 @@
     sent_at_by_sequence: dict[int, float] = field(factory=dict)
     votes: set[str] = field(factory=set)
     pre_votes: set[str] = field(factory=set)
+    members: list[str] = field(init=False)
+    reads: list[PendingRead] = field(factory=list)
+    stands_now: bool = False
+    _first_members: list[str] = field(init=False)
     _actions: list[RaftAction] = field(factory=list)
     _handler_by_type: dict[type, Callable[[Any, Any], None]] = field(init=False)
 
@@ -92,12 +121,15 @@
         self.log = MemberLog(self.stored.snapshot, list(self.stored.entries))
         self.commit_index = self.stored.snapshot.index
         self.applied_index = self.stored.snapshot.index
+        self._first_members = [] if self.joins else [self.member_id, *self.peers]
+        self._read_members()
         self._handler_by_type = {
             VoteRequest: self._vote_request,
             VoteReply: self._vote_reply,
             Append: self._append,
             AppendReply: self._append_reply,
             InstallSnapshot: self._install_snapshot,
+            StandNow: self._stand_now,
         }
 
     def handle(self, message: RaftInput, now: float) -> list[RaftAction]:
@@ -110,6 +142,12 @@
             self._propose(message)
         elif isinstance(message, Received):
             self._received(message.envelope)
+        elif isinstance(message, Read):
+            self._read(message)
+        elif isinstance(message, Join):
+            self._join(message)
+        elif isinstance(message, HandOver):
+            self._hand_over()
         elif isinstance(message, Compacted):
             self._compacted(message)
         elif isinstance(message, RaftTick):
@@ -136,7 +174,7 @@
 
     def _received(self, envelope: RaftEnvelope) -> None:
         """Take a message of another member."""
-        if envelope.receiver != self.member_id or envelope.sender not in self.peers:
+        if envelope.receiver != self.member_id:
             return
         message = envelope.message
         if self._protects_leader(message):
@@ -152,6 +190,8 @@
         """
         if not isinstance(message, VoteRequest) or message.is_pre_vote:
             return False
+        if message.leader_asked:
+            return False
         return self.now - self.heard_at < ELECTION_SECONDS
 
     def _compacted(self, message: Compacted) -> None:
@@ -169,16 +209,22 @@
             if self.peers and self.now - followed_at > ELECTION_SECONDS:
                 self._step_down(self.term, "")
                 return
+            self._change_members()
             self._send_appends()
             return
-        if self.now >= self.election_at and self.may_vote:
+        if self.now >= self.election_at and self._may_stand():
             self._start_pre_vote()
 
+    def _may_stand(self) -> bool:
+        """Tell whether this member counts and may lead."""
+        return self.may_vote and self.member_id in self.members
+
     # Elections.
 
     def _start_pre_vote(self) -> None:
         """Ask whether an election could be won, without disturbing anyone."""
         self._forget_leader()
+        self.stands_now = False
         self.election_at = self.now + self._election_wait()
         self.pre_votes = {self.member_id}
         if self._is_quorum(len(self.pre_votes)):
@@ -210,6 +256,7 @@
                     self.log.last_index(),
                     self.log.last_term(),
                     is_pre_vote,
+                    self.stands_now,
                 ),
             )
 
@@ -254,8 +301,12 @@
         self.led_since = self.now
         self.leader = self.member_id
         self.votes = set()
+        self.stands_now = False
         next_index = self.log.last_index() + 1
-        self.progress_by_peer = {peer: PeerProgress(next_index) for peer in self.peers}
+        self.led_index = next_index
+        self.progress_by_peer = {
+            peer: PeerProgress(next_index, heard_at=self.now) for peer in self.peers
+        }
         self.sent_at_by_sequence = {}
         entry = Entry(next_index, self.term, "")
         self.log.append(entry)
@@ -272,6 +323,9 @@
             self._persist_state()
         was_leader = self.is_leader
         self.is_leader = False
+        for read in self.reads:
+            self._actions.append(ReadRefused(read.token))
+        self.reads = []
         self.pre_votes = set()
         self.votes = set()
         if leader != self.leader or was_leader:
@@ -342,6 +396,7 @@
         changed = self.log.merge(message.entries)
         if changed:
             self._actions.append(PersistEntries(changed))
+            self._read_members()
         match = message.previous_index + len(message.entries)
         self._commit(min(message.commit_index, match))
         self._send(sender, AppendReply(self.term, True, match, message.sequence))
@@ -360,6 +415,7 @@
             self._actions.append(PersistSnapshot(snapshot, list(self.log.entries)))
             self._persist_state()
             self._actions.append(Restore(snapshot))
+            self._read_members()
         self._send(
             sender, AppendReply(self.term, True, snapshot.index, message.sequence)
         )
@@ -368,7 +424,11 @@
         """Note how far a member's log agrees."""
         if not self.is_leader or message.term != self.term:
             return
-        progress = self.progress_by_peer[sender]
+        progress = self.progress_by_peer.get(sender)
+        if progress is None:
+            return
+        progress.heard_at = self.now
+        self._count_reads(sender, message.sequence)
         sent_at = self.sent_at_by_sequence.pop(message.sequence, None)
         if sent_at is not None:
             progress.answered_at = max(progress.answered_at, sent_at)
@@ -394,8 +454,9 @@
 
     def _advance_commit(self) -> None:
         """Commit what a quorum holds, if it is of this term."""
-        matches = [progress.match_index for progress in self.progress_by_peer.values()]
-        matches.append(self.log.last_index())
+        matches = [self.progress_by_peer[peer].match_index for peer in self.peers]
+        if self.member_id in self.members:
+            matches.append(self.log.last_index())
         matches.sort(reverse=True)
         index = matches[len(matches) // 2]
         if index > self.commit_index and self.log.term_at(index) == self.term:
@@ -407,6 +468,145 @@
         while self.applied_index < self.commit_index:
             self.applied_index += 1
             self._actions.append(Apply(self.log.entry(self.applied_index)))
+        self._finish_reads()
+        if self.is_leader and self.member_id not in self.members:
+            # It was dropped by an entry that is now committed; the others go on.
+            self._step_down(self.term, "")
+
+    # Reads.
+
+    def _read(self, message: Read) -> None:
+        """Ask a quorum whether this member still leads.
+
+        No clock is trusted: time does not pass for a member that is suspended.
+        """
+        if not self.is_leader:
+            self._actions.append(ReadRefused(message.token))
+            return
+        # What an earlier leader committed is known once the own first entry is.
+        index = max(self.commit_index, self.led_index)
+        self.reads.append(PendingRead(message.token, index, self.sequence))
+        for peer, progress in self.progress_by_peer.items():
+            if peer in self.members:
+                self._send_append(peer, progress)
+        self._finish_reads()
+
+    def _count_reads(self, sender: str, sequence: int) -> None:
+        """Note that a member still followed when it got a message."""
+        if sender not in self.members:
+            return
+        for read in self.reads:
+            if sequence > read.sequence:
+                read.answered.add(sender)
+        self._finish_reads()
+
+    def _finish_reads(self) -> None:
+        """Release the reads that a quorum has confirmed."""
+        if not self.reads:
+            return
+        waiting: list[PendingRead] = []
+        for read in self.reads:
+            followers = sum(peer in read.answered for peer in self.peers)
+            own = self.member_id in self.members
+            if self._is_quorum(followers + own) and self.applied_index >= read.index:
+                self._actions.append(ReadReady(read.token))
+            else:
+                waiting.append(read)
+        self.reads = waiting
+
+    # Members.
+
+    def _read_members(self) -> None:
+        """Take the members of the latest entry that names some, committed or not."""
+        members = self.log.snapshot.members or self._first_members
+        for entry in reversed(self.log.entries):
+            if entry.members:
+                members = entry.members
+                break
+        known = getattr(self, "members", None)
+        self.members = list(members)
+        self.peers = [member for member in self.members if member != self.member_id]
+        if known is not None and known != self.members:
+            self._actions.append(MembersChanged(list(self.members)))
+
+    def members_at(self, index: int) -> list[str]:
+        """Return the members as of an index, for a snapshot."""
+        for entry in reversed(self.log.entries):
+            if entry.members and entry.index <= index:
+                return list(entry.members)
+        return list(self.log.snapshot.members or self._first_members)
+
+    def _join(self, message: Join) -> None:
+        """Send entries to a newcomer; it counts later."""
+        if not self.is_leader or message.member_id == self.member_id:
+            return
+        if message.member_id not in self.progress_by_peer:
+            progress = PeerProgress(self.log.last_index() + 1, heard_at=self.now)
+            self.progress_by_peer[message.member_id] = progress
+            self._send_append(message.member_id, progress)
+
+    def _change_members(self) -> None:
+        """Take in a learner that has caught up, or drop a member that is gone."""
+        for peer, progress in list(self.progress_by_peer.items()):
+            silent = self.now - progress.heard_at > LEARNER_SECONDS
+            if silent and peer not in self.members:
+                del self.progress_by_peer[peer]
+        if self._is_changing() or self.log.term_at(self.commit_index) != self.term:
+            return
+        views = [
+            MemberView(
+                peer,
+                self.now - progress.heard_at,
+                progress.match_index >= self.commit_index,
+            )
+            for peer, progress in self.progress_by_peer.items()
+        ]
+        members = next_members(self.member_id, self.members, views)
+        if members is not None:
+            self._propose_members(members)
+
+    def _is_changing(self) -> bool:
+        """Tell whether a change of members is not committed yet."""
+        return any(
+            entry.members and entry.index > self.commit_index
+            for entry in self.log.entries[-MAX_APPEND_ENTRIES:]
+        )
+
+    def _propose_members(self, members: list[str]) -> None:
+        """Let other members count, from this entry on."""
+        entry = Entry(self.log.last_index() + 1, self.term, "", members)
+        self.log.append(entry)
+        self._actions.append(PersistEntries([entry]))
+        self._read_members()
+        for peer in self.peers:
+            if peer not in self.progress_by_peer:
+                next_index = self.log.last_index()
+                self.progress_by_peer[peer] = PeerProgress(
+                    next_index, heard_at=self.now
+                )
+        self._send_appends()
+        self._advance_commit()
+
+    def _hand_over(self) -> None:
+        """Ask the member with the longest log to stand, since this one stops."""
+        if not self.is_leader or not self.peers:
+            return
+        best = max(self.peers, key=lambda peer: self.progress_by_peer[peer].match_index)
+        self._send(best, StandNow(self.term))
+
+    def _stand_now(self, sender: str, message: StandNow) -> None:
+        """Stand for election without waiting, as the leader asks."""
+        if message.term != self.term or not self._may_stand() or self.is_leader:
+            return
+        self.stands_now = True
+        self._start_election()
+
+    def compacted(self, index: int, state: str) -> Snapshot | None:
+        """Return a snapshot up to an applied index, or None if there is nothing new."""
+        term = self.log.term_at(index)
+        if term is None or index <= self.log.snapshot.index:
+            return None
+        return Snapshot(index, term, state, self.members_at(index))
 
     # Helpers.
 
@@ -414,7 +614,7 @@
         """Return the latest time at which a quorum still followed this leader."""
         if not self.peers:
             return self.now
-        times = [progress.answered_at for progress in self.progress_by_peer.values()]
+        times = [self.progress_by_peer[peer].answered_at for peer in self.peers]
         times.append(self.now)
         times.sort(reverse=True)
         return times[len(times) // 2]
@@ -428,7 +628,7 @@
 
     def _is_quorum(self, count: int) -> bool:
         """Tell whether so many members are more than half."""
-        return count * 2 > len(self.peers) + 1
+        return count * 2 > len(self.members)
 
     def _election_wait(self) -> float:
         """Return a random time without a leader before standing, in seconds."""
--- a/pistachiolever/raft/models.py
+++ b/pistachiolever/raft/models.py
@@ -5,11 +5,15 @@
 
 @frozen
 class Entry:
-    """One place in the log; `command` is the text of a command."""
+    """One place in the log; `command` is the text of a command.
+
+    An entry with `members` carries no command: it replaces the members that count.
+    """
 
     index: int
     term: int
     command: str
+    members: list[str] = field(factory=list)
 
 
 @frozen
@@ -27,6 +31,7 @@
     index: int = 0
     term: int = 0
     state: str = ""
+    members: list[str] = field(factory=list)
 
 
 @frozen
@@ -50,6 +55,7 @@
     last_index: int
     last_term: int
     is_pre_vote: bool
+    leader_asked: bool = False
 
 
 @frozen
@@ -94,7 +100,16 @@
     sequence: int
 
 
-RaftMessage = VoteRequest | VoteReply | Append | AppendReply | InstallSnapshot
+@frozen
+class StandNow:
+    """The leader is about to stop: stand for election without waiting."""
+
+    term: int
+
+
+RaftMessage = (
+    VoteRequest | VoteReply | Append | AppendReply | InstallSnapshot | StandNow
+)
 
 
 @frozen
@@ -117,6 +132,25 @@
     command: str
 
 
+@frozen
+class Read:
+    """Find out whether what is committed here surely is the newest."""
+
+    token: int
+
+
+@frozen
+class Join:
+    """A member asks to be taken in; it counts once its log has caught up."""
+
+    member_id: str
+
+
+@frozen
+class HandOver:
+    """This member is about to stop; the next one should lead at once."""
+
+
 @frozen
 class Received:
     """A message of another member."""
@@ -136,7 +170,7 @@
     """Time passed."""
 
 
-RaftInput = Propose | Received | Compacted | RaftTick
+RaftInput = Propose | Read | Join | HandOver | Received | Compacted | RaftTick
 
 
 # Actions. All of one batch's `Persist...` must be synced before any other is done.
@@ -202,6 +236,27 @@
     leader: str
 
 
+@frozen
+class ReadReady:
+    """Everything that was committed when the read came is applied here."""
+
+    token: int
+
+
+@frozen
+class ReadRefused:
+    """This member cannot tell what the newest state is."""
+
+    token: int
+
+
+@frozen
+class MembersChanged:
+    """Other members count from now on."""
+
+    members: list[str]
+
+
 @frozen
 class RoleChanged:
     """This member began or ceased to lead."""
@@ -220,5 +275,8 @@
     | Restore
     | ProposalPlaced
     | ProposalRefused
+    | ReadReady
+    | ReadRefused
+    | MembersChanged
     | RoleChanged
 )
--- /dev/null
+++ b/pistachiolever/registry/__init__.py
@@ -0,0 +1,1 @@
+"""Control for announced endpoints: whole configurations, kept by agreement."""
--- a/pistachiolever/router/resume.py
+++ b/pistachiolever/router/resume.py
@@ -8,7 +8,7 @@
 from starlette.types import Receive, Scope, Send
 
 from pistachiolever.core.ids import is_id
-from pistachiolever.edge.client import PeerError
+from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.server import (
     not_run,
     refusal_response,
--- a/pistachiolever/router/sessions.py
+++ b/pistachiolever/router/sessions.py
@@ -8,7 +8,8 @@
 
 from pistachiolever.core.errors import ProtocolError
 from pistachiolever.core.mailbox import Mailbox
-from pistachiolever.edge.client import FleetClient, PeerError
+from pistachiolever.edge.client import FleetClient
+from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.const import CONNECT_SECONDS, SESSION_SILENCE_SECONDS
 from pistachiolever.edge.context import ProcessContext
 from pistachiolever.events.const import EventCode
--- a/pistachiolever/router/tasks.py
+++ b/pistachiolever/router/tasks.py
@@ -7,7 +7,8 @@
 from pistachiolever.core.actor import Actor
 from pistachiolever.core.errors import Refusal
 from pistachiolever.declarations.models import Revision
-from pistachiolever.edge.client import FleetClient, PeerError
+from pistachiolever.edge.client import FleetClient
+from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.context import ProcessContext
 from pistachiolever.edge.control_client import ControlClient, heartbeat_timeout
 from pistachiolever.events.const import EventCode
--- /dev/null
+++ b/pistachiolever/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Pass-through routes: which service a caller's request goes to, and for whom."""
--- /dev/null
+++ b/pistachiolever/routing/models.py
@@ -0,0 +1,110 @@
+"""A whole configuration: routes, services, client accounts and limits."""
+
+from enum import Enum
+from hashlib import blake2b
+
+from attrs import field, frozen
+
+from pistachiolever.http1.models import HttpLimits
+
+
+class RequestKind(Enum):
+    """What may be repeated."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAM = "stream"
+
+
+@frozen
+class EngineShape:
+    """What a model engine can hold: requests at once, and tokens of memory.
+
+    `event_tokens` is how many tokens an event of its streams holds at most.
+    """
+
+    slots: int
+    memory_tokens: int
+    event_tokens: int = 1
+    models: list[str] = field(factory=list)
+
+
+@frozen
+class PassService:
+    """A service that endpoints offer; `engine` is None for a plain service."""
+
+    service_id: str
+    health_path: str = "/"
+    max_connections: int = 64
+    engine: EngineShape | None = None
+
+
+@frozen
+class WeightedService:
+    """A service and its share of a route's requests."""
+
+    service_id: str
+    weight: float
+
+
+@frozen
+class PassRoute:
+    """Requests of one host and path prefix.
+
+    `target_seconds` is the time to the (first part of the) answer that callers want;
+    `gap_seconds` the longest wanted pause between parts; `priority` 0 is the highest.
+    """
+
+    route_id: str
+    host: str
+    prefix: str
+    kind: RequestKind
+    services: list[WeightedService]
+    timeout_seconds: float
+    target_seconds: float
+    priority: int = 0
+    attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_seconds: float = 0.0
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether a request that may have run may be sent again."""
+        if self.kind is RequestKind.STREAM:
+            return self.resumable
+        return self.kind is RequestKind.IDEMPOTENT
+
+    def service_for(self, request_id: str) -> str:
+        """Return the service of a request; the same one each time it is asked."""
+        if len(self.services) == 1:
+            return self.services[0].service_id
+        total = sum(choice.weight for choice in self.services)
+        digest = blake2b(f"{self.route_id}/{request_id}".encode(), digest_size=8)
+        point = int.from_bytes(digest.digest(), "big") / 2**64 * total
+        for choice in self.services:
+            point -= choice.weight
+            if point < 0:
+                return choice.service_id
+        return self.services[-1].service_id
+
+
+@frozen
+class PassAccount:
+    """A client account and the keys that its callers hold."""
+
+    account_id: str
+    keys: list[str] = field(factory=list)
+    priority: int | None = None
+
+
+@frozen
+class PassConfiguration:
+    """Everything that is in force at one version."""
+
+    version: int
+    routes: list[PassRoute]
+    services: list[PassService]
+    accounts: list[PassAccount] | None = None
+    limits: HttpLimits = HttpLimits()
+    tokens_per_second: float = 0.0
--- a/pistachiolever/sidecar/tasks.py
+++ b/pistachiolever/sidecar/tasks.py
@@ -6,7 +6,8 @@
 
 from pistachiolever.core.actor import Actor
 from pistachiolever.declarations.models import Revision, Service, ServiceKind
-from pistachiolever.edge.client import FleetClient, PeerError
+from pistachiolever.edge.client import FleetClient
+from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.context import ProcessContext
 from pistachiolever.edge.control_client import ControlClient, heartbeat_timeout
 from pistachiolever.events.const import EventCode
