Share within an account by kind; pace reading by what running answers need

Cause: with prompts read all the time a token took 45 ms, answers died at their deadline, and the longest tenth with them; by age alone, kinds with short targets were refused most.

--- a/pistachiolever/admission/agent.py
+++ b/pistachiolever/admission/agent.py
@@ -67,7 +67,7 @@
         reply = await self.desk.acquire(bid)
         self.events.record(
             EventCode.GRANT_MADE if reply.granted else EventCode.GRANT_REFUSED,
-            bid.bid_id,
+            bid.request_id,
             account=bid.account_id,
             waited=round(self.desk.now() - begun, 4),
             reason=reply.reason,
@@ -80,6 +80,9 @@
             running=reply.load.running,
             free=round(reply.load.free_memory_tokens),
             speed=round(reply.load.speed),
+            share=round(self.desk.core.flow.share, 3),
+            pace=round(self.desk.core.flow.pace, 4),
+            needed=round(self.desk.core.flow.needed, 4),
             service=round(reply.service),
             elsewhere=round(bid.elsewhere),
         )
--- a/pistachiolever/admission/const.py
+++ b/pistachiolever/admission/const.py
@@ -49,3 +49,18 @@
 PROGRESS_CALL_SECONDS: Final = 0.6
 BID_PATH: Final = "/admission/bid"
 PROGRESS_PATH: Final = "/admission/progress"
+# Part of the time left within which a running answer should be complete.
+DEADLINE_SHARE: Final = 0.75
+# An answer may be so many times as long as expected: hints are right at the median.
+OUTPUT_SPREAD: Final = 2.0
+LEAST_REMAINING_TOKENS: Final = 32.0
+# The pace follows the answers that need more speed than this part of all.
+NEED_QUANTILE: Final = 0.1
+MOST_PACE_SECONDS: Final = 0.05
+SHORTEST_PACE_SECONDS: Final = 0.008
+# Weight of what was seen before, at each new measurement of the pace.
+PACE_DECAY: Final = 0.8
+# Steps of the share of reading at each report of the engine.
+FLOW_SHRINK: Final = 0.9
+FLOW_GROWTH: Final = 1.04
+LEAST_FLOW_SHARE: Final = 0.15
--- a/pistachiolever/admission/core.py
+++ b/pistachiolever/admission/core.py
@@ -28,6 +28,8 @@
     SPEED_SAMPLE_TOKENS,
     UNREAD_TOKENS,
 )
+from pistachiolever.admission.fair_queue import FairQueue, Waiting
+from pistachiolever.admission.flow import ReadingFlow, RunningAnswer, needed_pace
 from pistachiolever.admission.models import (
     AdmissionAction,
     Bid,
@@ -47,22 +49,6 @@
     memory_tokens: float = 0.0
 
 
-@define(eq=False)
-class Waiting:
-    """A bid that waits; times are absolute seconds."""
-
-    bid: Bid
-    arrived_at: float
-    target_at: float
-    deadline_at: float
-    unread_tokens: float
-
-    @property
-    def cost(self) -> float:
-        """Return the weighted tokens that the account is charged."""
-        return self.bid.prompt_tokens + GENERATED_WEIGHT * self.bid.output_tokens
-
-
 @define(eq=False)
 class Run:
     """A request that was granted and has not ended."""
@@ -71,7 +57,9 @@
     granted_at: float
     unread_tokens: float
     cost: float
+    deadline_at: float
     started_at: float | None = None
+    events: int = 0
     missing_since: float | None = None
 
 
@@ -108,6 +96,8 @@
     run_by_id: dict[str, Run] = field(factory=dict)
     unread_ids: list[str] = field(factory=list)
     front_since: float = 0.0
+    flow: ReadingFlow = field(factory=ReadingFlow)
+    event_tokens: int = 1
     users_by_part: dict[str, int] = field(factory=dict)
     memory_used: float = 0.0
     foreign_running: int = 0
@@ -124,6 +114,7 @@
         if len(self.waiting_by_id) >= MAX_WAITING:
             return [Refused(bid.bid_id, "queue-full", self._retry_after(1.0))]
         self.capacity.slots = bid.slots
+        self.event_tokens = bid.event_tokens
         self.capacity.memory_tokens = bid.memory_tokens
         self.cache.capacity_tokens = bid.memory_tokens
         self.service.hear(bid.account_id, bid.elsewhere, now)
@@ -173,20 +164,22 @@
         self.ends.add(1.0, now)
         if run.started_at is None:
             # Nothing was served; the account does not pay for a failed run.
-            self.service.charge(run.bid.account_id, -run.cost, now)
+            self.service.charge(run.bid.account_id, run.bid.kind, -run.cost, now)
         else:
             wrong = GENERATED_WEIGHT * (output_tokens - run.bid.output_tokens)
-            self.service.charge(run.bid.account_id, wrong, now)
+            self.service.charge(run.bid.account_id, run.bid.kind, wrong, now)
         return self.review(now)
 
     def report(self, report: EngineReport, now: float) -> list[AdmissionAction]:
         """Compare the engine's own list with what was granted."""
         listed = {run.request_id: run for run in report.runs}
+        self._adapt_flow(report, now)
         self.foreign_running = max(0, report.running - len(self.run_by_id))
         actions: list[AdmissionAction] = []
         for bid_id, run in list(self.run_by_id.items()):
-            seen = listed.get(bid_id)
+            seen = listed.get(run.bid.request_id)
             if seen is not None:
+                run.events = seen.events
                 run.missing_since = None
                 if seen.events > 0 and run.started_at is None:
                     actions.extend(self.started(bid_id, now))
@@ -200,6 +193,21 @@
                 actions.extend(self.ended(bid_id, 0, now))
         return actions
 
+    def _adapt_flow(self, report: EngineReport, now: float) -> None:
+        """Let the share of reading follow what the running answers need."""
+        events_by_run = {run.request_id: run.events for run in report.runs}
+        self.flow.see(events_by_run, self.event_tokens, now)
+        answers = [
+            RunningAnswer(
+                run.bid.output_tokens,
+                run.events * self.event_tokens,
+                run.deadline_at - now,
+            )
+            for run in self.run_by_id.values()
+            if run.started_at is not None
+        ]
+        self.flow.adapt(needed_pace(answers))
+
     def restarted(self, now: float) -> list[AdmissionAction]:
         """Forget what a former life of the engine held."""
         self.cache.clear()
@@ -217,9 +225,13 @@
             len(self.run_by_id) + self.foreign_running,
             self.capacity.slots,
             max(0.0, self._memory_limit() - self.memory_used),
-            self.pace.speed,
+            self.reading_speed(),
         )
 
+    def reading_speed(self) -> float:
+        """Return the tokens that are read in a second, by the share for reading."""
+        return self.pace.speed * self.flow.share
+
     # Decisions.
 
     def review(self, now: float) -> list[AdmissionAction]:
@@ -245,6 +257,9 @@
             return None
         if self.unread_ids and self.unread_tokens(now) >= UNREAD_TOKENS:
             return None
+        self.flow.refill(self.pace.speed, now)
+        if self.flow.credit <= 0 and self.run_by_id:
+            return None
         for waiting in self._fair_order(now):
             if self._fits(waiting):
                 return waiting
@@ -285,11 +300,14 @@
         for key, _ in keyed_parts(bid.model, bid.parts):
             self.users_by_part[key] = self.users_by_part.get(key, 0) + 1
         unread = max(0, bid.prompt_tokens - cached)
-        self.run_by_id[bid.bid_id] = Run(bid, now, unread, waiting.cost)
+        self.run_by_id[bid.bid_id] = Run(
+            bid, now, unread, waiting.cost, waiting.deadline_at
+        )
+        self.flow.take(unread)
         if not self.unread_ids:
             self.front_since = now
         self.unread_ids.append(bid.bid_id)
-        self.service.charge(bid.account_id, waiting.cost, now)
+        self.service.charge(bid.account_id, bid.kind, waiting.cost, now)
         return Granted(bid.bid_id, cached)
 
     def _free_memory(self, run: Run) -> None:
@@ -308,35 +326,15 @@
             self.memory_used = 0.0
 
     def _fair_order(self, now: float) -> list[Waiting]:
-        """Return what waits in the order in which it would be granted.
-
-        The account with the least recent service goes first and is charged for each
-        request in turn; within an account rank, then age decide.
-        """
-        queue_by_account: dict[str, list[Waiting]] = {}
-        for waiting in self.waiting_by_id.values():
-            queue_by_account.setdefault(waiting.bid.account_id, []).append(waiting)
-        total_by_account = {}
-        for account_id, queue in queue_by_account.items():
-            queue.sort(key=_rank_and_age, reverse=True)
-            total_by_account[account_id] = self.service.total(account_id, now)
-        order: list[Waiting] = []
-        while queue_by_account:
-            account_id = min(queue_by_account, key=total_by_account.__getitem__)
-            queue = queue_by_account[account_id]
-            waiting = queue.pop()
-            order.append(waiting)
-            total_by_account[account_id] += waiting.cost
-            if not queue:
-                del queue_by_account[account_id]
-        return order
+        """Return what waits in the order in which it would be granted."""
+        return FairQueue(self.service, now).order(list(self.waiting_by_id.values()))
 
     def _refuse_late(self, now: float) -> list[AdmissionAction]:
         """Refuse what can't have its first part in time, as things stand."""
         if not self.waiting_by_id:
             return []
-        speed = self.pace.speed
-        ahead = self.unread_tokens(now)
+        speed = self.reading_speed()
+        ahead = self.unread_tokens(now) + max(0.0, -self.flow.credit)
         blocked = 0
         is_full = self._is_full()
         ends_per_second = max(1.0, self.ends.read(now) / SERVICE_MEMORY_SECONDS)
@@ -361,8 +359,3 @@
         """Return when to come back: after the backlog, spread so that not all do."""
         spread = wait_seconds * (1.0 + self.rng.random()) + self.rng.random()
         return min(MOST_RETRY_SECONDS, max(LEAST_RETRY_SECONDS, spread))
-
-
-def _rank_and_age(waiting: Waiting) -> tuple[int, float]:
-    """Return what orders the requests of one account."""
-    return (waiting.bid.priority, waiting.arrived_at)
--- /dev/null
+++ b/pistachiolever/admission/fair_queue.py
@@ -0,0 +1,99 @@
+"""Orders what waits: the least served account first, in it the least served kind."""
+
+from attrs import define, field
+
+from pistachiolever.admission.const import GENERATED_WEIGHT
+from pistachiolever.admission.models import Bid
+from pistachiolever.admission.shares import RecentService
+
+
+@define(eq=False)
+class Waiting:
+    """A bid that waits; times are absolute seconds."""
+
+    bid: Bid
+    arrived_at: float
+    target_at: float
+    deadline_at: float
+    unread_tokens: float
+
+    @property
+    def cost(self) -> float:
+        """Return the weighted tokens that the account is charged."""
+        return self.bid.prompt_tokens + GENERATED_WEIGHT * self.bid.output_tokens
+
+
+@define
+class KindQueue:
+    """The requests of one account and kind, the next one last."""
+
+    service: float
+    waiting: list[Waiting] = field(factory=list)
+
+
+@define
+class AccountQueue:
+    """The requests of one account by kind."""
+
+    service: float
+    queue_by_kind: dict[str, KindQueue] = field(factory=dict)
+
+    def take(self) -> Waiting:
+        """Return the next request: of the highest rank, of the least served kind."""
+        kind = min(self.queue_by_kind, key=self._rank_and_service)
+        queue = self.queue_by_kind[kind]
+        waiting = queue.waiting.pop()
+        queue.service += waiting.cost
+        self.service += waiting.cost
+        if not queue.waiting:
+            del self.queue_by_kind[kind]
+        return waiting
+
+    def _rank_and_service(self, kind: str) -> tuple[int, float]:
+        """Return what orders the kinds."""
+        queue = self.queue_by_kind[kind]
+        return (queue.waiting[-1].bid.priority, queue.service)
+
+
+@define
+class FairQueue:
+    """Simulates the grants to come, each one charged as it is made.
+
+    Accounts share as max-min fairness asks; within an account its kinds of request do,
+    so that a kind with large prompts cannot crowd out one with small ones.
+    """
+
+    service: RecentService
+    now: float
+
+    def order(self, waiting: list[Waiting]) -> list[Waiting]:
+        """Return the requests in the order of their grants."""
+        queues = self._queues(waiting)
+        ordered: list[Waiting] = []
+        while queues:
+            account_id = min(queues, key=lambda account: queues[account].service)
+            ordered.append(queues[account_id].take())
+            if not queues[account_id].queue_by_kind:
+                del queues[account_id]
+        return ordered
+
+    def _queues(self, waiting: list[Waiting]) -> dict[str, AccountQueue]:
+        """Return the requests by account and kind, the oldest of each last."""
+        queues: dict[str, AccountQueue] = {}
+        for entry in sorted(waiting, key=_arrival, reverse=True):
+            account_id, kind = entry.bid.account_id, entry.bid.kind
+            account = queues.get(account_id)
+            if account is None:
+                service = self.service.total(account_id, self.now)
+                account = queues[account_id] = AccountQueue(service)
+            queue = account.queue_by_kind.get(kind)
+            if queue is None:
+                served = self.service.of_kind(account_id, kind, self.now)
+                queue = account.queue_by_kind[kind] = KindQueue(served)
+            queue.waiting.append(entry)
+        return queues
+
+
+def _arrival(waiting: Waiting) -> float:
+    """Return what orders the requests of a kind."""
+    return waiting.arrived_at
--- a/pistachiolever/admission/models.py
+++ b/pistachiolever/admission/models.py
@@ -15,12 +15,16 @@
 class Bid:
     """A request that wants to go to an endpoint; times are seconds from now.
 
-    `elsewhere` is the account's recent service at other endpoints, as its router
-    knows it; `slots` and `memory_tokens` are the endpoint's, as configured.
+    `bid_id` is new for each bid, `request_id` is what the engine sees, `kind` names the
+    requests that are alike. `elsewhere` is the account's recent service at other
+    endpoints, as its router knows it. `slots`, `memory_tokens` and `event_tokens` are
+    the endpoint's, as configured.
     """
 
     bid_id: str
+    request_id: str
     account_id: str
+    kind: str
     priority: int
     target_seconds: float
     deadline_seconds: float
@@ -31,6 +35,7 @@
     elsewhere: float = 0.0
     slots: int = 1
     memory_tokens: int = 0
+    event_tokens: int = 1
 
 
 @frozen
--- a/pistachiolever/control/agreement.py
+++ b/pistachiolever/control/agreement.py
@@ -239,6 +239,16 @@
                 if snapshot.state:
                     self.state.load(snapshot.state)
                 self.watcher.applied()
+            case MembersChanged(members):
+                self.watcher.members_changed(members)
+            case RoleChanged():
+                self.watcher.role_changed(action)
+            case _:
+                self._answer(action)
+
+    def _answer(self, action: RaftAction) -> None:
+        """Tell the one who waits what became of a proposal or a read."""
+        match action:
             case ProposalPlaced(token, index, term):
                 proposal = self.proposal_by_token.get(token)
                 if proposal is not None:
@@ -254,10 +264,6 @@
                 if read is not None:
                     read.ready = isinstance(action, ReadReady)
                     read.done.set()
-            case MembersChanged(members):
-                self.watcher.members_changed(members)
-            case RoleChanged():
-                self.watcher.role_changed(action)
 
     def _apply(self, index: int, term: int, text: str) -> None:
         """Run a committed command and answer who waits for it."""
--- a/pistachiolever/control/http.py
+++ b/pistachiolever/control/http.py
@@ -24,7 +24,7 @@
     read_inner_body,
 )
 from pistachiolever.events.const import EventCode
-from pistachiolever.raft.models import RaftEnvelope, Received
+from pistachiolever.raft.models import RaftEnvelope
 from pistachiolever.wire.codec import decode, encode
 from pistachiolever.wire.const import (
     CLAIM_CLOSE_PATH,
--- a/pistachiolever/control/tasks.py
+++ b/pistachiolever/control/tasks.py
@@ -13,8 +13,8 @@
 from pistachiolever.control.storage import Identity, LogStorage
 from pistachiolever.core.mailbox import Mailbox
 from pistachiolever.edge.client import FleetClient
-from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.context import ProcessContext
+from pistachiolever.edge.errors import PeerError
 from pistachiolever.events.const import EventCode
 from pistachiolever.raft.const import RAFT_TICK_SECONDS
 from pistachiolever.raft.core import RaftCore
--- a/pistachiolever/edge/control_client.py
+++ b/pistachiolever/edge/control_client.py
@@ -9,9 +9,9 @@
 from pistachiolever.declarations.codec import from_text
 from pistachiolever.declarations.models import Revision
 from pistachiolever.edge.client import FleetClient
-from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.const import CALL_SECONDS
 from pistachiolever.edge.context import ProcessContext
+from pistachiolever.edge.errors import PeerError
 from pistachiolever.events.const import EventCode
 from pistachiolever.settings.models import ProcessSettings
 from pistachiolever.wire.const import WATCH_PATH
--- a/pistachiolever/edge/peers.py
+++ b/pistachiolever/edge/peers.py
@@ -158,7 +158,9 @@
     async def handle(self, exchange: Exchange) -> None:
         """Answer one call."""
         body = await exchange.read_body()
-        key = bearer_of((exchange.head.value(b"authorization") or b"").decode("latin-1"))
+        key = bearer_of(
+            (exchange.head.value(b"authorization") or b"").decode("latin-1")
+        )
         service = self.service_by_path.get(exchange.head.path)
         if self.secret and not same_key(key, self.secret):
             await exchange.respond(401, [], b"")
--- a/pistachiolever/events/lines.py
+++ b/pistachiolever/events/lines.py
@@ -3,7 +3,7 @@
 import os
 from collections import deque
 from collections.abc import Callable
-from logging import Formatter, LogRecord
+from logging import Formatter, LogRecord, StreamHandler
 from typing import Any, Final
 from zlib import crc32
 
@@ -26,7 +26,7 @@
 
 @define
 class LineBuffer:
-    """A stream for log handlers whose writes wait in memory until the pipe takes them.
+    """A stream for a log handler whose writes wait in memory until the pipe takes them.
 
     `write_out` writes bytes and returns how many, or raises BlockingIOError.
     """
@@ -49,6 +49,9 @@
     def flush(self) -> None:
         """Do nothing: a handler flushes after each line, the pipe is written later."""
 
+    def close(self) -> None:
+        """Do nothing: standard output stays open."""
+
     def drain(self) -> None:
         """Write what the pipe takes now."""
         data = b"".join(self.waiting)
@@ -146,12 +149,12 @@
 def make_lines(process_id: str, wall_ms: Callable[[], int]) -> "LineOutput":
     """Return event lines that go to standard output through the log library."""
     buffer = LineBuffer(write_to_stdout)
-    handler = logging.get_absl_handler()
-    handler.python_handler.stream = buffer
+    handler = StreamHandler(buffer)
     handler.setFormatter(JsonFormatter())
-    logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     logger = logging.get_absl_logger()
+    logger.handlers = [handler]
+    logger.propagate = False
     return LineOutput(EventLines(process_id, wall_ms, logger.info), buffer)
 
 
--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -218,8 +218,8 @@
         self._note_first()
         headers = self.dialect.caller_headers(answer, whole=False)
         await self.sink.start(answer.status, headers)
-        for part in parts:
-            await self.sink.send(part)
+        for held in parts:
+            await self.sink.send(held)
         while (part := await connection.read_body()) is not None:
             await self.sink.send(part)
         await self.sink.finish()
@@ -232,6 +232,7 @@
         """Pass on whole events as they come."""
         resumable = self.request.route.resumable
         while True:
+            data: bytes | None = None
             with move_on_after(self._gap_seconds()) as gap:
                 data = await connection.read_body()
             if gap.cancelled_caught:
@@ -277,4 +278,4 @@
         """Tell the gate when the first part comes."""
         if self.first_at is None:
             self.first_at = self.fleet.now()
-            self.handle.gate.started(self.request.request_id)
+            self.handle.gate.started(self.request.bid_id)
--- a/pistachiolever/gateway/journey.py
+++ b/pistachiolever/gateway/journey.py
@@ -144,9 +144,12 @@
         request, now = self.request, self.fleet.now()
         engine = request.service.engine
         handle = self.fleet.handle_by_id[endpoint_id]
+        request.bids += 1
         return Bid(
+            request.bid_id,
             request.request_id,
             request.account_id,
+            request.route.route_id,
             request.priority,
             self._target_left(),
             request.left(now),
@@ -157,6 +160,7 @@
             self.fleet.elsewhere(request.account_id, endpoint_id),
             engine.slots if engine else handle.endpoint.slots,
             engine.memory_tokens if engine else 0,
+            engine.event_tokens if engine else 1,
         )
 
     def _target_left(self) -> float:
@@ -188,7 +192,7 @@
             end = await attempt.run()
         finally:
             tokens = self._output_tokens(attempt)
-            handle.gate.ended(request.request_id, tokens)
+            handle.gate.ended(request.bid_id, tokens)
             self._note_end(handle, attempt, end, sent_at, tokens)
         if not end.sent:
             request.sends -= 1
@@ -278,9 +282,7 @@
             reason = f"broken off: {reason}"
         elif self.failure is not None:
             status = self.failure.status
-            await self.sink.respond(
-                status, self.failure.headers, self.failure.body
-            )
+            await self.sink.respond(status, self.failure.headers, self.failure.body)
         elif request.may_have_run:
             expired = request.left(self.fleet.now()) <= LEAST_SEND_SECONDS
             status = 504 if expired else 502
--- a/pistachiolever/gateway/models.py
+++ b/pistachiolever/gateway/models.py
@@ -51,6 +51,7 @@
     target_at: float
     deadline_at: float
     sends: int = 0
+    bids: int = 0
     tried: set[str] = field(factory=set)
     may_have_run: bool = False
 
@@ -59,6 +60,11 @@
         """Return the id that names the request at engines and in logs."""
         return self.facts.request_id
 
+    @property
+    def bid_id(self) -> str:
+        """Return what names the latest bid for the request."""
+        return f"{self.request_id}/{self.bids}"
+
     @property
     def output_tokens(self) -> int:
         """Return the expected output: the hint where there is one."""
--- a/pistachiolever/gateway/placement.py
+++ b/pistachiolever/gateway/placement.py
@@ -119,9 +119,8 @@
         wait = (load.unread_tokens + load.queued_tokens + candidate.sent_since) / speed
         if not prompt_tokens:
             wait += BUSY_PENALTY_SECONDS * load.running / max(1, load.slots)
-        if load.running + load.waiting >= load.slots:
-            wait += FULL_PENALTY_SECONDS
-        elif prompt_tokens and load.free_memory_tokens < prompt_tokens:
+        is_full = load.running + load.waiting >= load.slots
+        if is_full or load.free_memory_tokens < prompt_tokens:
             wait += FULL_PENALTY_SECONDS
         cached = self.homes.cached_tokens(endpoint.endpoint_id, model, parts, now)
         if is_home:
--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -51,9 +51,7 @@
     def __attrs_post_init__(self) -> None:
         """Make the servers."""
         self.started_at = self.fleet.now()
-        self.front = HttpServer(
-            self.settings.front_address, self._serve, self._limits
-        )
+        self.front = HttpServer(self.settings.front_address, self._serve, self._limits)
         self.ready = HttpServer(self.settings.ready_address, self._answer_ready)
 
     async def run(self) -> None:
@@ -76,7 +74,7 @@
         with move_on_after(grace):
             # The balancer still sends new connections until it has asked twice.
             await sleep(min(BALANCER_SECONDS, grace))
-            self.front.close_idle()
+            self.front.stop_accepting()
             while self.front.connections:
                 await sleep(DRAIN_POLL_SECONDS)
                 self.front.close_idle()
@@ -157,7 +155,7 @@
     def _admit(
         self, exchange: Exchange, facts: CallerFacts, body: bytes, arrived_at: float
     ) -> PassRequest:
-        """Return the request by the configuration in force, or raise NotAllowedError."""
+        """Return the request if it is allowed, or raise NotAllowedError."""
         table = self.fleet.table
         if table is None:
             raise NotAllowedError(503, "no configuration is known yet")
--- a/pistachiolever/http1/client.py
+++ b/pistachiolever/http1/client.py
@@ -62,10 +62,18 @@
         if len(body) <= SMALL_BODY_BYTES:
             await self._send(b"".join(parts))
             return await self._read_head()
+        answer: ResponseHead | None = None
+        failure = PeerClosedError("closed before an answer")
         async with create_task_group() as group:
             group.start_soon(self._send_parts, parts)
-            answer = await self._read_head()
+            # Caught here: a task group would wrap it into a group of errors.
+            try:
+                answer = await self._read_head()
+            except PeerClosedError as error:
+                failure = error
             group.cancel_scope.cancel()
+        if answer is None:
+            raise failure
         return answer
 
     def _encode(self, head: RequestHead, body: bytes) -> list[bytes]:
--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 
+from absl import logging
 from anyio import (
     BrokenResourceError,
     CancelScope,
@@ -60,6 +61,7 @@
     handler: Handler
     limits: Callable[[], HttpLimits]
     draining: Callable[[], bool]
+    closing: Callable[[], bool]
     machine: Connection = field(init=False)
     gone: bool = False
     busy: bool = False
@@ -159,6 +161,8 @@
             self.last_used = current_time()
             if self.gone or scope.cancel_called or not self._starts_over():
                 return
+            if self.closing():
+                return
 
     async def _handle(self, exchange: "Exchange") -> None:
         """Run the handler; answer what it finds wrong with the request."""
@@ -312,7 +316,9 @@
         """Return the bytes of the head; announce the close while draining."""
         self.started = True
         machine = self.connection.machine
-        is_unread = machine.their_state is not DONE and machine.their_state != MUST_CLOSE
+        is_unread = (
+            machine.their_state is not DONE and machine.their_state != MUST_CLOSE
+        )
         if self.connection.draining() or is_unread:
             headers = [*headers, (b"connection", b"close")]
         response = Response(status_code=status, headers=headers)
@@ -332,7 +338,9 @@
     handler: Handler
     limits: Callable[[], HttpLimits] = HttpLimits
     draining: bool = False
+    closing: bool = False
     connections: set[ServerConnection] = field(factory=set)
+    _accepting: CancelScope = field(factory=CancelScope)
 
     async def serve(self) -> None:
         """Accept connections until cancelled."""
@@ -340,17 +348,34 @@
         listener = await create_tcp_listener(
             local_host=host, local_port=int(port), backlog=LISTEN_BACKLOG
         )
-        await listener.serve(self._accept)
+        async with create_task_group() as group:
+            with self._accepting:
+                # Connections outlive the listener.
+                await listener.serve(self._accept, task_group=group)
+
+    def stop_accepting(self) -> None:
+        """Take no more connections and no more requests on those that are open."""
+        self.draining = True
+        self.closing = True
+        self._accepting.cancel()
+        self.close_idle()
 
     async def _accept(self, stream: SocketStream) -> None:
         """Serve one connection."""
         tune_socket(stream)
         connection = ServerConnection(
-            stream, self.handler, self.limits, lambda: self.draining
+            stream,
+            self.handler,
+            self.limits,
+            lambda: self.draining,
+            lambda: self.closing,
         )
         self.connections.add(connection)
         try:
             await connection.run()
+        except Exception:  # noqa: BLE001
+            # One caller's fault must not end the process that serves all others.
+            logging.exception("unexpected error on a connection to %s", self.address)
         finally:
             self.connections.discard(connection)
 
--- a/pistachiolever/platform/endpoints.py
+++ b/pistachiolever/platform/endpoints.py
@@ -18,9 +18,7 @@
     """An announcement names no endpoint that could be used."""
 
 
-def decode_announcement(
-    endpoint_id: str, body: bytes, inner_port: int
-) -> Announcement:
+def decode_announcement(endpoint_id: str, body: bytes, inner_port: int) -> Announcement:
     """Return an announcement; raise InvalidAnnouncementError.
 
     Only model engines say which models they hold; beside these runs an agent.
--- a/pistachiolever/platform/main.py
+++ b/pistachiolever/platform/main.py
@@ -142,9 +142,7 @@
         SystemRandom(),
     )
     face = ControlFace(process, machine.settings.inner_port)
-    inner = HttpServer(
-        settings.address, process.face().handle, lambda: CONTROL_LIMITS
-    )
+    inner = HttpServer(settings.address, process.face().handle, lambda: CONTROL_LIMITS)
     outer = HttpServer(
         machine.settings.control_address, face.handle, lambda: CONTROL_LIMITS
     )
--- a/pistachiolever/registry/process.py
+++ b/pistachiolever/registry/process.py
@@ -472,7 +472,9 @@
     async def _take_announcements(self, batch: AnnounceBatch) -> Accepted:
         """Merge what another member heard."""
         now = self.now()
-        changes = [news for news in batch.announcements if self.directory.merge(news, now)]
+        changes = [
+            news for news in batch.announcements if self.directory.merge(news, now)
+        ]
         for news in changes:
             self._note_endpoint(news, "told")
         if changes:
--- a/pistachiolever/registry/watcher.py
+++ b/pistachiolever/registry/watcher.py
@@ -115,9 +115,7 @@
         """Record that a member no longer answers."""
         if address not in self.lost:
             self.lost.add(address)
-            self.events.record(
-                EventCode.MEMBER_LOST, member=address, error=str(error)
-            )
+            self.events.record(EventCode.MEMBER_LOST, member=address, error=str(error))
 
     def _note_answer(self, address: str) -> None:
         """Record that a member answers again."""
--- a/pistachiolever/router/claims.py
+++ b/pistachiolever/router/claims.py
@@ -7,9 +7,9 @@
 
 from pistachiolever.core.errors import Refusal, RequestError
 from pistachiolever.core.verdict import Verdict
-from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.context import ProcessContext
 from pistachiolever.edge.control_client import ControlClient
+from pistachiolever.edge.errors import PeerError
 from pistachiolever.router.const import BUSY_RETRY_AFTER_SECONDS, FREE_ATTEMPTS
 from pistachiolever.router.requests import Submission
 from pistachiolever.router.retry import retry_delay
--- a/pistachiolever/router/sessions.py
+++ b/pistachiolever/router/sessions.py
@@ -9,9 +9,9 @@
 from pistachiolever.core.errors import ProtocolError
 from pistachiolever.core.mailbox import Mailbox
 from pistachiolever.edge.client import FleetClient
-from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.const import CONNECT_SECONDS, SESSION_SILENCE_SECONDS
 from pistachiolever.edge.context import ProcessContext
+from pistachiolever.edge.errors import PeerError
 from pistachiolever.events.const import EventCode
 from pistachiolever.router.const import RECONNECT_MOST_SECONDS, RECONNECT_SECONDS
 from pistachiolever.router.models import (
--- a/pistachiolever/router/tasks.py
+++ b/pistachiolever/router/tasks.py
@@ -8,9 +8,9 @@
 from pistachiolever.core.errors import Refusal
 from pistachiolever.declarations.models import Revision
 from pistachiolever.edge.client import FleetClient
-from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.context import ProcessContext
 from pistachiolever.edge.control_client import ControlClient, heartbeat_timeout
+from pistachiolever.edge.errors import PeerError
 from pistachiolever.events.const import EventCode
 from pistachiolever.router.claims import ClaimClient
 from pistachiolever.router.const import TICK_SECONDS
--- a/pistachiolever/sidecar/tasks.py
+++ b/pistachiolever/sidecar/tasks.py
@@ -7,9 +7,9 @@
 from pistachiolever.core.actor import Actor
 from pistachiolever.declarations.models import Revision, Service, ServiceKind
 from pistachiolever.edge.client import FleetClient
-from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.context import ProcessContext
 from pistachiolever.edge.control_client import ControlClient, heartbeat_timeout
+from pistachiolever.edge.errors import PeerError
 from pistachiolever.events.const import EventCode
 from pistachiolever.settings.models import SidecarSettings
 from pistachiolever.sidecar.adapters import (
