--- a/pistachiolever/admission/const.py
+++ b/pistachiolever/admission/const.py
@@ -4,6 +4,8 @@
 
 # Prompt tokens that an engine reads in a second until its own pace is seen.
 FIRST_SPEED: Final = 45_000.0
+# How long a run takes until some have ended.
+FIRST_RUN_SECONDS: Final = 0.1
 LEAST_SPEED: Final = 2_000.0
 # Weight of what was seen before, at each new prompt that was read.
 SPEED_DECAY: Final = 0.93
@@ -11,7 +13,7 @@
 SPEED_SAMPLE_TOKENS: Final = 500
 # Unread prompt tokens handed to an engine before the next one waits here, where the
 # order can still change: a few round trips of work.
-UNREAD_TOKENS: Final = 4_000
+UNREAD_TOKENS: Final = 3_000
 # Share of the engine's memory that is promised; the rest covers wrong estimates, as
 # a full memory preempts running requests.
 MEMORY_SHARE: Final = 0.9
@@ -23,12 +25,13 @@
 GENERATED_WEIGHT: Final = 2.0
 # Expected output while no better is known: this part of the most.
 OUTPUT_SHARE: Final = 0.5
-# A request is refused once its first part is expected later than this many times
-# its target.
-REFUSE_AT_TARGETS: Final = 1.0
+# A request is refused once waiting and reading would take more than this part of its
+# target: the rest is for estimates that are wrong, and large prompts, which hold up
+# all others, are left for an engine that is nearly free.
+WAIT_SHARE: Final = 0.5
 # At most this part of the target is set aside for reading the own prompt, so that
-# large prompts are not refused for their size alone.
-OWN_READING_SHARE: Final = 0.5
+# the largest prompts are not refused for their size alone.
+OWN_READING_SHARE: Final = 0.45
 # A request that does not fit into memory lets others pass for this part of its
 # target, then holds them back.
 PASS_SHARE: Final = 0.3
@@ -57,7 +60,7 @@
 # The pace follows the answers that need more speed than this part of all.
 NEED_QUANTILE: Final = 0.1
 MOST_PACE_SECONDS: Final = 0.05
-SHORTEST_PACE_SECONDS: Final = 0.008
+SHORTEST_PACE_SECONDS: Final = 0.02
 # Weight of what was seen before, at each new measurement of the pace.
 PACE_DECAY: Final = 0.8
 # Steps of the share of reading at each report of the engine.
--- a/pistachiolever/admission/core.py
+++ b/pistachiolever/admission/core.py
@@ -12,6 +12,7 @@
 from pistachiolever.admission.cache import PrefixCache, keyed_parts
 from pistachiolever.admission.const import (
     FIRST_PART_SECONDS,
+    FIRST_RUN_SECONDS,
     FIRST_SPEED,
     GENERATED_WEIGHT,
     LEAST_RETRY_SECONDS,
@@ -22,11 +23,10 @@
     MOST_RETRY_SECONDS,
     OWN_READING_SHARE,
     PASS_SHARE,
-    REFUSE_AT_TARGETS,
-    SERVICE_MEMORY_SECONDS,
     SPEED_DECAY,
     SPEED_SAMPLE_TOKENS,
     UNREAD_TOKENS,
+    WAIT_SHARE,
 )
 from pistachiolever.admission.fair_queue import FairQueue, Waiting
 from pistachiolever.admission.flow import ReadingFlow, RunningAnswer, needed_pace
@@ -101,7 +101,8 @@
     users_by_part: dict[str, int] = field(factory=dict)
     memory_used: float = 0.0
     foreign_running: int = 0
-    ends: FadingSum = field(factory=FadingSum)
+    run_ends: FadingSum = field(factory=FadingSum)
+    run_seconds: FadingSum = field(factory=FadingSum)
 
     def __attrs_post_init__(self) -> None:
         """Start with an empty cache."""
@@ -161,7 +162,8 @@
                 self.front_since = now
             self.unread_ids.remove(bid_id)
         self._free_memory(run)
-        self.ends.add(1.0, now)
+        self.run_ends.add(1.0, now)
+        self.run_seconds.add(now - run.granted_at, now)
         if run.started_at is None:
             # Nothing was served; the account does not pay for a failed run.
             self.service.charge(run.bid.account_id, run.bid.kind, -run.cost, now)
@@ -337,16 +339,15 @@
         ahead = self.unread_tokens(now) + max(0.0, -self.flow.credit)
         blocked = 0
         is_full = self._is_full()
-        ends_per_second = max(1.0, self.ends.read(now) / SERVICE_MEMORY_SECONDS)
+        between_ends = self._seconds_between_ends(now)
         actions: list[AdmissionAction] = []
         for waiting in self._fair_order(now):
             blocked += is_full or not self._fits(waiting)
-            wait = max(ahead / speed, blocked / ends_per_second)
+            wait = max(ahead / speed, blocked * between_ends)
             start = now + wait + FIRST_PART_SECONDS
             target = waiting.bid.target_seconds
             own = min(waiting.unread_tokens / speed, OWN_READING_SHARE * target)
-            latest = waiting.arrived_at + REFUSE_AT_TARGETS * target
-            if start + own > latest:
+            if start + own - waiting.arrived_at > WAIT_SHARE * target:
                 del self.waiting_by_id[waiting.bid.bid_id]
                 actions.append(
                     Refused(waiting.bid.bid_id, "late", self._retry_after(wait))
@@ -355,6 +356,12 @@
             ahead += waiting.unread_tokens
         return actions
 
+    def _seconds_between_ends(self, now: float) -> float:
+        """Return about how long it takes until the next run ends."""
+        ends = self.run_ends.read(now)
+        mean = self.run_seconds.read(now) / ends if ends > 0.5 else FIRST_RUN_SECONDS
+        return mean / max(1, len(self.run_by_id))
+
     def _retry_after(self, wait_seconds: float) -> float:
         """Return when to come back: after the backlog, spread so that not all do."""
         spread = wait_seconds * (1.0 + self.rng.random()) + self.rng.random()
--- a/pistachiolever/admission/fair_queue.py
+++ b/pistachiolever/admission/fair_queue.py
@@ -80,7 +80,7 @@
     def _queues(self, waiting: list[Waiting]) -> dict[str, AccountQueue]:
         """Return the requests by account and kind, the oldest of each last."""
         queues: dict[str, AccountQueue] = {}
-        for entry in sorted(waiting, key=_arrival, reverse=True):
+        for entry in reversed(sorted(waiting, key=_arrival)):
             account_id, kind = entry.bid.account_id, entry.bid.kind
             account = queues.get(account_id)
             if account is None:
--- a/pistachiolever/admission/flow.py
+++ b/pistachiolever/admission/flow.py
@@ -88,7 +88,7 @@
     @property
     def pace(self) -> float:
         """Return the seconds that a token of a running answer takes lately."""
-        return self._run_seconds / self._made if self._made else 0.0
+        return self._run_seconds / max(self._made, 1.0)
 
     def adapt(self, needed: float) -> None:
         """Give reading less while tokens come too slowly, else slowly more."""
--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -15,7 +15,7 @@
 FIRST_EJECTION_SECONDS: Final = 0.5
 MOST_EJECTION_SECONDS: Final = 8.0
 # A prompt that must be read again costs the fleet more than the wait it makes.
-REREAD_WEIGHT: Final = 2.0
+REREAD_WEIGHT: Final = 10.0
 # A part is taken as kept by an engine for so long after its last use there.
 PART_HOME_SECONDS: Final = 15.0
 MAX_PART_HOMES: Final = 20_000
@@ -28,7 +28,10 @@
 # What an endpoint that still warms up is set behind others.
 COLD_PENALTY_SECONDS: Final = 0.05
 # Endpoints that are asked for room before a request is refused.
-MOST_BIDS: Final = 3
+MOST_BIDS: Final = 2
+# After a refusal only endpoints are asked whose work is done within this part of the
+# target.
+IDLE_SHARE: Final = 0.02
 # A bid is asked again elsewhere once so much of its target has passed.
 REBID_SHARE: Final = 0.25
 # A repeatable request without a first part is sent again elsewhere after its target
--- a/pistachiolever/gateway/journey.py
+++ b/pistachiolever/gateway/journey.py
@@ -9,6 +9,7 @@
 from pistachiolever.gateway.attempt import AnswerSink, Attempt, AttemptEnd, WholeAnswer
 from pistachiolever.gateway.const import (
     DEFAULT_RETRY_SECONDS,
+    IDLE_SHARE,
     LEAST_SEND_SECONDS,
     MOST_BIDS,
     REBID_SHARE,
@@ -72,6 +73,8 @@
                 if not choices and not refused:
                     # Better the same endpoint again than none.
                     choices = self._rank(refused)
+                if refused:
+                    choices = self._idle(choices)
                 if not choices:
                     return None
                 choice = choices[0]
@@ -101,6 +104,14 @@
             self.fleet.now(),
         )
 
+    def _idle(self, choices: list[Choice]) -> list[Choice]:
+        """Return the endpoints that have room at once.
+
+        Work that a busy endpoint refused would only be read anew at another one.
+        """
+        most = IDLE_SHARE * self.request.route.target_seconds
+        return [choice for choice in choices if choice.wait < most]
+
     def _patience(self, has_others: bool) -> float:
         """Return how long to wait at one endpoint before looking around, in seconds."""
         left = self.request.left(self.fleet.now())
--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -250,6 +250,10 @@
 def checked_head(event: Request, limits: HttpLimits) -> RequestHead:
     """Return the head of a request; raise BadRequestError for an unsafe one."""
     headers: list[Header] = list(event.headers)
+    size = len(event.target) + sum(len(name) + len(value) for name, value in headers)
+    if size > limits.max_head_bytes:
+        # A head that arrives in one piece is not bounded by the protocol's buffer.
+        raise BadRequestError(431, f"a head of over {limits.max_head_bytes} bytes")
     names = [name for name, _ in headers]
     if b"transfer-encoding" in names and b"content-length" in names:
         raise BadRequestError(400, "both a length and a transfer coding")
--- /dev/null
+++ b/tests/admission/test_core.py
@@ -0,0 +1,192 @@
+"""Who waits, who is refused and who goes next before one engine."""
+
+from random import Random
+from typing import Any
+
+from attrs import evolve
+
+from pistachiolever.admission.const import UNREAD_TOKENS
+from pistachiolever.admission.core import AdmissionCore, Capacity
+from pistachiolever.admission.models import (
+    AdmissionAction,
+    Bid,
+    EngineReport,
+    EngineRun,
+    Granted,
+    PromptPart,
+    Refused,
+)
+from tests.support.cases import CaseTest
+
+BID = Bid(
+    "b",
+    "r",
+    "one",
+    "plan",
+    1,
+    1.0,
+    10.0,
+    prompt_tokens=2000,
+    output_tokens=100,
+    slots=64,
+    memory_tokens=500_000,
+)
+
+
+def make_core() -> AdmissionCore:
+    """Return a core before an engine of which nothing is known yet."""
+    return AdmissionCore(Capacity(64, 500_000), Random(1))
+
+
+def bid(name: str, account: str = "one", kind: str = "plan", **fields: Any) -> Bid:
+    """Return a bid of an account."""
+    return evolve(
+        BID, bid_id=name, request_id=name, account_id=account, kind=kind, **fields
+    )
+
+
+def granted(actions: list[AdmissionAction]) -> list[str]:
+    """Return the ids of the bids that were granted, in order."""
+    return [action.bid_id for action in actions if isinstance(action, Granted)]
+
+
+def refused(actions: list[AdmissionAction]) -> list[str]:
+    """Return the ids of the bids that were refused, in order."""
+    return [action.bid_id for action in actions if isinstance(action, Refused)]
+
+
+class GrantTest(CaseTest):
+    """The engine gets enough to read, no more, and in fair order."""
+
+    def test_an_idle_engine_takes_a_request_of_any_size(self) -> None:
+        core = make_core()
+        huge = bid("huge", prompt_tokens=UNREAD_TOKENS * 20)
+        self.assertEqual(granted(core.bid(huge, 1.0)), ["huge"])
+
+    def test_what_the_engine_cannot_read_soon_waits(self) -> None:
+        core = make_core()
+        names = [f"n{n}" for n in range(6)]
+        taken = [name for name in names if granted(core.bid(bid(name), 1.0))]
+        self.assertLess(len(taken), len(names))
+        self.assertGreaterEqual(len(taken), 2)
+        self.assertEqual(granted(core.started(taken[0], 1.05))[:1], ["n2"])
+
+    def test_one_hot_account_does_not_hold_up_a_small_one(self) -> None:
+        """The load of a hot account: many bids of one, then one of another."""
+        core = make_core()
+        for number in range(10):
+            core.bid(bid(f"hot{number}", "hot"), 1.0)
+        grants = granted(core.bid(bid("small", "small"), 1.01))
+        grants += granted(core.started("hot0", 1.06))
+        self.assertEqual(grants[:1], ["small"])
+
+    def test_a_kind_with_small_prompts_is_not_crowded_out(self) -> None:
+        """The load of two kinds of one account: the small one gets its turn."""
+        core = make_core()
+        for number in range(8):
+            core.bid(bid(f"plan{number}", prompt_tokens=6000), 1.0)
+        core.bid(bid("query", kind="query", prompt_tokens=300), 1.01)
+        self.assertEqual(granted(core.started("plan0", 1.15))[:1], ["query"])
+
+    def test_memory_is_never_promised_twice(self) -> None:
+        core = make_core()
+        size = 5000
+        now = 1.0
+        taken = 0
+        for number in range(200):
+            name = f"n{number}"
+            request = bid(
+                name, prompt_tokens=size, memory_tokens=50_000, target_seconds=5.0
+            )
+            if granted(core.bid(request, now)):
+                core.started(name, now + 0.05)
+                taken += 1
+            now += 0.2
+        self.assertLessEqual(taken * size, 50_000)
+
+    def test_shared_parts_take_memory_once(self) -> None:
+        core = make_core()
+        shared = PromptPart("shared", 4000)
+        for number in range(8):
+            parts = [shared, PromptPart(f"own{number}", 100)]
+            core.bid(
+                bid(f"n{number}", prompt_tokens=4100, parts=parts, output_tokens=0),
+                1.0 + number,
+            )
+            core.started(f"n{number}", 1.5 + number)
+        self.assertEqual(core.memory_used, 4000 + 8 * 100)
+
+    def test_slots_are_the_limit_before_a_plain_endpoint(self) -> None:
+        core = make_core()
+        plain: dict[str, Any] = {
+            "prompt_tokens": 0,
+            "output_tokens": 0,
+            "memory_tokens": 0,
+            "slots": 2,
+        }
+        taken = [granted(core.bid(bid(f"n{n}", **plain), 1.0)) for n in range(3)]
+        self.assertEqual(taken, [["n0"], ["n1"], []])
+        self.assertEqual(granted(core.ended("n0", 0, 1.1)), ["n2"])
+
+
+class RefuseTest(CaseTest):
+    """What cannot be in time is told so at once."""
+
+    def test_a_flood_is_refused_early_and_told_when_to_return(self) -> None:
+        core = make_core()
+        actions: list[AdmissionAction] = []
+        for number in range(60):
+            actions.extend(core.bid(bid(f"n{number}", prompt_tokens=6000), 1.0))
+        waits = [a.retry_after_seconds for a in actions if isinstance(a, Refused)]
+        self.assertGreater(len(waits), 40)
+        self.assertGreater(max(waits) - min(waits), 0.2)
+        self.assertLess(len(core.waiting_by_id), 12)
+
+    def test_the_refused_belong_to_the_flooding_account(self) -> None:
+        core = make_core()
+        actions: list[AdmissionAction] = []
+        for number in range(40):
+            actions.extend(
+                core.bid(bid(f"hot{number}", "hot", prompt_tokens=6000), 1.0)
+            )
+            if number % 8 == 0:
+                actions.extend(core.bid(bid(f"small{number}", f"a{number}"), 1.0))
+        self.assertTrue(refused(actions))
+        self.assertFalse([name for name in refused(actions) if name[0] == "s"])
+
+    def test_large_prompts_are_not_refused_for_their_size(self) -> None:
+        core = make_core()
+        core.bid(bid("first"), 1.0)
+        core.bid(bid("second"), 1.0)
+        actions = core.bid(bid("large", prompt_tokens=54_000), 1.0)
+        self.assertEqual(refused(actions), [])
+
+
+class EndTest(CaseTest):
+    """Ends are noticed, also those that nobody tells."""
+
+    def test_a_withdrawn_bid_frees_its_place(self) -> None:
+        core = make_core()
+        for name in ("a", "b", "c"):
+            core.bid(bid(name), 1.0)
+        core.withdraw("a", 1.0)
+        core.withdraw("b", 1.0)
+        core.withdraw("c", 1.0)
+        self.assertEqual((core.run_by_id, core.waiting_by_id), ({}, {}))
+        self.assertEqual(core.memory_used, 0.0)
+
+    def test_a_run_that_the_engine_does_not_list_has_ended(self) -> None:
+        """A router died with its requests: its grants are taken back."""
+        core = make_core()
+        core.bid(bid("lost"), 1.0)
+        core.bid(bid("kept"), 1.0)
+        listed = [EngineRun("kept", 2100, 3)]
+        for step in range(20):
+            core.report(EngineReport(7, 0, 1, 0, 0, listed), 2.0 + step * 0.1)
+        self.assertEqual(list(core.run_by_id), ["kept"])
+
+    def test_nobody_pays_for_what_was_not_served(self) -> None:
+        core = make_core()
+        core.bid(bid("a"), 1.0)
+        core.ended("a", 0, 1.0)
+        self.assertEqual(core.service.here("one", 1.0), 0.0)
--- /dev/null
+++ b/tests/gateway/test_dialect.py
@@ -0,0 +1,147 @@
+"""Headers: what goes on, what is dropped, and what cannot be read."""
+
+from hypothesis import given, strategies as st
+
+from pistachiolever.admission.models import PromptPart
+from pistachiolever.gateway.dialect import Dialect, keep_seconds
+from pistachiolever.gateway.models import CallerFacts, PassRequest
+from pistachiolever.http1.errors import BadRequestError
+from pistachiolever.http1.models import Header, RequestHead, ResponseHead
+from pistachiolever.routing.models import (
+    PassRoute,
+    PassService,
+    RequestKind,
+    WeightedService,
+)
+from tests.support.cases import CaseTest
+from tests.support.profile import STATEFUL
+
+DIALECT = Dialect(system_names=frozenset({b"x-hold"}))
+ROUTE = PassRoute(
+    "r", "x", "/", RequestKind.IDEMPOTENT, [WeightedService("s", 1)], 2.0, 0.3
+)
+
+
+def request(headers: list[Header], body: bytes = b"") -> PassRequest:
+    """Return a request of an account."""
+    head = RequestHead(b"POST", b"/a?b=c", headers)
+    facts = CallerFacts("id")
+    return PassRequest(
+        facts, head, body, ROUTE, PassService("s"), "account", 0, 0.0, 0.3, 2.0
+    )
+
+
+class EngineHeadTest(CaseTest):
+    """A naive reading of the rules agrees with what is sent."""
+
+    def test_what_goes_on(self) -> None:
+        headers = [
+            (b"host", b"x"),
+            (b"x-request-id", b"id"),
+            (b"authorization", b"Bearer secret"),
+            (b"x-account", b"forged"),
+            (b"x-hold", b"forged"),
+            (b"x-expect-instance", b"forged"),
+            (b"x-deadline-ms", b"99999"),
+            (b"connection", b"keep-alive, x-private, x-request-id"),
+            (b"x-private", b"1"),
+            (b"transfer-encoding", b"chunked"),
+            (b"accept", b"*/*"),
+        ]
+        head = DIALECT.engine_head(request(headers, b"body"), "e1", 1.5, 7)
+        self.assertEqual((head.method, head.target), (b"POST", b"/a?b=c"))
+        self.assertEqual(
+            head.headers,
+            [
+                (b"host", b"x"),
+                (b"x-request-id", b"id"),
+                (b"accept", b"*/*"),
+                (b"x-deadline-ms", b"1500"),
+                (b"x-expect-instance", b"e1"),
+                (b"x-account", b"account"),
+                (b"last-event-id", b"7"),
+                (b"content-length", b"4"),
+            ],
+        )
+
+    def test_answers(self) -> None:
+        head = ResponseHead(
+            200,
+            [
+                (b"x-signature", b"s"),
+                (b"x-request-id", b"id"),
+                (b"x-load", b"3,0,8"),
+                (b"keep-alive", b"timeout=5"),
+                (b"content-length", b"10"),
+                (b"content-type", b"text/plain"),
+            ],
+        )
+        facts = DIALECT.answer_facts(head)
+        self.assertTrue(facts.signed)
+        self.assertEqual((facts.load, facts.keep_seconds), ((3, 0, 8), 4.5))
+        self.assertEqual(
+            DIALECT.caller_headers(head, whole=True),
+            [
+                (b"x-signature", b"s"),
+                (b"x-request-id", b"id"),
+                (b"content-type", b"text/plain"),
+            ],
+        )
+        closing = ResponseHead(200, [(b"connection", b"Close")])
+        self.assertEqual(keep_seconds(closing), 0.0)
+
+
+class CallerFactsTest(CaseTest):
+    """Callers' headers are read whole or refused with a clear reason."""
+
+    def test_facts(self) -> None:
+        head = RequestHead(
+            b"POST",
+            b"/",
+            [
+                (b"x-request-id", b"id"),
+                (b"x-deadline-ms", b"12000"),
+                (b"authorization", b"bearer KEY"),
+                (b"x-token-counts", b"1460,80"),
+                (b"x-prompt-parts", b"5c1e:800, 91bd:410"),
+                (b"last-event-id", b"12"),
+            ],
+        )
+        facts = DIALECT.caller_facts(head)
+        self.assertEqual(
+            facts,
+            CallerFacts(
+                "id",
+                12.0,
+                "KEY",
+                "",
+                1460,
+                80,
+                0,
+                [PromptPart("5c1e", 800), PromptPart("91bd", 410)],
+                12,
+            ),
+        )
+
+    @STATEFUL
+    @given(
+        name=st.sampled_from(
+            [
+                b"x-deadline-ms",
+                b"x-token-counts",
+                b"x-prompt-parts",
+                b"last-event-id",
+                b"x-length-hint",
+                b"x-load",
+                b"keep-alive",
+            ]
+        ),
+        value=st.binary(max_size=40),
+    )
+    def test_anything_is_read_or_refused(self, name: bytes, value: bytes) -> None:
+        head = RequestHead(b"GET", b"/", [(name, value)])
+        try:
+            DIALECT.caller_facts(head)
+        except BadRequestError as error:
+            self.assertEqual(error.status, 400)
+        DIALECT.answer_facts(ResponseHead(200, [(name, value)]))
--- /dev/null
+++ b/tests/gateway/test_event_stream.py
@@ -0,0 +1,49 @@
+"""Streams are cut into whole events, however their bytes arrive."""
+
+from random import Random
+
+from pistachiolever.gateway.event_stream import EventSplitter
+from tests.support.cases import CaseTest
+
+
+def event(number: int) -> bytes:
+    """Return an event."""
+    return b"id: %d\ndata: %s\n\n" % (number, b"x" * (number % 7))
+
+
+class EventSplitterTest(CaseTest):
+    """Only whole events go on; a resumed stream neither repeats nor skips."""
+
+    def test_any_cut_gives_the_same_bytes(self) -> None:
+        rng = Random(2)
+        whole = b"".join(event(n) for n in range(1, 50))
+        for _ in range(100):
+            splitter = EventSplitter()
+            out, at = b"", 0
+            while at < len(whole):
+                step = rng.randint(1, 30)
+                piece = splitter.feed(whole[at : at + step])
+                self.assertTrue(not piece or piece.endswith(b"\n\n"))
+                out += piece
+                at += step
+            self.assertEqual((out, splitter.rest), (whole, b""))
+            self.assertEqual((splitter.last_id, splitter.count), (49, 49))
+
+    def test_resuming_drops_what_was_cut_within_an_event(self) -> None:
+        splitter = EventSplitter()
+        out = splitter.feed(event(1) + event(2) + event(3)[:9])
+        splitter.restart()
+        out += splitter.feed(event(3) + event(4))
+        self.assertEqual(out, b"".join(event(n) for n in range(1, 5)))
+        self.assertFalse(splitter.gap_found)
+
+    def test_an_endpoint_that_starts_over_is_not_repeated(self) -> None:
+        splitter = EventSplitter()
+        splitter.feed(event(1) + event(2))
+        splitter.restart()
+        self.assertEqual(splitter.feed(event(1) + event(2) + event(3)), event(3))
+
+    def test_a_missing_event_is_found(self) -> None:
+        splitter = EventSplitter()
+        splitter.feed(event(1) + event(3))
+        self.assertTrue(splitter.gap_found)
--- /dev/null
+++ b/tests/platform/test_formats.py
@@ -0,0 +1,272 @@
+"""The platform's documents become typed objects, or a fault that names the field."""
+
+from copy import deepcopy
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from hypothesis import given, strategies as st
+from orjson import dumps
+
+from pistachiolever.discovery.models import EndpointState
+from pistachiolever.platform.configuration import decode_configuration
+from pistachiolever.platform.endpoints import (
+    InvalidAnnouncementError,
+    decode_announcement,
+    decode_birth,
+    decode_report,
+)
+from pistachiolever.platform.settings import read_settings
+from pistachiolever.routing.errors import InvalidConfigurationError
+from pistachiolever.routing.models import RequestKind
+from pistachiolever.settings.errors import InvalidDocumentError
+from tests.support.cases import CaseTest
+from tests.support.profile import STATEFUL
+
+CONFIGURATION: dict[str, Any] = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "plans",
+            "host": "One.example",
+            "pathPrefix": "/plans/",
+            "kind": "stream",
+            "timeoutMs": 12000,
+            "targetLatencyMs": 1200,
+            "priority": 1,
+            "trafficSplit": [
+                {"service": "model", "weight": 90},
+                {"service": "desk", "weight": 10},
+            ],
+            "maxAttempts": 2,
+            "resumable": True,
+            "targetGapMs": 600,
+            "unknown": [1],
+        },
+        {
+            "name": "desk",
+            "host": "one.example",
+            "pathPrefix": "/desk/",
+            "kind": "non_idempotent",
+            "timeoutMs": 2000,
+            "service": "desk",
+        },
+    ],
+    "services": [
+        {
+            "name": "model",
+            "healthPath": "/health",
+            "maxConns": 300,
+            "engine": {
+                "slots": 64,
+                "kvCapacityTokens": 300000,
+                "stride": 7,
+                "models": [{"name": "m"}],
+            },
+        },
+        {"name": "desk", "healthPath": "/health", "maxConns": 100},
+    ],
+    "limits": {"maxHeaderBytes": 9000, "idleTimeoutMs": 8000, "tokensPerS": 90000},
+    "tenants": [{"name": "a", "apiKeys": ["k1", "k2"], "priority": 1}],
+}
+
+
+def changed(*path: Any, value: Any) -> bytes:
+    """Return the configuration with one field replaced, or removed by None."""
+    document = deepcopy(CONFIGURATION)
+    place: Any = document
+    for step in path[:-1]:
+        place = place[step]
+    if value is None:
+        del place[path[-1]]
+    else:
+        place[path[-1]] = value
+    return dumps(document)
+
+
+class ConfigurationTest(CaseTest):
+    """A whole configuration and each way in which it may be invalid."""
+
+    def test_valid(self) -> None:
+        configuration = decode_configuration(dumps(CONFIGURATION))
+        plans, desk = configuration.routes
+        self.assertEqual((plans.host, plans.kind), ("one.example", RequestKind.STREAM))
+        self.assertEqual((plans.timeout_seconds, plans.gap_seconds), (12.0, 0.6))
+        self.assertTrue(plans.repeatable)
+        self.assertEqual((desk.attempts, desk.target_seconds), (1, 2.0))
+        self.assertFalse(desk.repeatable)
+        engine = configuration.services[0].engine
+        assert engine is not None
+        self.assertEqual((engine.memory_tokens, engine.event_tokens), (300_000, 7))
+        self.assertIsNone(configuration.services[1].engine)
+        limits = configuration.limits
+        self.assertEqual((limits.max_head_bytes, limits.idle_seconds), (9000, 8.0))
+        self.assertEqual(configuration.tokens_per_second, 90_000)
+
+    def test_without_accounts_no_key_is_needed(self) -> None:
+        configuration = decode_configuration(changed("tenants", value=None))
+        self.assertIsNone(configuration.accounts)
+
+    def test_invalid(self) -> None:
+        other = dict(CONFIGURATION["routes"][0], name="other", host="one.example")
+        cases = {
+            "document": dumps(CONFIGURATION)[:-20],
+            "document.version": changed("version", value="7"),
+            "document.routes": changed("routes", value=None),
+            "routes[0]": changed("routes", 0, "trafficSplit", 0, "service", value="x"),
+            "routes[2]": changed("routes", value=[*CONFIGURATION["routes"], other]),
+            "document.routes[0].timeoutMs": changed(
+                "routes", 0, "timeoutMs", value="soon"
+            ),
+            "document.routes[1].kind": changed("routes", 1, "kind", value="other"),
+            "document.routes[0]": changed("routes", 0, value=3),
+            "keys": changed(
+                "tenants",
+                value=[
+                    {"name": "a", "apiKeys": ["k"]},
+                    {"name": "b", "apiKeys": ["k"]},
+                ],
+            ),
+            "routes[1]": changed("routes", 1, "timeoutMs", value=0),
+        }
+        weightless = [{"service": "model", "weight": 0}]
+        cases["routes[0] "] = changed("routes", 0, "trafficSplit", value=weightless)
+        for where, document in cases.items():
+            with self.subTest(where):
+                with self.assertRaises(InvalidConfigurationError) as caught:
+                    decode_configuration(document)
+                self.assertEqual(caught.exception.where, where.strip())
+
+    @STATEFUL
+    @given(
+        value=st.recursive(
+            st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+            lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+        ),
+        path=st.sampled_from(
+            [
+                ("version",),
+                ("routes",),
+                ("services",),
+                ("limits",),
+                ("tenants",),
+                ("routes", 0),
+                ("routes", 0, "trafficSplit"),
+                ("routes", 0, "pathPrefix"),
+                ("services", 0, "engine"),
+                ("tenants", 0, "apiKeys"),
+            ]
+        ),
+    )
+    def test_anything_is_read_or_refused(
+        self, value: Any, path: tuple[Any, ...]
+    ) -> None:
+        document = deepcopy(CONFIGURATION)
+        place: Any = document
+        for step in path[:-1]:
+            place = place[step]
+        place[path[-1]] = value
+        try:
+            text = dumps(document)
+        except TypeError:
+            return
+        try:
+            decode_configuration(text)
+        except InvalidConfigurationError as error:
+            self.assertTrue(error.where)
+
+
+HEARTBEAT = {
+    "service": "model",
+    "address": "10.0.0.9:8080",
+    "zone": "north",
+    "version": "v1",
+    "slots": 64,
+    "state": "draining",
+    "coldLeftMs": 500,
+    "models": [{"name": "m"}],
+    "seq": 4,
+    "born": 1700000000000,
+}
+
+
+class AnnouncementTest(CaseTest):
+    """Heartbeats and reports of engines, and of writers that are none."""
+
+    def test_valid(self) -> None:
+        news = decode_announcement("i-1", dumps(HEARTBEAT), 7400)
+        self.assertEqual(news.agent, "10.0.0.9:7400")
+        self.assertEqual(news.state, EndpointState.DRAINING)
+        self.assertEqual((news.cold_seconds, news.born_ms), (0.5, 1700000000000))
+        plain = {name: v for name, v in HEARTBEAT.items() if name != "models"}
+        self.assertEqual(decode_announcement("i-1", dumps(plain), 7400).agent, "")
+
+    def test_other_writers(self) -> None:
+        cases: list[bytes] = [b"", b"\xff\xfe", b"[]", b"3", b'{"service"']
+        for name in ("service", "address", "zone", "slots", "state", "seq", "born"):
+            without = {key: v for key, v in HEARTBEAT.items() if key != name}
+            cases.append(dumps(without))
+            cases.append(dumps(dict(HEARTBEAT, **{name: [1]})))
+        cases.append(dumps(dict(HEARTBEAT, state="leaving")))
+        cases.append(dumps(dict(HEARTBEAT, address="10.0.0.9")))
+        cases.append(dumps(dict(HEARTBEAT, born=1.5)))
+        for body in cases:
+            with self.subTest(body), self.assertRaises(InvalidAnnouncementError):
+                decode_announcement("i-1", body, 7400)
+
+    def test_birth_of_a_leaving_engine(self) -> None:
+        cases = {b"": None, b'{"born":5}': 5, b'{"born":"x"}': None, b"\xff": None}
+        for body, expected in cases.items():
+            with self.subTest(body):
+                self.assertEqual(decode_birth(body), expected)
+
+    def test_report(self) -> None:
+        body = dumps(
+            {
+                "born": 5,
+                "waiting": 1,
+                "running": 2,
+                "kvUsed": 41000,
+                "kvTotal": 90000,
+                "runs": [["id1", 1200, 3, 1], ["id2", 800, 0, 1]],
+            }
+        )
+        report = decode_report(body)
+        self.assertEqual([run.request_id for run in report.runs], ["id1", "id2"])
+        self.assertEqual((report.born_ms, report.waiting), (5, 1))
+
+
+SETTINGS = """
+node = "front-1"
+ip = "10.1.0.33"
+zone = "north"
+portRange = [7400,7415]
+seeds = ["10.1.0.35:8785","10.2.0.19:8785"]
+bootstrap = true
+dataDir = "/data/x"
+[listen]
+front = "10.1.0.33:8783"
+ready = "10.1.0.33:8780"
+[bounds]
+graceS = 8
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+budgetSlack = 54
+"""
+
+
+class SettingsTest(CaseTest):
+    """The settings file, and one that is cut short."""
+
+    def test_settings(self) -> None:
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / "local.toml"
+            path.write_text(SETTINGS)
+            settings = read_settings(path)
+            self.assertEqual(settings.seeds, ["10.1.0.35:7400", "10.2.0.19:7400"])
+            self.assertEqual(settings.registry().address, "10.1.0.33:7400")
+            self.assertTrue(settings.registry().founder)
+            self.assertEqual(settings.gateway().retry_slack, 54.0)
+            path.write_text(SETTINGS[:40])
+            with self.assertRaises(InvalidDocumentError):
+                read_settings(path)
--- /dev/null
+++ b/tests/registry/test_process.py
@@ -0,0 +1,295 @@
+"""Members of the registry over loopback: changes, lost disks, newcomers, watchers."""
+
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from random import Random
+from tempfile import TemporaryDirectory
+
+from anyio import CancelScope, create_task_group, fail_after, run, sleep
+from anyio.abc import TaskGroup
+from attrs import define, field
+from orjson import loads
+
+from pistachiolever.control.storage import FolderDisk, LogStorage
+from pistachiolever.discovery.models import Announcement, EndpointState
+from pistachiolever.edge.peers import PeerCaller
+from pistachiolever.events.lines import EventLines
+from pistachiolever.http1.models import HttpLimits
+from pistachiolever.http1.server import HttpServer
+from pistachiolever.registry.errors import UnavailableError
+from pistachiolever.registry.process import RegistryProcess
+from pistachiolever.registry.settings import RegistrySettings
+from pistachiolever.registry.watcher import RegistryWatcher
+from pistachiolever.routing.errors import InvalidConfigurationError
+from tests.http1.test_server import free_address
+from tests.support.cases import CaseTest
+
+LIMITS = HttpLimits(max_body_bytes=1024 * 1024)
+SECONDS = 30.0
+
+
+def version_of(document: bytes) -> int:
+    """Return the version of a test document."""
+    fields = loads(document)
+    if "version" not in fields:
+        raise InvalidConfigurationError("version", "is missing")
+    return int(fields["version"])
+
+
+def quiet_lines(name: str) -> EventLines:
+    """Return a log that nobody reads."""
+    return EventLines(name, lambda: 0, lambda _: None)
+
+
+def document(version: int, text: str = "") -> bytes:
+    """Return a test document."""
+    return b'{"version":%d,"text":"%s"}' % (version, text.encode())
+
+
+@define(eq=False)
+class Member:
+    """One running member."""
+
+    process: RegistryProcess
+    disk: FolderDisk
+    scope: CancelScope = field(factory=CancelScope)
+
+    async def run(self) -> None:
+        """Serve until stopped."""
+        server = HttpServer(
+            self.process.settings.address, self.process.face().handle, lambda: LIMITS
+        )
+        with self.scope:
+            async with create_task_group() as group:
+                group.start_soon(self.process.run)
+                group.start_soon(server.serve)
+        self.disk.close()
+
+
+@define(eq=False)
+class Fleet:
+    """Members by name; each has a folder."""
+
+    root: Path
+    group: TaskGroup
+    address_by_name: dict[str, str] = field(factory=dict)
+    member_by_name: dict[str, Member] = field(factory=dict)
+    seeds: list[str] = field(factory=list)
+
+    async def begin(self, names: str = "abc") -> None:
+        """Start the founders."""
+        for name in names:
+            self.address_by_name[name] = await free_address()
+        self.seeds = list(self.address_by_name.values())
+        for name in names:
+            self.start(name, founder=True)
+
+    def start(self, name: str, founder: bool = False, folder: str = "") -> None:
+        """Start a member on its folder."""
+        settings = RegistrySettings(
+            name,
+            self.address_by_name[name],
+            self.seeds,
+            str(self.root / (folder or name)),
+            founder,
+        )
+        disk = FolderDisk(Path(settings.data_folder))
+        process = RegistryProcess(
+            settings, LogStorage(disk), version_of, quiet_lines(name), Random(name)
+        )
+        self.member_by_name[name] = Member(process, disk)
+        self.group.start_soon(self.member_by_name[name].run)
+
+    async def stop(self, name: str) -> None:
+        """Stop a member at once."""
+        self.member_by_name.pop(name).scope.cancel()
+        await sleep(0.05)
+
+    def any(self) -> RegistryProcess:
+        """Return some member's process."""
+        return next(iter(self.member_by_name.values())).process
+
+    def leader(self) -> str:
+        """Return the name of the member that leads; empty if none does."""
+        for name, member in self.member_by_name.items():
+            if member.process.core.is_leader:
+                return name
+        return ""
+
+    async def store(self, body: bytes) -> int:
+        """Store a configuration, at any member, until it is acknowledged."""
+        while True:
+            for member in list(self.member_by_name.values()):
+                try:
+                    return await member.process.store(body)
+                except UnavailableError:
+                    await sleep(0.05)
+
+    async def read(self) -> bytes:
+        """Read the configuration, at any member, until one is sure."""
+        while True:
+            for member in list(self.member_by_name.values()):
+                try:
+                    return (await member.process.read()).document.encode()
+                except UnavailableError:
+                    await sleep(0.05)
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        """Wait until something holds."""
+        while not condition():
+            await sleep(0.05)
+
+    def counts(self, name: str) -> bool:
+        """Tell whether a running member counts, by its own log."""
+        core = self.member_by_name[name].process.core
+        return core.member_id in core.members
+
+
+def play(test: Callable[[Fleet], Awaitable[None]]) -> None:
+    """Run a test over a fleet of members."""
+
+    async def work() -> None:
+        """Run within a group that ends with the test."""
+        with TemporaryDirectory() as root, fail_after(SECONDS):
+            async with create_task_group() as group:
+                await test(Fleet(Path(root), group))
+                group.cancel_scope.cancel()
+
+    run(work)
+
+
+class ConfigurationTest(CaseTest):
+    """What was acknowledged stays in force."""
+
+    def test_the_highest_version_wins_and_the_first_of_equals(self) -> None:
+        async def test(fleet: Fleet) -> None:
+            await fleet.begin()
+            self.assertEqual(await fleet.store(document(3, "first")), 3)
+            self.assertEqual(await fleet.store(document(3, "second")), 3)
+            self.assertEqual(await fleet.store(document(2)), 3)
+            self.assertEqual(await fleet.read(), document(3, "first"))
+            with self.assertRaises(InvalidConfigurationError):
+                await fleet.any().store(b"{}")
+
+        play(test)
+
+    def test_a_lost_leader_and_power_lost_by_all(self) -> None:
+        async def test(fleet: Fleet) -> None:
+            await fleet.begin()
+            await fleet.store(document(1))
+            lost = fleet.leader()
+            await fleet.stop(lost)
+            await fleet.store(document(2))
+            fleet.start(lost)
+            self.assertEqual(await fleet.read(), document(2))
+            for name in "abc":
+                await fleet.stop(name)
+            for name in "abc":
+                fleet.start(name)
+            self.assertEqual(await fleet.read(), document(2))
+
+        play(test)
+
+    def test_a_lost_disk_then_power_lost_by_the_others(self) -> None:
+        async def test(fleet: Fleet) -> None:
+            await fleet.begin()
+            await fleet.store(document(5))
+            lost = fleet.leader()
+            for name in "abc":
+                await fleet.stop(name)
+            for name in "abc":
+                fleet.start(name, folder="new" if name == lost else "")
+            self.assertEqual(await fleet.read(), document(5))
+            await fleet.until(lambda: fleet.counts(lost))
+            members = fleet.any().core.members
+            self.assertEqual(len(members), 3)
+
+        play(test)
+
+    def test_a_minority_does_not_answer(self) -> None:
+        async def test(fleet: Fleet) -> None:
+            await fleet.begin()
+            await fleet.store(document(5))
+            for name in "ab":
+                await fleet.stop(name)
+            last = fleet.member_by_name["c"].process
+            with self.assertRaises(UnavailableError):
+                await last.read()
+            with self.assertRaises(UnavailableError):
+                await last.store(document(6))
+
+        play(test)
+
+    def test_members_move_to_other_addresses(self) -> None:
+        """Each founder is replaced by a newcomer, one after the other."""
+
+        async def test(fleet: Fleet) -> None:
+            await fleet.begin()
+            await fleet.store(document(1))
+            for version, (old, new) in enumerate(zip("abc", "def", strict=True), 2):
+                fleet.address_by_name[new] = await free_address()
+                fleet.start(new)
+                await fleet.until(lambda new=new: fleet.counts(new))  # type: ignore[misc]
+                await fleet.stop(old)
+                await fleet.store(document(version))
+                await fleet.until(
+                    lambda: bool(fleet.leader()) and len(fleet.any().core.members) == 3
+                )
+            self.assertEqual(await fleet.read(), document(4))
+
+        play(test)
+
+
+@define
+class Listener:
+    """Keeps what a watcher is told."""
+
+    versions: list[int] = field(factory=list)
+    states: dict[str, EndpointState] = field(factory=dict)
+    count: int = 0
+
+    def configuration(self, version: int, document: str) -> None:
+        """Keep a version."""
+        self.versions.append(version)
+
+    def announcements(self, news: list[Announcement]) -> None:
+        """Keep what endpoints said."""
+        for announcement in news:
+            self.states[announcement.endpoint_id] = announcement.state
+
+    def routers(self, count: int) -> None:
+        """Keep the number of routers."""
+        self.count = count
+
+
+class WatchTest(CaseTest):
+    """Watchers hear of everything, whichever member heard it first."""
+
+    def test_configurations_and_endpoints(self) -> None:
+        async def test(fleet: Fleet) -> None:
+            await fleet.begin()
+            listener = Listener()
+            watcher = RegistryWatcher(
+                "router",
+                True,
+                lambda: fleet.seeds[:1],
+                PeerCaller(),
+                listener,
+                quiet_lines("router"),
+            )
+            fleet.group.start_soon(watcher.run)
+            await fleet.store(document(4))
+            await fleet.until(lambda: listener.versions == [4])
+            news = Announcement(
+                "e1", 9, 1, EndpointState.READY, "s", "10.0.0.1:80", "north"
+            )
+            await fleet.member_by_name["b"].process.announce(news)
+            await fleet.until(lambda: listener.states == {"e1": EndpointState.READY})
+            await fleet.member_by_name["c"].process.leave("e1", None)
+            await fleet.until(lambda: listener.states == {"e1": EndpointState.GONE})
+            await fleet.until(lambda: listener.count == 1)
+            await fleet.stop(fleet.leader())
+            await fleet.store(document(6))
+            await fleet.until(lambda: listener.versions == [4, 6])
+
+        play(test)
