--- /dev/null
+++ b/tests/gateway/test_relay.py
@@ -0,0 +1,323 @@
+"""Answers through a whole router over loopback, from endpoints that misbehave."""
+
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from anyio import (
+    BrokenResourceError,
+    ClosedResourceError,
+    EndOfStream,
+    connect_tcp,
+    create_task_group,
+    create_tcp_listener,
+    current_time,
+    fail_after,
+    run,
+    sleep,
+)
+from anyio.abc import SocketAttribute, SocketStream
+from attrs import define, evolve, field
+
+from pistachiolever.discovery.models import Announcement, EndpointState
+from pistachiolever.edge.peers import PeerCaller
+from pistachiolever.gateway.dialect import Dialect
+from pistachiolever.gateway.fleet import FleetView
+from pistachiolever.gateway.process import GatewayProcess
+from pistachiolever.gateway.settings import GatewaySettings
+from pistachiolever.registry.watcher import RegistryWatcher
+from pistachiolever.routing.models import (
+    PassAccount,
+    PassConfiguration,
+    PassRoute,
+    PassService,
+    RequestKind,
+    WeightedService,
+)
+from pistachiolever.routing.table import RouteTable
+from tests.http1.test_server import free_address, read_all
+from tests.registry.test_process import quiet_lines
+from tests.support.cases import CaseTest
+
+SERVICES = [WeightedService("s", 1.0)]
+ROUTES = [
+    PassRoute("read", "x", "/read/", RequestKind.IDEMPOTENT, SERVICES, 2, 0.3, 0, 2),
+    PassRoute("book", "x", "/book/", RequestKind.NON_IDEMPOTENT, SERVICES, 2, 0.3),
+    PassRoute(
+        "plan", "x", "/plan/", RequestKind.STREAM, SERVICES, 4, 1, 0, 2, resumable=True
+    ),
+    PassRoute("talk", "x", "/talk/", RequestKind.STREAM, SERVICES, 4, 1),
+]
+CONFIGURATION = PassConfiguration(
+    1, ROUTES, [PassService("s")], [PassAccount("one", ["key"])]
+)
+HEAD = b"HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Request-Id: %s\r\n"
+EVENTS = [b"id: %d\ndata: x\n\n" % n for n in range(1, 7)]
+Script = Callable[["Endpoint", SocketStream, bytes], Awaitable[None]]
+
+
+def chunk(data: bytes) -> bytes:
+    """Return one chunk of a body."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+@define
+class Endpoint:
+    """An endpoint that follows a script for each request; keeps their heads."""
+
+    script: Script
+    heads: list[bytes] = field(factory=list)
+
+    async def serve(self, stream: SocketStream) -> None:
+        """Serve one connection until either side ends it."""
+        try:
+            async with stream:
+                await self._serve(stream)
+        except (EndOfStream, BrokenResourceError, ClosedResourceError):
+            return
+
+    async def _serve(self, stream: SocketStream) -> None:
+        """Follow the script for one request after the other."""
+        data = b""
+        while True:
+            while b"\r\n\r\n" not in data:
+                data += await stream.receive()
+            head, _, data = data.partition(b"\r\n\r\n")
+            self.heads.append(head)
+            await self.script(self, stream, head)
+
+
+def value(head: bytes, name: bytes) -> bytes:
+    """Return the value of a header; empty if it is missing."""
+    for line in head.split(b"\r\n")[1:]:
+        key, _, text = line.partition(b":")
+        if key.lower() == name:
+            return text.strip()
+    return b""
+
+
+def id_of(head: bytes) -> bytes:
+    """Return the id of a request."""
+    return value(head, b"x-request-id")
+
+
+async def answer(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
+    """Answer as one should."""
+    body = HEAD % id_of(head) + b"Content-Length: 4\r\n\r\ngood"
+    await stream.send(body)
+
+
+async def shed(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
+    """Refuse for lack of room."""
+    await stream.send(b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+
+
+async def fail(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
+    """Run the request and fail."""
+    await stream.send(
+        b"HTTP/1.1 500 No\r\nX-Signature: f\r\nX-Request-Id: %s\r\n"
+        b"Content-Length: 3\r\n\r\nbad" % id_of(head)
+    )
+
+
+async def truncate(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
+    """Break off within the body."""
+    await stream.send(HEAD % id_of(head) + b"Content-Length: 40\r\n\r\ngo")
+    await stream.aclose()
+
+
+async def vanish(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
+    """Close without an answer."""
+    await stream.aclose()
+
+
+async def garble(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
+    """Send bytes that are no answer."""
+    await stream.send(b"\x00\x01 no answer\r\n\r\n")
+
+
+async def unsigned(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
+    """Answer without a signature."""
+    await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfake")
+
+
+async def foreign(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
+    """Answer another request."""
+    await stream.send(HEAD % b"another" + b"Content-Length: 4\r\n\r\nfake")
+
+
+async def answer_twice(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
+    """Answer, and send a second answer that nobody asked for."""
+    body = HEAD % id_of(head) + b"Content-Length: 4\r\n\r\ngood"
+    await stream.send(body + body)
+
+
+async def stream_whole(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
+    """Stream from where the request asks, to the end."""
+    last = int(value(head, b"last-event-id") or b"0")
+    await stream.send(HEAD % id_of(head) + b"Transfer-Encoding: chunked\r\n\r\n")
+    for event in EVENTS[last:]:
+        await stream.send(chunk(event))
+    await stream.send(b"0\r\n\r\n")
+
+
+async def stream_part(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
+    """Break off within the third event."""
+    await stream.send(HEAD % id_of(head) + b"Transfer-Encoding: chunked\r\n\r\n")
+    await stream.send(chunk(EVENTS[0] + EVENTS[1] + EVENTS[2][:5]))
+    await sleep(0.05)
+    await stream.aclose()
+
+
+async def unframed(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
+    """Answer without a length, up to the end of the connection."""
+    await stream.send(HEAD % id_of(head) + b"Connection: close\r\n\r\ngood")
+    await stream.aclose()
+
+
+async def hold(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
+    """Stay silent."""
+    await sleep(30)
+
+
+@define
+class Result:
+    """What a caller got, and what the endpoints saw."""
+
+    status: int
+    body: bytes
+    head: bytes
+    sends: int
+    raw: bytes
+
+
+def ask(path: bytes, *scripts: Script, extra: bytes = b"") -> Result:
+    """Send one request through a router before endpoints with these scripts."""
+    return run(_ask, path, list(scripts), extra)
+
+
+async def _ask(path: bytes, scripts: list[Script], extra: bytes) -> Result:
+    """Run a router, its endpoints and one caller."""
+    settings = GatewaySettings(
+        "r", "north", await free_address(), await free_address(), "/ready", 2, 1, 10, 99
+    )
+    lines = quiet_lines("r")
+    fleet = FleetView(
+        settings, lambda _: CONFIGURATION, PeerCaller(), lines, Random(1), current_time
+    )
+    fleet.table = RouteTable(CONFIGURATION)
+    watcher = RegistryWatcher("r", True, list, PeerCaller(), fleet, lines)
+    process = GatewayProcess(settings, Dialect(), fleet, watcher)
+    endpoints = [Endpoint(script) for script in scripts]
+    with fail_after(10):
+        async with create_task_group() as group:
+            group.start_soon(process.run)
+            for number, endpoint in enumerate(endpoints):
+                listener = await create_tcp_listener(local_host="127.0.0.1")
+                port = listener.extra(SocketAttribute.local_port)
+                group.start_soon(listener.serve, endpoint.serve)
+                base = Announcement(
+                    f"e{number}", 1, 1, EndpointState.READY, "s", "", "north", 8
+                )
+                fleet.announcements([evolve(base, address=f"127.0.0.1:{port}")])
+            await sleep(0.05)
+            host, _, port_text = settings.front_address.rpartition(":")
+            async with await connect_tcp(host, int(port_text)) as caller:
+                await caller.send(
+                    b"GET %s HTTP/1.1\r\nHost: x\r\nX-Request-Id: id1\r\n"
+                    b"X-Deadline-Ms: 1500\r\nConnection: close\r\n"
+                    b"Authorization: Bearer key\r\n%s\r\n" % (path, extra)
+                )
+                raw = await read_all(caller)
+            group.cancel_scope.cancel()
+    head, _, body = raw.partition(b"\r\n\r\n")
+    status = int(head.split(b" ")[1]) if head else 0
+    sends = sum(len(endpoint.heads) for endpoint in endpoints)
+    return Result(status, body, head.lower(), sends, raw)
+
+
+class PlainAnswerTest(CaseTest):
+    """What a caller is told, by kind of request and by what the endpoint did."""
+
+    def test_table(self) -> None:
+        cases = [
+            ("read", [answer], 200, 1),
+            ("read", [unframed], 200, 1),
+            ("read", [answer_twice], 200, 1),
+            ("read", [fail, fail], 500, 2),
+            ("read", [shed, shed], 503, 2),
+            ("read", [truncate, truncate], 502, 2),
+            ("book", [answer], 200, 1),
+            ("book", [shed, answer], (200, 503), 1),
+            ("book", [fail], 500, 1),
+            ("book", [truncate], 502, 1),
+            ("book", [vanish], 502, 1),
+            ("book", [garble], 502, 1),
+            ("book", [unsigned], 502, 1),
+            ("book", [foreign], 502, 1),
+            ("book", [hold], 504, 1),
+        ]
+        for path, scripts, status, sends in cases:
+            names = [script.__name__ for script in scripts]
+            with self.subTest(path=path, scripts=names):
+                result = ask(b"/%s/1" % path.encode(), *scripts)
+                expected = status if isinstance(status, tuple) else (status,)
+                self.assertIn(result.status, expected, result.raw)
+                self.assertEqual(result.sends, sends)
+                if result.status == 200:
+                    self.assertEqual(result.body.replace(b"4\r\n", b"")[:4], b"good")
+                if result.status == 503:
+                    self.assertIn(b"retry-after: ", result.head)
+                if result.status in (502, 503, 504):
+                    self.assertNotIn(b"x-signature", result.head)
+
+    def test_a_repeatable_request_is_repeated_elsewhere(self) -> None:
+        for fault in (shed, fail, truncate, vanish, garble, unsigned, foreign):
+            with self.subTest(fault.__name__):
+                result = ask(b"/read/1", fault, answer)
+                self.assertEqual((result.status, result.body), (200, b"good"))
+
+    def test_what_is_not_allowed_reaches_no_endpoint(self) -> None:
+        self.assertEqual(ask(b"/other/1", answer).status, 404)
+        wrong = b"Authorization: Bearer wrong\r\n"
+        result = ask(b"/other/1", answer, extra=wrong)
+        self.assertEqual((result.status, result.sends), (404, 0))
+
+
+class StreamTest(CaseTest):
+    """Streams are whole, or visibly not."""
+
+    def whole(self) -> bytes:
+        """Return the body of a whole stream, without its chunks' frames."""
+        return b"".join(EVENTS)
+
+    def body(self, result: Result) -> bytes:
+        """Return the bytes of all chunks."""
+        data, body = result.body, b""
+        while data:
+            size, _, data = data.partition(b"\r\n")
+            length = int(size, 16)
+            body, data = body + data[:length], data[length + 2 :]
+        return body
+
+    def test_a_whole_stream(self) -> None:
+        for path in (b"/plan/1", b"/talk/1"):
+            result = ask(path, stream_whole)
+            self.assertEqual(self.body(result), self.whole())
+            self.assertTrue(result.raw.endswith(b"0\r\n\r\n"))
+
+    def test_a_stream_is_resumed_elsewhere_after_its_last_whole_event(self) -> None:
+        result = ask(b"/plan/1", stream_part, stream_part)
+        self.assertFalse(result.raw.endswith(b"0\r\n\r\n"))
+        for scripts in ([stream_part, stream_whole], [stream_whole, stream_part]):
+            result = ask(b"/plan/1", *scripts)
+            self.assertEqual(self.body(result), self.whole())
+            self.assertTrue(result.raw.endswith(b"0\r\n\r\n"))
+
+    def test_a_stream_that_may_not_be_resumed_looks_broken(self) -> None:
+        result = ask(b"/talk/1", stream_part)
+        self.assertEqual((result.status, result.sends), (200, 1))
+        self.assertFalse(result.raw.endswith(b"0\r\n\r\n"))
+
+    def test_a_caller_resumes(self) -> None:
+        result = ask(b"/plan/1", stream_whole, extra=b"Last-Event-Id: 4\r\n")
+        self.assertEqual(self.body(result), b"".join(EVENTS[4:]))
