Wait out bursts, keep queues short under overload; weigh rereading by pressure

The bound now follows demand against what can be read; what rereading weighs follows how many engines have work that waits.

--- a/pistachiolever/admission/const.py
+++ b/pistachiolever/admission/const.py
@@ -26,9 +26,11 @@
 # Expected output while no better is known: this part of the most.
 OUTPUT_SHARE: Final = 0.5
 # A request is refused once waiting and reading would take more than this part of its
-# target: the rest is for estimates that are wrong, and large prompts, which hold up
-# all others, are left for an engine that is nearly free.
-WAIT_SHARE: Final = 0.5
+# target: while what comes can be read, and while far more comes.
+CALM_WAIT_SHARE: Final = 1.0
+BUSY_WAIT_SHARE: Final = 0.5
+# Demand beyond what can be read, as a part of that, at which the busy share is in force.
+FULL_EXCESS: Final = 0.35
 # At most this part of the target is set aside for reading the own prompt, so that
 # the largest prompts are not refused for their size alone.
 OWN_READING_SHARE: Final = 0.45
@@ -38,6 +40,8 @@
 # Shortest time after which a refused caller should come back.
 LEAST_RETRY_SECONDS: Final = 0.4
 MOST_RETRY_SECONDS: Final = 4.0
+# A prompt lets others of its kind pass that come within so many times its reading.
+SIZE_WEIGHT: Final = 3.0
 # Requests that wait before one endpoint; more are refused at once.
 MAX_WAITING: Final = 400
 # How often what waits is looked at again.
@@ -60,10 +64,10 @@
 # The pace follows the answers that need more speed than this part of all.
 NEED_QUANTILE: Final = 0.1
 MOST_PACE_SECONDS: Final = 0.05
-SHORTEST_PACE_SECONDS: Final = 0.02
+SHORTEST_PACE_SECONDS: Final = 0.03
 # Weight of what was seen before, at each new measurement of the pace.
 PACE_DECAY: Final = 0.8
 # Steps of the share of reading at each report of the engine.
 FLOW_SHRINK: Final = 0.9
 FLOW_GROWTH: Final = 1.04
-LEAST_FLOW_SHARE: Final = 0.15
+LEAST_FLOW_SHARE: Final = 0.7
--- a/pistachiolever/admission/core.py
+++ b/pistachiolever/admission/core.py
@@ -11,9 +11,12 @@
 
 from pistachiolever.admission.cache import PrefixCache, keyed_parts
 from pistachiolever.admission.const import (
+    BUSY_WAIT_SHARE,
+    CALM_WAIT_SHARE,
     FIRST_PART_SECONDS,
     FIRST_RUN_SECONDS,
     FIRST_SPEED,
+    FULL_EXCESS,
     GENERATED_WEIGHT,
     LEAST_RETRY_SECONDS,
     LEAST_SPEED,
@@ -23,10 +26,10 @@
     MOST_RETRY_SECONDS,
     OWN_READING_SHARE,
     PASS_SHARE,
+    SERVICE_MEMORY_SECONDS,
     SPEED_DECAY,
     SPEED_SAMPLE_TOKENS,
     UNREAD_TOKENS,
-    WAIT_SHARE,
 )
 from pistachiolever.admission.fair_queue import FairQueue, Waiting
 from pistachiolever.admission.flow import ReadingFlow, RunningAnswer, needed_pace
@@ -101,6 +104,7 @@
     users_by_part: dict[str, int] = field(factory=dict)
     memory_used: float = 0.0
     foreign_running: int = 0
+    demand: FadingSum = field(factory=FadingSum)
     run_ends: FadingSum = field(factory=FadingSum)
     run_seconds: FadingSum = field(factory=FadingSum)
 
@@ -120,6 +124,7 @@
         self.cache.capacity_tokens = bid.memory_tokens
         self.service.hear(bid.account_id, bid.elsewhere, now)
         unread = bid.prompt_tokens - self.cache.cached_tokens(bid.model, bid.parts)
+        self.demand.add(max(0, unread), now)
         self.waiting_by_id[bid.bid_id] = Waiting(
             bid,
             now,
@@ -340,6 +345,7 @@
         blocked = 0
         is_full = self._is_full()
         between_ends = self._seconds_between_ends(now)
+        wait_share = self._wait_share(now)
         actions: list[AdmissionAction] = []
         for waiting in self._fair_order(now):
             blocked += is_full or not self._fits(waiting)
@@ -347,7 +353,7 @@
             start = now + wait + FIRST_PART_SECONDS
             target = waiting.bid.target_seconds
             own = min(waiting.unread_tokens / speed, OWN_READING_SHARE * target)
-            if start + own - waiting.arrived_at > WAIT_SHARE * target:
+            if start + own - waiting.arrived_at > wait_share * target:
                 del self.waiting_by_id[waiting.bid.bid_id]
                 actions.append(
                     Refused(waiting.bid.bid_id, "late", self._retry_after(wait))
@@ -356,6 +362,17 @@
             ahead += waiting.unread_tokens
         return actions
 
+    def _wait_share(self, now: float) -> float:
+        """Return the part of its target that a request may wait and be read.
+
+        A burst is worth waiting out. While more comes than can be read, a queue only
+        makes all late, so it is kept short.
+        """
+        readable = self.reading_speed() * SERVICE_MEMORY_SECONDS
+        excess = self.demand.read(now) / readable - 1.0
+        part = min(1.0, max(0.0, excess / FULL_EXCESS))
+        return CALM_WAIT_SHARE + part * (BUSY_WAIT_SHARE - CALM_WAIT_SHARE)
+
     def _seconds_between_ends(self, now: float) -> float:
         """Return about how long it takes until the next run ends."""
         ends = self.run_ends.read(now)
--- a/pistachiolever/admission/fair_queue.py
+++ b/pistachiolever/admission/fair_queue.py
@@ -2,7 +2,7 @@
 
 from attrs import define, field
 
-from pistachiolever.admission.const import GENERATED_WEIGHT
+from pistachiolever.admission.const import FIRST_SPEED, GENERATED_WEIGHT, SIZE_WEIGHT
 from pistachiolever.admission.models import Bid
 from pistachiolever.admission.shares import RecentService
 
@@ -80,7 +80,7 @@
     def _queues(self, waiting: list[Waiting]) -> dict[str, AccountQueue]:
         """Return the requests by account and kind, the oldest of each last."""
         queues: dict[str, AccountQueue] = {}
-        for entry in reversed(sorted(waiting, key=_arrival)):
+        for entry in reversed(sorted(waiting, key=_turn)):
             account_id, kind = entry.bid.account_id, entry.bid.kind
             account = queues.get(account_id)
             if account is None:
@@ -94,6 +94,11 @@
         return queues
 
 
-def _arrival(waiting: Waiting) -> float:
-    """Return what orders the requests of a kind."""
-    return waiting.arrived_at
+def _turn(waiting: Waiting) -> float:
+    """Return what orders the requests of a kind: age, and size where it is short.
+
+    A large prompt lets those pass that come within a multiple of its reading time,
+    so more requests are in time; it still gets its turn.
+    """
+    reading_seconds = waiting.unread_tokens / FIRST_SPEED
+    return waiting.arrived_at + SIZE_WEIGHT * reading_seconds
--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -14,8 +14,10 @@
 # An endpoint that can't be reached is left alone, longer each time.
 FIRST_EJECTION_SECONDS: Final = 0.5
 MOST_EJECTION_SECONDS: Final = 8.0
-# A prompt that must be read again costs the fleet more than the wait it makes.
-REREAD_WEIGHT: Final = 10.0
+# What reading a shared prompt again weighs against the wait it makes, while no engine
+# has work that waits and while all have.
+CALM_REREAD_WEIGHT: Final = 1.0
+BUSY_REREAD_WEIGHT: Final = 10.0
 # A part is taken as kept by an engine for so long after its last use there.
 PART_HOME_SECONDS: Final = 15.0
 MAX_PART_HOMES: Final = 20_000
--- a/pistachiolever/gateway/placement.py
+++ b/pistachiolever/gateway/placement.py
@@ -11,13 +11,14 @@
 from pistachiolever.discovery.models import Announcement
 from pistachiolever.gateway.const import (
     BUSY_PENALTY_SECONDS,
+    BUSY_REREAD_WEIGHT,
+    CALM_REREAD_WEIGHT,
     COLD_PENALTY_SECONDS,
     DISTANCE_SECONDS,
     FAILURE_PENALTY_SECONDS,
     FULL_PENALTY_SECONDS,
     MAX_PART_HOMES,
     PART_HOME_SECONDS,
-    REREAD_WEIGHT,
 )
 from pistachiolever.gateway.health import EndpointHealth
 
@@ -90,6 +91,7 @@
     ) -> list[Choice]:
         """Return the candidates, the best first."""
         home = _home_of(parts, candidates)
+        weight = _reread_weight(candidates)
         choices = [
             self._choice(
                 model,
@@ -98,6 +100,7 @@
                 candidate,
                 now,
                 candidate.endpoint.endpoint_id == home,
+                weight,
             )
             for candidate in candidates
         ]
@@ -112,6 +115,7 @@
         candidate: Candidate,
         now: float,
         is_home: bool,
+        reread_weight: float,
     ) -> Choice:
         """Return what speaks for and against one endpoint."""
         endpoint, load = candidate.endpoint, candidate.load
@@ -126,7 +130,7 @@
         if is_home:
             cached = max(cached, sum(part.tokens for part in parts[:-1]))
         unread = max(0, prompt_tokens - cached)
-        reread = REREAD_WEIGHT * self._shared_unread(parts, cached) / speed
+        reread = reread_weight * self._shared_unread(parts, cached) / speed
         reread += unread / speed
         failures = FAILURE_PENALTY_SECONDS * candidate.health.failure_share(now)
         cost = wait + reread + failures
@@ -142,6 +146,17 @@
         return max(0, shared - cached)
 
 
+def _reread_weight(candidates: list[Candidate]) -> float:
+    """Return what reading a shared prompt again weighs against waiting.
+
+    While engines are free it delays nobody but the request itself; the more of them
+    have work that waits, the more others it holds up.
+    """
+    busy = sum(candidate.load.waiting > 0 for candidate in candidates)
+    pressure = busy / max(1, len(candidates))
+    return CALM_REREAD_WEIGHT + pressure * (BUSY_REREAD_WEIGHT - CALM_REREAD_WEIGHT)
+
+
 def _home_of(parts: list[PromptPart], candidates: list[Candidate]) -> str:
     """Return the endpoint where requests that share a prompt meet.
 
