--- a/pistachiolever/admission/const.py
+++ b/pistachiolever/admission/const.py
@@ -29,7 +29,7 @@
 # target: while what comes can be read, and while far more comes.
 CALM_WAIT_SHARE: Final = 1.0
 BUSY_WAIT_SHARE: Final = 0.5
-# Demand beyond what can be read, as a part of that, at which the busy share is in force.
+# Demand beyond what can be read, as a part of it, at which the busy share holds.
 FULL_EXCESS: Final = 0.35
 # At most this part of the target is set aside for reading the own prompt, so that
 # the largest prompts are not refused for their size alone.
