Let requests that can be in time pass those whose target has passed

Cause: a caller that comes back after a refusal is late already; served first by age it took the place of one that could be in time.

--- a/pistachiolever/admission/fair_queue.py
+++ b/pistachiolever/admission/fair_queue.py
@@ -49,10 +49,11 @@
             del self.queue_by_kind[kind]
         return waiting
 
-    def _rank_and_service(self, kind: str) -> tuple[int, float]:
-        """Return what orders the kinds."""
+    def _rank_and_service(self, kind: str) -> tuple[bool, int, float]:
+        """Return what orders the kinds: first those that can still be in time."""
         queue = self.queue_by_kind[kind]
-        return (queue.waiting[-1].bid.priority, queue.service)
+        bid = queue.waiting[-1].bid
+        return (bid.late, bid.priority, queue.service)
 
 
 @define
@@ -94,11 +95,12 @@
         return queues
 
 
-def _turn(waiting: Waiting) -> float:
+def _turn(waiting: Waiting) -> tuple[bool, float]:
     """Return what orders the requests of a kind: age, and size where it is short.
 
     A large prompt lets those pass that come within a multiple of its reading time,
-    so more requests are in time; it still gets its turn.
+    so more requests are in time; it still gets its turn. One whose target has passed
+    lets all others pass.
     """
     reading_seconds = waiting.unread_tokens / FIRST_SPEED
-    return waiting.arrived_at + SIZE_WEIGHT * reading_seconds
+    return (waiting.bid.late, waiting.arrived_at + SIZE_WEIGHT * reading_seconds)
