--- a/pistachiolever/admission/agent.py
+++ b/pistachiolever/admission/agent.py
@@ -24,6 +24,7 @@
 from pistachiolever.edge.peers import InnerFace
 from pistachiolever.events.const import EventCode
 from pistachiolever.events.lines import EventLines
+from pistachiolever.metrics.instruments import GRANT_WAIT, GRANTS, Instruments
 
 
 class EngineProbe(Protocol):
@@ -40,13 +41,24 @@
     probe: EngineProbe
     events: EventLines
     rng: Random
+    instruments: Instruments = field(factory=Instruments)
     desk: AdmissionDesk = field(init=False)
     engine_born_ms: int = 0
     engine_silent: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Start with no bids; the first one brings the engine's size."""
-        self.desk = AdmissionDesk(AdmissionCore(Capacity(1), self.rng), current_time)
+        core = AdmissionCore(Capacity(1), self.rng)
+        self.desk = AdmissionDesk(core, current_time)
+        gauge = self.instruments.gauge
+        gauge("pistachiolever_waiting", lambda: len(core.waiting_by_id))
+        gauge("pistachiolever_running", lambda: len(core.run_by_id))
+        gauge(
+            "pistachiolever_unread_tokens",
+            lambda: core.unread_tokens(self.desk.now()),
+        )
+        gauge("pistachiolever_reading_share", lambda: core.flow.share)
+        gauge("pistachiolever_token_seconds", lambda: core.flow.pace)
 
     async def run(self) -> None:
         """Work until cancelled."""
@@ -65,6 +77,10 @@
         """Answer a bid once it is decided."""
         begun = self.desk.now()
         reply = await self.desk.acquire(bid)
+        outcome = "granted" if reply.granted else reply.reason
+        self.instruments.count(GRANTS, bid.account_id, outcome)
+        if reply.granted:
+            self.instruments.see(GRANT_WAIT, self.desk.now() - begun, bid.kind)
         self.events.record(
             EventCode.GRANT_MADE if reply.granted else EventCode.GRANT_REFUSED,
             bid.request_id,
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -21,6 +21,7 @@
 from pistachiolever.gateway.health import EndpointHealth
 from pistachiolever.gateway.placement import Candidate, Placement
 from pistachiolever.gateway.settings import GatewaySettings
+from pistachiolever.metrics.instruments import Instruments
 from pistachiolever.registry.const import ROUTER_SECONDS
 from pistachiolever.routing.errors import InvalidConfigurationError
 from pistachiolever.routing.models import PassConfiguration
@@ -64,6 +65,7 @@
     events: EventLines
     rng: Random
     now: Callable[[], float]
+    instruments: Instruments = field(factory=Instruments)
     table: RouteTable | None = None
     directory: EndpointDirectory = field(factory=EndpointDirectory)
     handle_by_id: dict[str, EndpointHandle] = field(factory=dict)
--- a/pistachiolever/gateway/journey.py
+++ b/pistachiolever/gateway/journey.py
@@ -21,6 +21,14 @@
 from pistachiolever.gateway.models import PassRequest
 from pistachiolever.gateway.placement import Choice
 from pistachiolever.http1.models import Header
+from pistachiolever.metrics.instruments import (
+    ENGINE_FIRST,
+    FIRST_PART,
+    QUEUED,
+    REPEATS,
+    REQUESTS,
+    SENDS,
+)
 
 
 @define(eq=False)
@@ -241,6 +249,15 @@
         elif end.sent and end.endpoint_at_fault and end.reason != "cancelled":
             handle.health.see_bad(now)
         first = attempt.first_at
+        kind = request.route.kind.value
+        figures = fleet.instruments
+        figures.count(SENDS, handle.endpoint.endpoint_id, end.verdict.value)
+        if first is not None:
+            figures.see(FIRST_PART, first - request.arrived_at, kind)
+            figures.see(ENGINE_FIRST, first - sent_at, handle.endpoint.endpoint_id)
+        if end.answered:
+            figures.count(REQUESTS, kind, request.account_id, "answered")
+            figures.see(QUEUED, self.queued_seconds, kind)
         fleet.events.record(
             EventCode.REQUEST_FINISHED if end.answered else EventCode.ATTEMPT_FAILED,
             request.request_id,
@@ -272,6 +289,9 @@
         if request.left(now) < LEAST_SEND_SECONDS:
             return False
         allowed = self.fleet.budget.take(request.service.service_id, now)
+        self.fleet.instruments.count(
+            REPEATS, request.service.service_id, str(allowed).lower()
+        )
         self.fleet.events.record(
             EventCode.REQUEST_RETRIED,
             request.request_id,
@@ -302,6 +322,12 @@
         else:
             status = 503
             await self.sink.respond(status, [self._retry_after()], b"")
+        self.fleet.instruments.count(
+            REQUESTS,
+            request.route.kind.value,
+            request.account_id,
+            "refused" if status == 503 else "failed",
+        )
         self.fleet.events.record(
             EventCode.REQUEST_REFUSED,
             request.request_id,
--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -17,6 +17,7 @@
 from pistachiolever.gateway.settings import GatewaySettings
 from pistachiolever.http1.models import Header, HttpLimits
 from pistachiolever.http1.server import Exchange, HttpServer
+from pistachiolever.metrics.instruments import REQUESTS
 from pistachiolever.registry.watcher import RegistryWatcher
 from pistachiolever.routing.models import PassAccount, PassRoute
 from pistachiolever.routing.table import RouteTable, host_name
@@ -53,6 +54,12 @@
         self.started_at = self.fleet.now()
         self.front = HttpServer(self.settings.front_address, self._serve, self._limits)
         self.ready = HttpServer(self.settings.ready_address, self._answer_ready)
+        gauge = self.fleet.instruments.gauge
+        gauge("pistachiolever_configuration_version", self._version)
+        gauge("pistachiolever_endpoints", lambda: len(self.fleet.handle_by_id))
+        gauge("pistachiolever_busy_connections", self.front.busy_count)
+        gauge("pistachiolever_routers", lambda: self.fleet.budget.routers)
+        gauge("pistachiolever_registry_in_touch", self.watcher.in_touch)
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -143,6 +150,9 @@
 
     def _note_cancelled(self, request: PassRequest, journey: Journey) -> None:
         """Record that the caller left."""
+        self.fleet.instruments.count(
+            REQUESTS, request.route.kind.value, request.account_id, "cancelled"
+        )
         with CancelScope(shield=True):
             self.fleet.events.record(
                 EventCode.REQUEST_CANCELLED,
--- a/pistachiolever/platform/control.py
+++ b/pistachiolever/platform/control.py
@@ -6,6 +6,11 @@
 from pistachiolever.edge.peers import JSON_HEADER
 from pistachiolever.events.const import EventCode
 from pistachiolever.http1.server import Exchange
+from pistachiolever.metrics.instruments import (
+    ANNOUNCEMENTS,
+    CONFIGURATIONS,
+    Instrument,
+)
 from pistachiolever.platform.endpoints import (
     InvalidAnnouncementError,
     decode_announcement,
@@ -31,6 +36,7 @@
         try:
             if path == CONFIGURATION_PATH and method == b"PUT":
                 await self.registry.store(body)
+                self._count(CONFIGURATIONS, "acknowledged")
                 await self._answer(exchange, 200, b"{}")
             elif path == CONFIGURATION_PATH and method == b"GET":
                 await self._read(exchange)
@@ -44,9 +50,11 @@
                 await self._answer(exchange, 404, _error("no such call"))
         except InvalidConfigurationError as error:
             self._note(EventCode.CONFIGURATION_REFUSED, str(error))
+            self._count(CONFIGURATIONS, "invalid")
             await self._answer(exchange, 400, _error(str(error)))
         except InvalidAnnouncementError as error:
             self._note(EventCode.ANNOUNCEMENT_REFUSED, f"{path}: {error}")
+            self._count(ANNOUNCEMENTS, "invalid")
             await self._answer(exchange, 400, _error(str(error)))
         except UnavailableError as error:
             await self._answer(exchange, 503, _error(str(error)))
@@ -65,12 +73,17 @@
         """Take in a heartbeat."""
         news = decode_announcement(endpoint_id, body, self.inner_port)
         await self.registry.announce(news)
+        self._count(ANNOUNCEMENTS, "taken")
         await self._answer(exchange, 200, b"{}")
 
     async def _answer(self, exchange: Exchange, status: int, body: bytes) -> None:
         """Send a JSON answer."""
         await exchange.respond(status, [JSON_HEADER], body)
 
+    def _count(self, instrument: Instrument, outcome: str) -> None:
+        """Count what became of a call."""
+        self.registry.instruments.count(instrument, outcome)
+
     def _note(self, code: EventCode, error: str) -> None:
         """Record a refusal."""
         self.registry.events.record(code, error=error)
--- a/pistachiolever/platform/main.py
+++ b/pistachiolever/platform/main.py
@@ -28,13 +28,15 @@
 from pistachiolever.gateway.process import GatewayProcess
 from pistachiolever.http1.models import HttpLimits
 from pistachiolever.http1.server import HttpServer
+from pistachiolever.metrics.exposition import LoopDelay, MetricsFace
+from pistachiolever.metrics.instruments import Instruments
 from pistachiolever.platform.configuration import (
     configuration_version,
     decode_configuration,
 )
 from pistachiolever.platform.control import ControlFace
 from pistachiolever.platform.endpoints import EngineClient
-from pistachiolever.platform.names import DIALECT, SETTINGS_VARIABLE
+from pistachiolever.platform.names import DIALECT, METRICS_PATH, SETTINGS_VARIABLE
 from pistachiolever.platform.settings import MachineSettings, read_settings
 from pistachiolever.registry.const import HAND_OVER_SECONDS
 from pistachiolever.registry.process import RegistryProcess
@@ -60,12 +62,26 @@
     settings: MachineSettings
     output: LineOutput
     stop: Event = field(factory=Event)
+    instruments: Instruments = field(factory=Instruments)
 
     @property
     def events(self) -> EventLines:
         """Return the log of the process."""
         return self.output.lines
 
+    async def serve_metrics(self) -> None:
+        """Answer scrapes of the process's figures."""
+        delay = LoopDelay()
+        self.instruments.gauge(
+            "pistachiolever_loop_delay_seconds", lambda: delay.seconds
+        )
+        face = MetricsFace(METRICS_PATH, self.instruments)
+        async with create_task_group() as group:
+            group.start_soon(delay.run)
+            group.start_soon(
+                HttpServer(self.settings.metrics_address, face.handle).serve
+            )
+
     async def watch_signals(self) -> None:
         """Stop when told; look at the settings when told that they changed."""
         with open_signal_receiver(SIGTERM, SIGINT, SIGHUP) as signals:
@@ -99,7 +115,13 @@
     caller = PeerCaller()
     rng = SystemRandom()
     fleet = FleetView(
-        settings, decode_configuration, caller, machine.events, rng, current_time
+        settings,
+        decode_configuration,
+        caller,
+        machine.events,
+        rng,
+        current_time,
+        machine.instruments,
     )
     watcher = RegistryWatcher(
         settings.node_id,
@@ -121,7 +143,7 @@
     """Run the process beside an engine until told to stop."""
     caller = PeerCaller()
     probe = EngineClient(machine.settings.engine_address, caller)
-    process = AgentProcess(probe, machine.events, SystemRandom())
+    process = AgentProcess(probe, machine.events, SystemRandom(), machine.instruments)
     server = HttpServer(machine.settings.inner_address, process.face().handle)
     async with create_task_group() as group:
         group.start_soon(process.run)
@@ -140,6 +162,7 @@
         configuration_version,
         machine.events,
         SystemRandom(),
+        instruments=machine.instruments,
     )
     face = ControlFace(process, machine.settings.inner_port)
     inner = HttpServer(settings.address, process.face().handle, lambda: CONTROL_LIMITS)
@@ -176,6 +199,7 @@
         group.start_soon(output.run)
         group.start_soon(machine.watch_signals)
         group.start_soon(machine.watch_settings)
+        group.start_soon(machine.serve_metrics)
         try:
             await ROLE_BY_NAME[name](machine)
         finally:
--- a/pistachiolever/platform/names.py
+++ b/pistachiolever/platform/names.py
@@ -9,6 +9,9 @@
 CONFIGURATION_PATH: Final = "/api/config"
 INSTANCES_PATH: Final = "/api/instances/"
 REPORT_PATH: Final = "/api/report"
+# Beside deploy/system.toml, which names them too.
+METRICS_PORT: Final = 9464
+METRICS_PATH: Final = "/metrics"
 
 DIALECT: Final = Dialect(
     request_id=b"request-id",
--- a/pistachiolever/platform/settings.py
+++ b/pistachiolever/platform/settings.py
@@ -7,7 +7,7 @@
 from attrs import frozen
 
 from pistachiolever.gateway.settings import GatewaySettings
-from pistachiolever.platform.names import READY_PATH
+from pistachiolever.platform.names import METRICS_PORT, READY_PATH
 from pistachiolever.registry.settings import RegistrySettings
 from pistachiolever.settings.errors import InvalidDocumentError, Problem
 
@@ -53,6 +53,11 @@
         """Return the engine on this VM."""
         return str(self.fields["app"])
 
+    @property
+    def metrics_address(self) -> str:
+        """Return where this process serves its metrics."""
+        return f"{self.fields['ip']}:{METRICS_PORT}"
+
     @property
     def grace_seconds(self) -> float:
         """Return the time between the order to stop and the end."""
--- a/pistachiolever/registry/process.py
+++ b/pistachiolever/registry/process.py
@@ -23,6 +23,7 @@
 from pistachiolever.edge.peers import CallRefusedError, InnerFace, PeerCaller
 from pistachiolever.events.const import EventCode
 from pistachiolever.events.lines import EventLines
+from pistachiolever.metrics.instruments import Instruments
 from pistachiolever.raft.core import RaftCore
 from pistachiolever.raft.membership import address_of
 from pistachiolever.raft.models import Join, RaftEnvelope, Received, RoleChanged
@@ -99,6 +100,7 @@
     events: EventLines
     rng: Random
     caller: PeerCaller = field(factory=PeerCaller)
+    instruments: Instruments = field(factory=Instruments)
     now: Callable[[], float] = current_time
     life: str = field(init=False)
     identity: Identity = field(init=False)
@@ -133,6 +135,16 @@
             self.core, self.storage, self.state, self, self._send, self.now
         )
         self.known_addresses = list(self.settings.seeds)
+        gauge = self.instruments.gauge
+        gauge(
+            "pistachiolever_configuration_version",
+            lambda: self.state.configuration.version,
+        )
+        gauge("pistachiolever_endpoints", lambda: len(self.directory.living()))
+        gauge("pistachiolever_routers", self._router_count)
+        gauge("pistachiolever_leads", lambda: self.core.is_leader)
+        gauge("pistachiolever_members", lambda: len(self.core.members))
+        gauge("pistachiolever_term", lambda: self.core.term)
         self.events.record(
             EventCode.LOG_RECOVERED,
             member=own,
--- /dev/null
+++ b/tests/metrics/test_instruments.py
@@ -0,0 +1,53 @@
+"""Figures are bounded, rendered whole, and listed in the docs."""
+
+import re
+from pathlib import Path
+
+from pistachiolever.metrics.exposition import render
+from pistachiolever.metrics.instruments import (
+    COUNTERS,
+    FIRST_PART,
+    GAUGES,
+    HISTOGRAMS,
+    MAX_LABEL_VALUES,
+    SENDS,
+    Instruments,
+)
+from tests.support.cases import CaseTest
+
+PAGE = Path(__file__).parents[2] / "docs" / "METRICS.md"
+
+
+class InstrumentsTest(CaseTest):
+    """What is counted is what is served."""
+
+    def test_text(self) -> None:
+        figures = Instruments()
+        figures.count(SENDS, "e1", "RAN")
+        figures.count(SENDS, "e1", "RAN")
+        figures.see(FIRST_PART, 0.07, "stream")
+        figures.see(FIRST_PART, 99.0, "stream")
+        figures.gauge("pistachiolever_leads", lambda: True)
+        text = render(figures).decode()
+        for line in (
+            'pistachiolever_sends_total{endpoint="e1",verdict="RAN"} 2.0',
+            'pistachiolever_first_part_seconds_bucket{kind="stream",le="0.05"} 0.0',
+            'pistachiolever_first_part_seconds_bucket{kind="stream",le="0.1"} 1.0',
+            'pistachiolever_first_part_seconds_bucket{kind="stream",le="+Inf"} 2.0',
+            'pistachiolever_first_part_seconds_sum{kind="stream"} 99.07',
+            "pistachiolever_leads 1.0",
+        ):
+            self.assertIn(line, text)
+
+    def test_label_values_are_bounded(self) -> None:
+        figures = Instruments()
+        for number in range(MAX_LABEL_VALUES * 3):
+            figures.count(SENDS, f"e{number}", "RAN")
+        counts = figures.count_by_name[SENDS.name]
+        self.assertEqual(len(counts), MAX_LABEL_VALUES + 1)
+        self.assertEqual(counts["other", "RAN"], MAX_LABEL_VALUES * 2)
+
+    def test_the_page_lists_all(self) -> None:
+        rows = re.findall(r"^\| `(pistachiolever_\w+)` \|", PAGE.read_text(), re.M)
+        names = [i.name for i in (*COUNTERS, *HISTOGRAMS, *GAUGES)]
+        self.assertEqual(rows, names)
