--- a/pistachiolever/admission/fair_queue.py
+++ b/pistachiolever/admission/fair_queue.py
@@ -49,11 +49,10 @@
             del self.queue_by_kind[kind]
         return waiting
 
-    def _rank_and_service(self, kind: str) -> tuple[bool, int, float]:
-        """Return what orders the kinds: first those that can still be in time."""
+    def _rank_and_service(self, kind: str) -> tuple[int, float]:
+        """Return what orders the kinds."""
         queue = self.queue_by_kind[kind]
-        bid = queue.waiting[-1].bid
-        return (bid.late, bid.priority, queue.service)
+        return (queue.waiting[-1].bid.priority, queue.service)
 
 
 @define
@@ -95,12 +94,11 @@
         return queues
 
 
-def _turn(waiting: Waiting) -> tuple[bool, float]:
+def _turn(waiting: Waiting) -> float:
     """Return what orders the requests of a kind: age, and size where it is short.
 
     A large prompt lets those pass that come within a multiple of its reading time,
-    so more requests are in time; it still gets its turn. One whose target has passed
-    lets all others pass.
+    so more requests are in time; it still gets its turn.
     """
     reading_seconds = waiting.unread_tokens / FIRST_SPEED
-    return (waiting.bid.late, waiting.arrived_at + SIZE_WEIGHT * reading_seconds)
+    return waiting.arrived_at + SIZE_WEIGHT * reading_seconds
--- a/pistachiolever/gateway/journey.py
+++ b/pistachiolever/gateway/journey.py
@@ -180,7 +180,6 @@
             engine.slots if engine else handle.endpoint.slots,
             engine.memory_tokens if engine else 0,
             engine.event_tokens if engine else 1,
-            now >= request.target_at,
         )
 
     def _target_left(self) -> float:
--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -176,10 +176,7 @@
         account = _account_of(table, route, facts)
         service = table.service_by_id[route.service_for(facts.request_id)]
         left = route.timeout_seconds
-        spent = 0.0
         if facts.deadline_seconds is not None:
-            # A caller that came back has less time left, and its target began earlier.
-            spent = max(0.0, left - facts.deadline_seconds)
             left = min(left, facts.deadline_seconds)
         priority = route.priority
         if account is not None and account.priority is not None:
@@ -193,7 +190,7 @@
             account.account_id if account else "",
             priority,
             arrived_at,
-            arrived_at + route.target_seconds - spent,
+            arrived_at + route.target_seconds,
             arrived_at + left,
         )
 
