--- a/pistachiolever/admission/const.py
+++ b/pistachiolever/admission/const.py
@@ -41,7 +41,7 @@
 LEAST_RETRY_SECONDS: Final = 0.4
 MOST_RETRY_SECONDS: Final = 4.0
 # A prompt lets others of its kind pass that come within so many times its reading.
-SIZE_WEIGHT: Final = 3.0
+SIZE_WEIGHT: Final = 5.0
 # Requests that wait before one endpoint; more are refused at once.
 MAX_WAITING: Final = 400
 # How often what waits is looked at again.
--- a/pistachiolever/events/lines.py
+++ b/pistachiolever/events/lines.py
@@ -19,6 +19,8 @@
 # Lines that wait for a reader that is too slow, in bytes; later ones are left out.
 MAX_WAITING_BYTES: Final = 1024 * 1024
 FLUSH_SECONDS: Final = 0.05
+# Writes to a pipe up to this size are never torn.
+PIECE_BYTES: Final = 4096
 STDOUT: Final = 1
 # Each level of sampling keeps half of the requests of the one before.
 MAX_SAMPLING_LEVEL: Final = 8
@@ -53,17 +55,27 @@
         """Do nothing: standard output stays open."""
 
     def drain(self) -> None:
-        """Write what the pipe takes now."""
-        data = b"".join(self.waiting)
-        self.waiting.clear()
-        try:
-            done = self.write_out(data) if data else 0
-        except (BlockingIOError, OSError):
-            done = 0
-        rest = data[done:]
-        if rest:
-            self.waiting.append(rest)
-        self.waiting_bytes = len(rest)
+        """Write what the pipe takes now, in pieces that it takes whole or not."""
+        while self.waiting:
+            piece = self._next_piece()
+            try:
+                done = self.write_out(piece)
+            except OSError:
+                # The pipe is full or its reader is gone; the lines wait or are counted.
+                done = 0
+            self.waiting_bytes -= done
+            if done < len(piece):
+                self.waiting.appendleft(piece[done:])
+                return
+
+    def _next_piece(self) -> bytes:
+        """Take lines from the front up to what a pipe writes as one."""
+        parts = [self.waiting.popleft()]
+        size = len(parts[0])
+        while self.waiting and size + len(self.waiting[0]) <= PIECE_BYTES:
+            parts.append(self.waiting.popleft())
+            size += len(parts[-1])
+        return b"".join(parts)
 
 
 class JsonFormatter(Formatter):
--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -17,7 +17,7 @@
 # What reading a shared prompt again weighs against the wait it makes, while no engine
 # has work that waits and while all have.
 CALM_REREAD_WEIGHT: Final = 1.0
-BUSY_REREAD_WEIGHT: Final = 10.0
+BUSY_REREAD_WEIGHT: Final = 20.0
 # A part is taken as kept by an engine for so long after its last use there.
 PART_HOME_SECONDS: Final = 15.0
 MAX_PART_HOMES: Final = 20_000
@@ -57,6 +57,8 @@
 COLD_RETRY_SECONDS: Final = 0.5
 # An agent that did not answer is asked again after this.
 AGENT_RETRY_SECONDS: Final = 0.5
+# Starts and ends that are kept for an agent that does not answer.
+MOST_UNTOLD: Final = 1000
 BID_CALL_MARGIN_SECONDS: Final = 0.5
 # After the order to stop, the balancer asks twice more before it looks elsewhere.
 BALANCER_SECONDS: Final = 2.6
--- a/pistachiolever/gateway/gates.py
+++ b/pistachiolever/gateway/gates.py
@@ -27,7 +27,11 @@
 from pistachiolever.edge.peers import PeerCaller
 from pistachiolever.events.const import EventCode
 from pistachiolever.events.lines import EventLines
-from pistachiolever.gateway.const import AGENT_RETRY_SECONDS, BID_CALL_MARGIN_SECONDS
+from pistachiolever.gateway.const import (
+    AGENT_RETRY_SECONDS,
+    BID_CALL_MARGIN_SECONDS,
+    MOST_UNTOLD,
+)
 
 
 class Gate(Protocol):
@@ -168,8 +172,9 @@
                 PROGRESS_CALL_SECONDS,
             )
         except PeerError as error:
-            self.started_ids = started + self.started_ids
-            self.ended_runs = ended + self.ended_runs
+            # What is left out here the agent finds in its engine's report.
+            self.started_ids = (started + self.started_ids)[-MOST_UNTOLD:]
+            self.ended_runs = (ended + self.ended_runs)[-MOST_UNTOLD:]
             self._note_silent(str(error))
             return
         self.last_load = reply.load
--- a/tests/events/test_explain.py
+++ b/tests/events/test_explain.py
@@ -121,6 +121,23 @@
         self.assertEqual(len(told), 1)
         self.assertEqual(told[0].inputs["lines"] + len(text) - 2, LINES_PER_SECOND * 3)
 
+    def test_lines_are_not_torn(self) -> None:
+        pieces: list[bytes] = []
+
+        def take(data: bytes) -> int:
+            """Take everything."""
+            pieces.append(data)
+            return len(data)
+
+        buffer = LineBuffer(take)
+        lines = [f"{number}" * 300 + "\n" for number in range(90)]
+        for line in lines:
+            buffer.write(line)
+        buffer.drain()
+        self.assertEqual(b"".join(pieces).decode(), "".join(lines))
+        self.assertTrue(all(p.endswith(b"\n") and len(p) <= 4096 for p in pieces))
+        self.assertEqual(buffer.waiting_bytes, 0)
+
     def test_a_reader_that_stops_blocks_nothing(self) -> None:
         def refuse(data: bytes) -> int:
             """Take nothing."""
