Let the largest prompts pass their turn no longer than a part of their target

A large prompt let others pass for five times its reading, and 0.45 of its target was set aside for reading it.

--- a/pistachiolever/admission/const.py
+++ b/pistachiolever/admission/const.py
@@ -33,7 +33,7 @@
 FULL_EXCESS: Final = 0.35
 # At most this part of the target is set aside for reading the own prompt, so that
 # the largest prompts are not refused for their size alone.
-OWN_READING_SHARE: Final = 0.45
+OWN_READING_SHARE: Final = 0.25
 # A request that does not fit into memory lets others pass for this part of its
 # target, then holds them back.
 PASS_SHARE: Final = 0.3
@@ -42,6 +42,8 @@
 MOST_RETRY_SECONDS: Final = 4.0
 # A prompt lets others of its kind pass that come within so many times its reading.
 SIZE_WEIGHT: Final = 5.0
+# But not longer than this part of its target, so that it is not passed for ever.
+MOST_PASSED_SHARE: Final = 0.4
 # Requests that wait before one endpoint; more are refused at once.
 MAX_WAITING: Final = 400
 # How often what waits is looked at again.
--- a/pistachiolever/admission/fair_queue.py
+++ b/pistachiolever/admission/fair_queue.py
@@ -2,7 +2,12 @@
 
 from attrs import define, field
 
-from pistachiolever.admission.const import FIRST_SPEED, GENERATED_WEIGHT, SIZE_WEIGHT
+from pistachiolever.admission.const import (
+    FIRST_SPEED,
+    GENERATED_WEIGHT,
+    MOST_PASSED_SHARE,
+    SIZE_WEIGHT,
+)
 from pistachiolever.admission.models import Bid
 from pistachiolever.admission.shares import RecentService
 
@@ -101,4 +106,5 @@
     so more requests are in time; it still gets its turn.
     """
     reading_seconds = waiting.unread_tokens / FIRST_SPEED
-    return waiting.arrived_at + SIZE_WEIGHT * reading_seconds
+    most = MOST_PASSED_SHARE * waiting.bid.target_seconds
+    return waiting.arrived_at + min(SIZE_WEIGHT * reading_seconds, most)
