Do not call it silence while an engine reads a large prompt

Cause: found by explaining a failed request: a prompt of 37,000 tokens needs over a second to be read; its caller had come back late, so the router gave its engine 0.8 s, broke the run off, and found no room elsewhere. The largest tenth of resumable plans was served least for it. The patience now has the reading time that the grant told.

--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -9,6 +9,7 @@
 from pistachiolever.gateway.const import (
     GAP_SILENCE_SECONDS,
     LEAST_SILENCE_SECONDS,
+    READING_SPREAD,
     SILENCE_SHARE,
     WHOLE_ANSWER_BYTES,
 )
@@ -84,6 +85,7 @@
     handle: EndpointHandle
     sink: AnswerSink
     splitter: EventSplitter
+    reading_seconds: float = 0.0
     connection: ClientConnection | None = None
     first_at: float | None = None
     output_events: int = 0
@@ -153,14 +155,18 @@
         return await self._pass_whole(connection, answer)
 
     def _silence_seconds(self) -> float:
-        """Return how long an endpoint may stay silent before its answer."""
+        """Return how long an endpoint may stay silent before its answer.
+
+        It is silent while it reads prompts: `reading_seconds` is how long that was
+        expected to take when room was granted.
+        """
         request = self.request
         left = request.left(self.fleet.now())
         if not request.route.repeatable or request.sends >= request.route.attempts:
             return left
         target = request.route.target_seconds
         patience = max(
-            LEAST_SILENCE_SECONDS,
+            LEAST_SILENCE_SECONDS + READING_SPREAD * self.reading_seconds,
             request.target_at - self.fleet.now() + SILENCE_SHARE * target,
         )
         return min(left, patience)
--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -40,6 +40,8 @@
 # and this part of it.
 SILENCE_SHARE: Final = 0.6
 LEAST_SILENCE_SECONDS: Final = 0.8
+# Reading may take so many times as long as expected before that is called silence.
+READING_SPREAD: Final = 3.0
 # A repeatable stream that falls silent between events is resumed elsewhere.
 GAP_SILENCE_SECONDS: Final = 1.2
 # Least time left with which a request is worth sending.
--- a/pistachiolever/gateway/journey.py
+++ b/pistachiolever/gateway/journey.py
@@ -43,6 +43,7 @@
     refusal: BidReply | None = None
     failure: WholeAnswer | None = None
     queued_seconds: float = 0.0
+    reading_seconds: float = 0.0
 
     def __attrs_post_init__(self) -> None:
         """Resume where the caller left off."""
@@ -94,6 +95,8 @@
                         return None
                     continue
                 if reply.granted:
+                    load = reply.load
+                    self.reading_seconds = load.unread_tokens / max(1.0, load.speed)
                     return handle
                 self.refusal = reply
                 refused.add(choice.endpoint.endpoint_id)
@@ -204,7 +207,13 @@
         request.sends += 1
         sent_at = fleet.now()
         attempt = Attempt(
-            fleet, self.dialect, request, handle, self.sink, self.splitter
+            fleet,
+            self.dialect,
+            request,
+            handle,
+            self.sink,
+            self.splitter,
+            self.reading_seconds,
         )
         end = AttemptEnd(Verdict.MAY_HAVE_RUN, reason="cancelled")
         try:
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -19,11 +19,20 @@
 LIMITS = HttpLimits(2000, 1000, 0.3, 0.5)
 
 
+_given_ports: set[int] = set()
+
+
 async def free_address() -> str:
-    """Return an address on which nothing listens."""
-    async with await create_tcp_listener(local_host="127.0.0.1") as listener:
-        port = listener.extra(SocketAttribute.local_port)
-    return f"127.0.0.1:{port}"
+    """Return an address on which nothing listens; never the same one twice.
+
+    The system may hand out a port again as soon as it is closed.
+    """
+    while True:
+        async with await create_tcp_listener(local_host="127.0.0.1") as listener:
+            port = listener.extra(SocketAttribute.local_port)
+        if port not in _given_ports:
+            _given_ports.add(port)
+            return f"127.0.0.1:{port}"
 
 
 @define
