Close the listening socket when a router stops accepting

Cause: a test of shutdown hung: the cancelled listener kept its socket, so the system took connections that nobody served until the process ended. Their callers waited a second.

--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -354,8 +354,10 @@
         )
         async with create_task_group() as group:
             with self._accepting:
-                # Connections outlive the listener.
-                await listener.serve(self._accept, task_group=group)
+                # Connections outlive the listener; its socket must not, or the system
+                # would take connections that nobody serves.
+                async with listener:
+                    await listener.serve(self._accept, task_group=group)
 
     def stop_accepting(self) -> None:
         """Take no more connections and no more requests on those that are open."""
