Name the adapter's tests apart from the standard library's platform module

Cause: the runner puts tests/ on the path, so a library that imported platform got the tests' package; its native code then crashed at import.

--- a/tests/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of the package platform."""
