--- a/tests/raft/test_membership.py
+++ b/tests/raft/test_membership.py
@@ -112,6 +112,7 @@
         self.reads: dict[int, set[str]] = {}
         self.placed_by: dict[str, int] = {}
         self.cut: set[str] = set()
+        self.lag_by_address = dict.fromkeys("abcd", 0.0)
         self.next_number = 0
         self.lost: str | None = None
         for member in FOUNDERS:
@@ -133,7 +134,8 @@
         """Give a living member a message."""
         if member not in self.cores:
             return
-        actions = self.cores[member].handle(message, self.now)
+        own_now = self.now - self.lag_by_address[member[0]]
+        actions = self.cores[member].handle(message, own_now)
         for action in actions:
             self.disks[member].write(action)
         for action in actions:
@@ -183,12 +185,13 @@
                 if not ends & self.cut:
                     self._give(envelope.receiver, Received(envelope))
 
-    def _run(self, seconds: float) -> None:
-        """Let time pass in small steps."""
+    def _run(self, seconds: float, frozen: str = "") -> None:
+        """Let time pass in small steps, but for a VM that is suspended."""
         for _ in range(int(seconds / 0.1)):
             self.now += 0.1
             for member in list(self.cores):
-                self._give(member, RaftTick())
+                if member[0] != frozen:
+                    self._give(member, RaftTick())
             for member in list(self.cores):
                 if member not in self.cores[member].members:
                     for other in list(self.cores):
@@ -225,6 +228,17 @@
         """Cut one VM off, or join it again."""
         self.cut = set() if address in self.cut else {address}
 
+    @rule(address=st.sampled_from("abc"), seconds=st.floats(0.5, 3.0))
+    def suspend(self, address: str, seconds: float) -> None:
+        """One VM stands still, its clock too; on waking it is asked at once."""
+        before, self.cut = self.cut, {address}
+        self._run(seconds, frozen=address)
+        self.lag_by_address[address] += int(seconds / 0.1) * 0.1
+        self.change()
+        self.read()
+        self.cut = before
+        self._deliver()
+
     @rule(address=st.sampled_from("abc"))
     def crash(self, address: str) -> None:
         """One VM loses power and comes back with its disk."""
