--- a/pistachiolever/admission/agent.py
+++ b/pistachiolever/admission/agent.py
@@ -101,12 +101,16 @@
             needed=round(self.desk.core.flow.needed, 4),
             service=round(reply.service),
             elsewhere=round(bid.elsewhere),
+            fair=round(bid.share) if bid.share is not None else None,
         )
         return reply
 
     async def _take_progress(self, progress: Progress) -> ProgressReply:
         """Take in what a router saw."""
-        return ProgressReply(self.desk.progress(progress.started, progress.ended))
+        load = self.desk.progress(progress.started, progress.ended)
+        if not progress.wants_uses:
+            return ProgressReply(load)
+        return ProgressReply(load, self.desk.core.service.uses(self.desk.now()))
 
     async def _watch_engine(self) -> None:
         """Compare the engine's own report with what was granted."""
--- a/pistachiolever/admission/const.py
+++ b/pistachiolever/admission/const.py
@@ -6,44 +6,23 @@
 FIRST_SPEED: Final = 45_000.0
 # How long a run takes until some have ended.
 FIRST_RUN_SECONDS: Final = 0.1
+# Slowest reading that is believed, in tokens a second: a twentieth of the first
+# guess, so that one stall does not close an engine.
 LEAST_SPEED: Final = 2_000.0
 # Weight of what was seen before, at each new prompt that was read.
 SPEED_DECAY: Final = 0.93
 # Prompts shorter than this tell more of the fixed time than of the pace.
 SPEED_SAMPLE_TOKENS: Final = 500
-# Unread prompt tokens handed to an engine before the next one waits here, where the
-# order can still change: a few round trips of work.
-UNREAD_TOKENS: Final = 3_000
-# Share of the engine's memory that is promised; the rest covers wrong estimates, as
-# a full memory preempts running requests.
-MEMORY_SHARE: Final = 0.9
 # Seconds from the end of reading to the first part at the router.
 FIRST_PART_SECONDS: Final = 0.04
 # Time over which service is remembered; about the window of the shares.
 SERVICE_MEMORY_SECONDS: Final = 4.0
 # A token that is generated counts as much as so many that are read.
 GENERATED_WEIGHT: Final = 2.0
-# Expected output while no better is known: this part of the most.
-OUTPUT_SHARE: Final = 0.5
-# A request is refused once waiting and reading would take more than this part of its
-# target: while what comes can be read, and while far more comes.
-CALM_WAIT_SHARE: Final = 1.0
-BUSY_WAIT_SHARE: Final = 0.5
-# Demand beyond what can be read, as a part of it, at which the busy share holds.
-FULL_EXCESS: Final = 0.35
-# At most this part of the target is set aside for reading the own prompt, so that
-# the largest prompts are not refused for their size alone.
-OWN_READING_SHARE: Final = 0.25
-# A request that does not fit into memory lets others pass for this part of its
-# target, then holds them back.
-PASS_SHARE: Final = 0.3
 # Shortest time after which a refused caller should come back.
 LEAST_RETRY_SECONDS: Final = 0.4
+# Longest; the shares of accounts have recovered by then (SERVICE_MEMORY_SECONDS).
 MOST_RETRY_SECONDS: Final = 4.0
-# A prompt lets others of its kind pass that come within so many times its reading.
-SIZE_WEIGHT: Final = 5.0
-# But not longer than this part of its target, so that it is not passed for ever.
-MOST_PASSED_SHARE: Final = 0.4
 # Requests that wait before one endpoint; more are refused at once.
 MAX_WAITING: Final = 400
 # How often what waits is looked at again.
@@ -52,24 +31,23 @@
 LOST_RUN_SECONDS: Final = 1.0
 # How often the engine beside this process is asked for its report.
 REPORT_SECONDS: Final = 0.1
+# A report on the own VM takes milliseconds; five periods without one is silence.
 REPORT_CALL_SECONDS: Final = 0.5
 # How often a router tells the ends of its requests and learns the load.
 PROGRESS_SECONDS: Final = 0.1
+# Six periods without an answer: the agent is taken as lost.
 PROGRESS_CALL_SECONDS: Final = 0.6
+# How often an agent tells a router what each account asked and got.
+SHARES_SECONDS: Final = 0.25
 BID_PATH: Final = "/admission/bid"
 PROGRESS_PATH: Final = "/admission/progress"
-# Part of the time left within which a running answer should be complete.
-DEADLINE_SHARE: Final = 0.75
-# An answer may be so many times as long as expected: hints are right at the median.
-OUTPUT_SPREAD: Final = 2.0
+# Tokens that a running answer is taken to lack at least; a few events.
 LEAST_REMAINING_TOKENS: Final = 32.0
-# The pace follows the answers that need more speed than this part of all.
-NEED_QUANTILE: Final = 0.1
+# Longest pace that is asked for, in seconds a token: an engine that only reads makes
+# a token in 0.045 s, so nothing is held back beyond it.
 MOST_PACE_SECONDS: Final = 0.05
-SHORTEST_PACE_SECONDS: Final = 0.03
 # Weight of what was seen before, at each new measurement of the pace.
 PACE_DECAY: Final = 0.8
 # Steps of the share of reading at each report of the engine.
 FLOW_SHRINK: Final = 0.9
 FLOW_GROWTH: Final = 1.04
-LEAST_FLOW_SHARE: Final = 0.7
--- a/pistachiolever/admission/core.py
+++ b/pistachiolever/admission/core.py
@@ -11,27 +11,20 @@
 
 from pistachiolever.admission.cache import PrefixCache, keyed_parts
 from pistachiolever.admission.const import (
-    BUSY_WAIT_SHARE,
-    CALM_WAIT_SHARE,
     FIRST_PART_SECONDS,
     FIRST_RUN_SECONDS,
     FIRST_SPEED,
-    FULL_EXCESS,
     GENERATED_WEIGHT,
     LEAST_RETRY_SECONDS,
     LEAST_SPEED,
     LOST_RUN_SECONDS,
     MAX_WAITING,
-    MEMORY_SHARE,
     MOST_RETRY_SECONDS,
-    OWN_READING_SHARE,
-    PASS_SHARE,
     SERVICE_MEMORY_SECONDS,
     SPEED_DECAY,
     SPEED_SAMPLE_TOKENS,
-    UNREAD_TOKENS,
 )
-from pistachiolever.admission.fair_queue import FairQueue, Waiting
+from pistachiolever.admission.fair_queue import FairQueue, Turn, Waiting
 from pistachiolever.admission.flow import ReadingFlow, RunningAnswer, needed_pace
 from pistachiolever.admission.models import (
     AdmissionAction,
@@ -41,6 +34,7 @@
     Load,
     Refused,
 )
+from pistachiolever.admission.policy import AdmissionPolicy
 from pistachiolever.admission.shares import FadingSum, RecentService
 
 
@@ -92,6 +86,7 @@
 
     capacity: Capacity
     rng: Random
+    policy: AdmissionPolicy = AdmissionPolicy()
     cache: PrefixCache = field(init=False)
     service: RecentService = field(factory=RecentService)
     pace: ReadingPace = field(factory=ReadingPace)
@@ -99,7 +94,7 @@
     run_by_id: dict[str, Run] = field(factory=dict)
     unread_ids: list[str] = field(factory=list)
     front_since: float = 0.0
-    flow: ReadingFlow = field(factory=ReadingFlow)
+    flow: ReadingFlow = field(init=False)
     event_tokens: int = 1
     users_by_part: dict[str, int] = field(factory=dict)
     memory_used: float = 0.0
@@ -109,8 +104,14 @@
     run_seconds: FadingSum = field(factory=FadingSum)
 
     def __attrs_post_init__(self) -> None:
-        """Start with an empty cache."""
+        """Start with an empty cache and all credit for reading."""
         self.cache = PrefixCache(self.capacity.memory_tokens)
+        self.flow = ReadingFlow(self.policy)
+
+    def use(self, policy: AdmissionPolicy) -> None:
+        """Decide by another policy from now on."""
+        self.policy = policy
+        self.flow = ReadingFlow(policy)
 
     # Calls.
 
@@ -124,14 +125,18 @@
         self.cache.capacity_tokens = bid.memory_tokens
         self.service.hear(bid.account_id, bid.elsewhere, now)
         unread = bid.prompt_tokens - self.cache.cached_tokens(bid.model, bid.parts)
-        self.demand.add(max(0, unread), now)
-        self.waiting_by_id[bid.bid_id] = Waiting(
+        if bid.share is None or self.service.total(bid.account_id, now) < bid.share:
+            self.demand.add(max(0, unread), now)
+        waiting = Waiting(
             bid,
             now,
             now + bid.target_seconds,
             now + bid.deadline_seconds,
             max(0, unread),
         )
+        if not bid.asks_again:
+            self.service.ask(bid, waiting.cost, now)
+        self.waiting_by_id[bid.bid_id] = waiting
         return self.review(now)
 
     def withdraw(self, bid_id: str, now: float) -> list[AdmissionAction]:
@@ -171,10 +176,10 @@
         self.run_seconds.add(now - run.granted_at, now)
         if run.started_at is None:
             # Nothing was served; the account does not pay for a failed run.
-            self.service.charge(run.bid.account_id, run.bid.kind, -run.cost, now)
+            self.service.charge(run.bid, -run.cost, now)
         else:
             wrong = GENERATED_WEIGHT * (output_tokens - run.bid.output_tokens)
-            self.service.charge(run.bid.account_id, run.bid.kind, wrong, now)
+            self.service.charge(run.bid, wrong, now)
         return self.review(now)
 
     def report(self, report: EngineReport, now: float) -> list[AdmissionAction]:
@@ -213,7 +218,7 @@
             for run in self.run_by_id.values()
             if run.started_at is not None
         ]
-        self.flow.adapt(needed_pace(answers))
+        self.flow.adapt(needed_pace(answers, self.policy))
 
     def restarted(self, now: float) -> list[AdmissionAction]:
         """Forget what a former life of the engine held."""
@@ -243,10 +248,15 @@
 
     def review(self, now: float) -> list[AdmissionAction]:
         """Grant what fits, in fair order, and refuse what comes too late."""
+        if not self.waiting_by_id:
+            return []
+        queue = FairQueue(self.service, self.policy, now)
+        turns = queue.order(list(self.waiting_by_id.values()))
         actions: list[AdmissionAction] = []
-        while (chosen := self._next(now)) is not None:
-            actions.append(self._grant(chosen, now))
-        actions.extend(self._refuse_late(now))
+        while (chosen := self._next(turns, now)) is not None:
+            turns.remove(chosen)
+            actions.append(self._grant(chosen.waiting, now))
+        actions.extend(self._refuse_late(turns, now))
         return actions
 
     def unread_tokens(self, now: float) -> float:
@@ -258,23 +268,42 @@
         passed = now - max(self.front_since, front.granted_at)
         return total - min(front.unread_tokens, passed * self.pace.speed)
 
-    def _next(self, now: float) -> Waiting | None:
+    def _next(self, turns: list[Turn], now: float) -> Turn | None:
         """Return the request to grant now, if the endpoint has room for it."""
-        if not self.waiting_by_id or self._is_full():
+        if not turns or self._is_full():
             return None
-        if self.unread_ids and self.unread_tokens(now) >= UNREAD_TOKENS:
+        if self.unread_ids and self.unread_tokens(now) >= self.policy.unread_tokens:
             return None
         self.flow.refill(self.pace.speed, now)
         if self.flow.credit <= 0 and self.run_by_id:
             return None
-        for waiting in self._fair_order(now):
-            if self._fits(waiting):
-                return waiting
-            held = now - waiting.arrived_at
-            if held > PASS_SHARE * waiting.bid.target_seconds:
+        for turn in turns:
+            if turn.beyond_share and not self._has_room_beyond(turn, now):
+                continue
+            if self._fits(turn.waiting):
+                return turn
+            held = now - turn.waiting.arrived_at
+            if held > self.policy.pass_share * turn.waiting.bid.target_seconds:
                 return None
         return None
 
+    def _has_room_beyond(self, turn: Turn, now: float) -> bool:
+        """Tell whether the engine is free enough for a request beyond a share."""
+        if self._is_too_large(turn, now):
+            return False
+        return self.unread_tokens(now) <= self.policy.beyond_unread_tokens
+
+    def _is_too_large(self, turn: Turn, now: float) -> bool:
+        """Tell whether reading a prompt beyond a share would hold up too many."""
+        if self._demand_share(now) <= self.policy.bound_demand:
+            return False
+        return turn.waiting.unread_tokens > self.policy.beyond_most_unread
+
+    def _demand_share(self, now: float) -> float:
+        """Return what accounts below their share asked to be read, against what can."""
+        readable = self.reading_speed() * SERVICE_MEMORY_SECONDS
+        return self.demand.read(now) / readable
+
     def _is_full(self) -> bool:
         """Tell whether all slots are taken."""
         return len(self.run_by_id) + self.foreign_running >= self.capacity.slots
@@ -287,7 +316,7 @@
 
     def _memory_limit(self) -> float:
         """Return the tokens of memory that may be promised."""
-        return self.capacity.memory_tokens * MEMORY_SHARE
+        return self.capacity.memory_tokens * self.policy.memory_share
 
     def _memory_need(self, bid: Bid) -> float:
         """Return the memory a request takes beyond parts that running ones hold."""
@@ -314,7 +343,7 @@
         if not self.unread_ids:
             self.front_since = now
         self.unread_ids.append(bid.bid_id)
-        self.service.charge(bid.account_id, bid.kind, waiting.cost, now)
+        self.service.charge(bid, waiting.cost, now)
         return Granted(bid.bid_id, cached)
 
     def _free_memory(self, run: Run) -> None:
@@ -332,13 +361,9 @@
         if not self.run_by_id:
             self.memory_used = 0.0
 
-    def _fair_order(self, now: float) -> list[Waiting]:
-        """Return what waits in the order in which it would be granted."""
-        return FairQueue(self.service, now).order(list(self.waiting_by_id.values()))
-
-    def _refuse_late(self, now: float) -> list[AdmissionAction]:
+    def _refuse_late(self, turns: list[Turn], now: float) -> list[AdmissionAction]:
         """Refuse what can't have its first part in time, as things stand."""
-        if not self.waiting_by_id:
+        if not turns:
             return []
         speed = self.reading_speed()
         ahead = self.unread_tokens(now) + max(0.0, -self.flow.credit)
@@ -347,16 +372,25 @@
         between_ends = self._seconds_between_ends(now)
         wait_share = self._wait_share(now)
         actions: list[AdmissionAction] = []
-        for waiting in self._fair_order(now):
+        for turn in turns:
+            waiting = turn.waiting
             blocked += is_full or not self._fits(waiting)
             wait = max(ahead / speed, blocked * between_ends)
             start = now + wait + FIRST_PART_SECONDS
             target = waiting.bid.target_seconds
-            own = min(waiting.unread_tokens / speed, OWN_READING_SHARE * target)
-            if start + own - waiting.arrived_at > wait_share * target:
+            share = wait_share
+            if turn.beyond_share:
+                share = min(share, self.policy.beyond_share_wait)
+                if self._is_too_large(turn, now):
+                    share = 0.0
+            own = min(
+                waiting.unread_tokens / speed, self.policy.own_reading_share * target
+            )
+            if start + own - waiting.arrived_at > share * target:
                 del self.waiting_by_id[waiting.bid.bid_id]
+                reason = "beyond-share" if turn.beyond_share else "late"
                 actions.append(
-                    Refused(waiting.bid.bid_id, "late", self._retry_after(wait))
+                    Refused(waiting.bid.bid_id, reason, self._retry_after(wait))
                 )
                 continue
             ahead += waiting.unread_tokens
@@ -368,10 +402,10 @@
         A burst is worth waiting out. While more comes than can be read, a queue only
         makes all late, so it is kept short.
         """
-        readable = self.reading_speed() * SERVICE_MEMORY_SECONDS
-        excess = self.demand.read(now) / readable - 1.0
-        part = min(1.0, max(0.0, excess / FULL_EXCESS))
-        return CALM_WAIT_SHARE + part * (BUSY_WAIT_SHARE - CALM_WAIT_SHARE)
+        excess = self._demand_share(now) - 1.0
+        part = min(1.0, max(0.0, excess / self.policy.full_excess))
+        calm, busy = self.policy.calm_wait_share, self.policy.busy_wait_share
+        return calm + part * (busy - calm)
 
     def _seconds_between_ends(self, now: float) -> float:
         """Return about how long it takes until the next run ends."""
--- a/pistachiolever/admission/flow.py
+++ b/pistachiolever/admission/flow.py
@@ -8,18 +8,13 @@
 from attrs import define, field
 
 from pistachiolever.admission.const import (
-    DEADLINE_SHARE,
     FLOW_GROWTH,
     FLOW_SHRINK,
-    LEAST_FLOW_SHARE,
     LEAST_REMAINING_TOKENS,
     MOST_PACE_SECONDS,
-    NEED_QUANTILE,
-    OUTPUT_SPREAD,
     PACE_DECAY,
-    SHORTEST_PACE_SECONDS,
-    UNREAD_TOKENS,
 )
+from pistachiolever.admission.policy import AdmissionPolicy
 
 
 @define
@@ -30,28 +25,29 @@
     made_tokens: float
     left_seconds: float
 
-    def needed_pace(self) -> float:
+    def needed_pace(self, policy: AdmissionPolicy) -> float:
         """Return the longest time a token may take for the answer to be in time."""
-        remaining = self.expected_tokens * OUTPUT_SPREAD - self.made_tokens
+        remaining = self.expected_tokens * policy.output_spread - self.made_tokens
         tokens = max(LEAST_REMAINING_TOKENS, remaining)
-        return max(0.0, self.left_seconds) * DEADLINE_SHARE / tokens
+        return max(0.0, self.left_seconds) * policy.deadline_share / tokens
 
 
-def needed_pace(answers: list[RunningAnswer]) -> float:
+def needed_pace(answers: list[RunningAnswer], policy: AdmissionPolicy) -> float:
     """Return the pace that nearly all running answers need, in seconds a token."""
     if not answers:
         return MOST_PACE_SECONDS
-    needs = sorted(answer.needed_pace() for answer in answers)
-    need = needs[int(len(needs) * NEED_QUANTILE)]
-    return min(MOST_PACE_SECONDS, max(SHORTEST_PACE_SECONDS, need))
+    needs = sorted(answer.needed_pace(policy) for answer in answers)
+    need = needs[int(len(needs) * policy.need_quantile)]
+    return min(MOST_PACE_SECONDS, max(policy.shortest_pace_seconds, need))
 
 
 @define
 class ReadingFlow:
     """The share of an engine that reads prompts, and the tokens it allows now."""
 
+    policy: AdmissionPolicy = AdmissionPolicy()
     share: float = 1.0
-    credit: float = UNREAD_TOKENS
+    credit: float = field(init=False)
     at: float = 0.0
     needed: float = 0.0
     _made: float = 0.0
@@ -59,11 +55,16 @@
     _events_by_run: dict[str, int] = field(factory=dict)
     _seen_at: float = 0.0
 
+    def __attrs_post_init__(self) -> None:
+        """Start with all credit."""
+        self.credit = self.policy.unread_tokens
+
     def refill(self, speed: float, now: float) -> None:
         """Let tokens come in at the share of the engine's speed."""
         passed = max(0.0, now - self.at)
         self.at = now
-        self.credit = min(UNREAD_TOKENS, self.credit + passed * speed * self.share)
+        most = self.policy.unread_tokens
+        self.credit = min(most, self.credit + passed * speed * self.share)
 
     def take(self, tokens: float) -> None:
         """Spend the tokens of a prompt that is handed on."""
@@ -94,4 +95,5 @@
         """Give reading less while tokens come too slowly, else slowly more."""
         self.needed = needed
         factor = FLOW_SHRINK if self.pace > needed else FLOW_GROWTH
-        self.share = min(1.0, max(LEAST_FLOW_SHARE, self.share * factor))
+        least = self.policy.least_flow_share
+        self.share = min(1.0, max(least, self.share * factor))
--- a/pistachiolever/admission/models.py
+++ b/pistachiolever/admission/models.py
@@ -17,7 +17,9 @@
 
     `bid_id` is new for each bid, `request_id` is what the engine sees, `kind` names the
     requests that are alike. `elsewhere` is the account's recent service at other
-    endpoints, as its router knows it. `slots`, `memory_tokens` and `event_tokens` are
+    endpoints, as its router knows it, and `share` what it may have got lately at all of
+    them by max-min fairness, None where that is not known. `asks_again` tells that
+    another endpoint was asked before. `slots`, `memory_tokens` and `event_tokens` are
     the endpoint's, as configured.
     """
 
@@ -33,6 +35,8 @@
     model: str = ""
     parts: list[PromptPart] = field(factory=list)
     elsewhere: float = 0.0
+    share: float | None = None
+    asks_again: bool = False
     slots: int = 1
     memory_tokens: int = 0
     event_tokens: int = 1
@@ -74,20 +78,31 @@
     output_tokens: int
 
 
+@frozen
+class AccountUse:
+    """What an account asked and got lately at one endpoint, in weighted tokens."""
+
+    account_id: str
+    asked: float
+    got: float
+
+
 @frozen
 class Progress:
-    """What a router saw of its granted requests."""
+    """What a router saw of its granted requests; it may ask for the accounts' uses."""
 
     router_id: str
+    wants_uses: bool = False
     started: list[str] = field(factory=list)
     ended: list[EndedRun] = field(factory=list)
 
 
 @frozen
 class ProgressReply:
-    """The load of the endpoint after that."""
+    """The load of the endpoint after that, and the accounts' uses if asked for."""
 
     load: Load
+    uses: list[AccountUse] | None = None
 
 
 @frozen
--- a/pistachiolever/cli/main.py
+++ b/pistachiolever/cli/main.py
@@ -15,6 +15,7 @@
     rollback,
     validate,
 )
+from pistachiolever.cli.experiment import experiment
 from pistachiolever.cli.explain import explain_request
 from pistachiolever.cli.fleet import claims, status, timeline
 from pistachiolever.cli.roles import control, init, router, sidecar, standalone, version
@@ -43,6 +44,7 @@
     cancel,
     claims,
     control,
+    experiment,
     explain_request,
     export,
     history,
--- a/pistachiolever/control/http.py
+++ b/pistachiolever/control/http.py
@@ -15,8 +15,8 @@
 from pistachiolever.control.commands import CloseClaim, OpenClaim
 from pistachiolever.control.operators import OperatorFace
 from pistachiolever.control.tasks import ControlProcess
+from pistachiolever.core.clock import wall_ms
 from pistachiolever.core.errors import ProtocolError
-from pistachiolever.edge.context import wall_ms
 from pistachiolever.edge.server import (
     BodyTooLargeError,
     is_fleet_call,
--- a/pistachiolever/control/operators.py
+++ b/pistachiolever/control/operators.py
@@ -10,11 +10,11 @@
 from pistachiolever.control.commands import ApplyDeclarations, ChangeResult
 from pistachiolever.control.const import MAX_DECLARATIONS_BYTES
 from pistachiolever.control.tasks import ControlProcess
+from pistachiolever.core.clock import wall_ms
 from pistachiolever.core.errors import ProtocolError
 from pistachiolever.core.verdict import Verdict
 from pistachiolever.declarations.check import check_declarations
 from pistachiolever.declarations.codec import from_document, to_text
-from pistachiolever.edge.context import wall_ms
 from pistachiolever.edge.keys import bearer_of, key_digest, same_key
 from pistachiolever.edge.server import (
     BodyTooLargeError,
--- a/pistachiolever/control/storage.py
+++ b/pistachiolever/control/storage.py
@@ -39,7 +39,6 @@
     may_vote: bool
     format_version: int = FORMAT_VERSION
     founders: list[str] = field(factory=list)
-    joins: bool = False
 
 
 class Disk(Protocol):
--- a/pistachiolever/core/clock.py
+++ b/pistachiolever/core/clock.py
@@ -1,5 +1,7 @@
 """The hybrid logical clock that orders events over all processes."""
 
+from time import time
+
 from attrs import define, frozen
 
 
@@ -38,3 +40,8 @@
         """Take in the stamp of a received message."""
         self.last = max(self.last, seen)
         return self.tick(wall_ms)
+
+
+def wall_ms() -> int:
+    """Return the milliseconds since the epoch."""
+    return int(time() * 1000)
--- a/pistachiolever/discovery/const.py
+++ b/pistachiolever/discovery/const.py
@@ -2,10 +2,9 @@
 
 from typing import Final
 
-# An endpoint that did not announce itself for so long is listed as silent; it is
-# still used while its answers are good, since the control may be what is cut off.
-SILENT_SECONDS: Final = 4.0
-# A silent endpoint is dropped after this; it comes back with its next announcement.
+# An endpoint that did not announce itself for so long is dropped; it comes back with
+# its next announcement. It is used until then while its answers are good, since the
+# control may be what is cut off.
 FORGET_SECONDS: Final = 30.0
 # How long the end of a life is remembered against late announcements of it.
 TOMBSTONE_SECONDS: Final = 60.0
--- a/pistachiolever/edge/context.py
+++ b/pistachiolever/edge/context.py
@@ -1,12 +1,11 @@
 """What every task of a process shares: identity, clock, events, metrics."""
 
 from random import Random, SystemRandom
-from time import time
 
 from anyio import current_time
 from attrs import define, field
 
-from pistachiolever.core.clock import Stamp
+from pistachiolever.core.clock import Stamp, wall_ms
 from pistachiolever.core.ids import new_id
 from pistachiolever.events.recorder import EventRecorder
 from pistachiolever.metrics.client import Metrics, make_metrics
@@ -14,11 +13,6 @@
 from pistachiolever.wire.models import Sender
 
 
-def wall_ms() -> int:
-    """Return the milliseconds since the epoch."""
-    return int(time() * 1000)
-
-
 @define
 class ProcessContext:
     """Identity and instruments of one process."""
--- /dev/null
+++ b/pistachiolever/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""An emulated platform under a clock of its own, for experiments with policies."""
--- /dev/null
+++ b/pistachiolever/emulator/experiment.py
@@ -0,0 +1,85 @@
+"""Runs load shapes with seeds and policies, several at once."""
+
+from collections.abc import Iterable
+from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
+from statistics import fmean
+
+from attrs import evolve, fields, fields_dict, frozen
+
+from pistachiolever.admission.policy import AdmissionPolicy
+from pistachiolever.core.errors import ProtocolError
+from pistachiolever.emulator.errors import InvalidExperimentError
+from pistachiolever.emulator.fleet import EmulatedFleet
+from pistachiolever.emulator.ledger import Score
+from pistachiolever.emulator.models import LoadShape
+from pistachiolever.gateway.policy import PlacementPolicy
+from pistachiolever.wire.codec import decode
+
+
+@frozen
+class Policies:
+    """All policies of a run."""
+
+    admission: AdmissionPolicy = AdmissionPolicy()
+    placement: PlacementPolicy = PlacementPolicy()
+
+    def changed(self, name: str, value: str) -> "Policies":
+        """Return these with one field changed; raise InvalidExperimentError."""
+        for part in ("admission", "placement"):
+            policy = getattr(self, part)
+            known = fields_dict(type(policy)).get(name)
+            if known is None:
+                continue
+            kind = int if isinstance(known.default, int) else float
+            try:
+                changed = evolve(policy, **{name: kind(value)})
+            except ValueError as error:
+                raise InvalidExperimentError(name, f"{value!r} is no number") from error
+            return evolve(self, **{part: changed})
+        raise InvalidExperimentError(name, "is no field of a policy")
+
+
+@frozen
+class Trial:
+    """One run to be made."""
+
+    shape: LoadShape
+    seed: int
+    policies: Policies = Policies()
+
+
+def read_shape(text: bytes) -> LoadShape:
+    """Return the load shape of a document; raise InvalidExperimentError."""
+    try:
+        return decode(text, LoadShape)
+    except ProtocolError as error:
+        raise InvalidExperimentError("shape", str(error)) from error
+
+
+def run_trial(trial: Trial) -> Score:
+    """Run one trial to its end."""
+    policies = trial.policies
+    return EmulatedFleet(
+        trial.shape, trial.seed, policies.admission, policies.placement
+    ).play()
+
+
+def run_trials(trials: list[Trial], jobs: int) -> Iterable[Score]:
+    """Run trials in so many processes; return the scores in the same order."""
+    if jobs <= 1:
+        return [run_trial(trial) for trial in trials]
+    # Forked children would share the parent's event loop policies and locks.
+    with ProcessPoolExecutor(jobs, get_context("spawn")) as pool:
+        return list(pool.map(run_trial, trials))
+
+
+def mean_score(scores: list[Score]) -> dict[str, float]:
+    """Return the mean of each figure."""
+    names = [entry.name for entry in fields(Score) if entry.name != "served_by_kind"]
+    means = {name: fmean(getattr(score, name) for score in scores) for name in names}
+    kinds = {kind for score in scores for kind in score.served_by_kind}
+    for kind in sorted(kinds):
+        shares = [score.served_by_kind.get(kind, 1.0) for score in scores]
+        means[f"kind {kind}"] = fmean(shares)
+    return means
--- /dev/null
+++ b/pistachiolever/emulator/fleet.py
@@ -0,0 +1,192 @@
+"""Puts emulated engines, the processes beside them, routers and callers together."""
+
+from random import Random
+
+from anyio import create_task_group, current_time, run, sleep_until
+from attrs import define, field
+
+from pistachiolever.admission.agent import AgentProcess
+from pistachiolever.admission.policy import AdmissionPolicy
+from pistachiolever.discovery.models import Announcement, EndpointState
+from pistachiolever.emulator.callers import Caller
+from pistachiolever.emulator.clock import EmulatedLoop
+from pistachiolever.emulator.const import EPOCH_MS, HOST, SERVICE_ID
+from pistachiolever.emulator.engine import EngineModel, EngineTally
+from pistachiolever.emulator.ledger import Ledger, Score
+from pistachiolever.emulator.links import (
+    EmulatedCaller,
+    EmulatedEngine,
+    EmulatedPool,
+)
+from pistachiolever.emulator.load import LoadSource
+from pistachiolever.emulator.models import Arrival, LoadShape
+from pistachiolever.events.lines import EventLines
+from pistachiolever.gateway.fleet import FleetView
+from pistachiolever.gateway.policy import PlacementPolicy
+from pistachiolever.gateway.settings import GatewaySettings
+from pistachiolever.routing.models import (
+    EngineShape,
+    PassConfiguration,
+    PassRoute,
+    PassService,
+    RequestKind,
+    WeightedService,
+)
+from pistachiolever.routing.table import RouteTable
+
+
+def _no_line(line: str) -> None:
+    """Drop a log line: experiments look at outcomes only."""
+
+
+@define
+class EmulatedFleet:
+    """One run of a load shape with a seed and policies."""
+
+    shape: LoadShape
+    seed: int
+    admission: AdmissionPolicy = AdmissionPolicy()
+    placement: PlacementPolicy = PlacementPolicy()
+    tally: EngineTally = field(factory=EngineTally)
+    engine_by_address: dict[str, EmulatedEngine] = field(factory=dict)
+    agent_by_address: dict[str, AgentProcess] = field(factory=dict)
+    domain_by_address: dict[str, str] = field(factory=dict)
+    routers_by_domain: dict[str, list[FleetView]] = field(factory=dict)
+    ledger: Ledger = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Open the books."""
+        self.ledger = Ledger(self.shape)
+
+    def play(self) -> Score:
+        """Run the load to its end; return what callers got."""
+        run(self._play, backend_options={"loop_factory": EmulatedLoop})
+        busy = [engine.busy_seconds for engine in self.engine_by_address.values()]
+        return self.ledger.score(self.tally, sum(busy) / len(busy) / self.shape.seconds)
+
+    async def _play(self) -> None:
+        """Build the platform, send all requests, wait for their ends."""
+        self._build_engines()
+        for domain in self.shape.domains:
+            self.routers_by_domain[domain.domain_id] = [
+                self._make_router(f"{domain.domain_id}-{number}", domain.domain_id)
+                for number in range(domain.routers)
+            ]
+        arrivals = LoadSource(self.shape, Random(self.seed)).arrivals()
+        rng = Random(self.seed + 1)
+        async with create_task_group() as background:
+            for engine in self.engine_by_address.values():
+                background.start_soon(engine.run)
+            for agent in self.agent_by_address.values():
+                background.start_soon(agent.run)
+            for routers in self.routers_by_domain.values():
+                for router in routers:
+                    background.start_soon(router.run)
+            async with create_task_group() as callers:
+                for arrival in arrivals:
+                    await sleep_until(arrival.at)
+                    callers.start_soon(self._ask, arrival, rng)
+            background.cancel_scope.cancel()
+
+    async def _ask(self, arrival: Arrival, rng: Random) -> None:
+        """Let one caller ask and write down what it got."""
+        routers = self.routers_by_domain[arrival.domain_id]
+        caller = Caller(arrival, routers, rng, self.shape.caller_seconds)
+        self.ledger.note(arrival, await caller.run())
+
+    def _build_engines(self) -> None:
+        """Make the engines and the processes beside them."""
+        used_at_by_part: dict[str, float] = {}
+        slow_downs = self.shape.engine.slow_downs
+        for domain in self.shape.domains:
+            for _ in range(domain.engines):
+                number = len(self.engine_by_address)
+                slow_down = slow_downs[number % len(slow_downs)]
+                model = EngineModel(
+                    self.shape.engine, slow_down, self.tally, used_at_by_part
+                )
+                engine = EmulatedEngine(model)
+                agent = AgentProcess(
+                    engine, self._lines(), Random(self.seed * 1000 + number)
+                )
+                agent.desk.core.use(self.admission)
+                self.engine_by_address[f"engine{number}"] = engine
+                self.agent_by_address[f"agent{number}"] = agent
+                self.domain_by_address[f"engine{number}"] = domain.domain_id
+                self.domain_by_address[f"agent{number}"] = domain.domain_id
+
+    def _make_router(self, router_id: str, domain_id: str) -> FleetView:
+        """Return the view of a router that knows everything from the start."""
+
+        def way_seconds(address: str) -> float:
+            is_near = self.domain_by_address[address] == domain_id
+            return self.shape.near_seconds if is_near else self.shape.far_seconds
+
+        faces = {
+            address: agent.face() for address, agent in self.agent_by_address.items()
+        }
+        fleet = FleetView(
+            GatewaySettings(router_id, domain_id, "", "", "", 8.0, 0.2, 10.0, 50.0),
+            self._no_decoder,
+            EmulatedCaller(face_by_address=faces, way_seconds=way_seconds),
+            self._lines(),
+            Random(f"{self.seed}/{router_id}"),
+            current_time,
+            policy=self.placement,
+        )
+        fleet.pool = EmulatedPool(
+            engine_by_address=self.engine_by_address, way_seconds=way_seconds
+        )
+        fleet.table = RouteTable(self._configuration())
+        fleet.budget.routers = sum(domain.routers for domain in self.shape.domains)
+        fleet.announcements(
+            [
+                Announcement(
+                    f"e{number}",
+                    EPOCH_MS,
+                    1,
+                    EndpointState.READY,
+                    SERVICE_ID,
+                    address,
+                    self.domain_by_address[address],
+                    self.shape.engine.slots,
+                    agent=address.replace("engine", "agent"),
+                )
+                for number, address in enumerate(self.engine_by_address)
+            ]
+        )
+        return fleet
+
+    def _configuration(self) -> PassConfiguration:
+        """Return the routes of the shape's kinds."""
+        spec = self.shape.engine
+        engine = EngineShape(spec.slots, spec.memory_tokens, spec.event_tokens)
+        routes = [
+            PassRoute(
+                kind.kind_id,
+                HOST,
+                f"/{kind.kind_id}/",
+                RequestKind.STREAM,
+                [WeightedService(SERVICE_ID, 1.0)],
+                kind.deadline_seconds,
+                kind.target_seconds,
+                1,
+                kind.attempts,
+                resumable=kind.resumable,
+                gap_seconds=kind.gap_seconds,
+            )
+            for kind in self.shape.kinds
+        ]
+        services = [PassService(SERVICE_ID, engine=engine)]
+        return PassConfiguration(
+            1, routes, services, tokens_per_second=self.shape.tokens_per_second
+        )
+
+    def _lines(self) -> EventLines:
+        """Return a log that keeps nothing."""
+        return EventLines("emulated", lambda: int(current_time() * 1000), _no_line)
+
+    @staticmethod
+    def _no_decoder(document: bytes) -> PassConfiguration:
+        """Refuse: the configuration of a run never changes."""
+        raise NotImplementedError
--- a/pistachiolever/events/explain.py
+++ b/pistachiolever/events/explain.py
@@ -87,7 +87,7 @@
 
 def _cause(own: list[LogLine]) -> str:
     """Return in one line how the request ended and why."""
-    ends = [line for line in own if line.name in END_EVENTS and _is_end(line)]
+    ends = [line for line in own if line.name in END_EVENTS]
     if not ends:
         return "no line tells how it ended"
     end = ends[-1].inputs
@@ -118,11 +118,6 @@
     return f"answered {end.get('status')}: {end.get('reason')}"
 
 
-def _is_end(line: LogLine) -> bool:
-    """Tell whether a line ends the request; a bid that was refused does not."""
-    return line.name != "REQUEST_REFUSED" or "status" in line.inputs
-
-
 def _missing(own: list[LogLine], lines: list[LogLine], unread: int) -> list[str]:
     """Return what the logs at hand do not tell."""
     missing: list[str] = []
--- a/pistachiolever/events/lines.py
+++ b/pistachiolever/events/lines.py
@@ -183,3 +183,8 @@
             await sleep(FLUSH_SECONDS)
             if self.buffer.waiting:
                 self.buffer.drain()
+            if self.buffer.left_out:
+                left_out, self.buffer.left_out = self.buffer.left_out, 0
+                self.lines.record(
+                    EventCode.LINES_LEFT_OUT, lines=left_out, reason="slow reader"
+                )
--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -136,9 +136,6 @@
         if silence.cancelled_caught:
             return self._failed("silent")
         facts = self.dialect.answer_facts(answer)
-        if facts.load is not None:
-            self.handle.told_load = facts.load
-            self.handle.told_at = self.fleet.now()
         if facts.request_id and facts.request_id != request.request_id:
             return self._failed("an answer to another request")
         if facts.not_run or answer.status == 421:
--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -14,10 +14,6 @@
 # An endpoint that can't be reached is left alone, longer each time.
 FIRST_EJECTION_SECONDS: Final = 0.5
 MOST_EJECTION_SECONDS: Final = 8.0
-# What reading a shared prompt again weighs against the wait it makes, while no engine
-# has work that waits and while all have.
-CALM_REREAD_WEIGHT: Final = 1.0
-BUSY_REREAD_WEIGHT: Final = 20.0
 # A part is taken as kept by an engine for so long after its last use there.
 PART_HOME_SECONDS: Final = 15.0
 MAX_PART_HOMES: Final = 20_000
@@ -29,13 +25,6 @@
 DISTANCE_SECONDS: Final = 0.004
 # What an endpoint that still warms up is set behind others.
 COLD_PENALTY_SECONDS: Final = 0.05
-# Endpoints that are asked for room before a request is refused.
-MOST_BIDS: Final = 2
-# After a refusal only endpoints are asked whose work is done within this part of the
-# target.
-IDLE_SHARE: Final = 0.02
-# A bid is asked again elsewhere once so much of its target has passed.
-REBID_SHARE: Final = 0.25
 # A repeatable request without a first part is sent again elsewhere after its target
 # and this part of it.
 SILENCE_SHARE: Final = 0.6
@@ -46,14 +35,18 @@
 GAP_SILENCE_SECONDS: Final = 1.2
 # Least time left with which a request is worth sending.
 LEAST_SEND_SECONDS: Final = 0.03
+# The shares of accounts are computed anew after this.
+LEVEL_SECONDS: Final = 0.05
 # Answers of plain services up to this size are whole before they are passed on.
 WHOLE_ANSWER_BYTES: Final = 262_144
 # Engines close idle connections after a time they tell in whole seconds.
 KEEP_MARGIN_SECONDS: Final = 0.5
+# Where no time is told; shorter than the idle times that servers commonly have.
 UNKNOWN_KEEP_SECONDS: Final = 2.0
 MOST_KEEP_SECONDS: Final = 30.0
 # Share of a caller's remaining time after which it no longer honours Retry-After.
 RETRY_AFTER_SHARE: Final = 0.32
+# Told where no endpoint said when it is free: about the time to find a new one.
 DEFAULT_RETRY_SECONDS: Final = 1.0
 # A router that started learns its configuration within about this.
 COLD_RETRY_SECONDS: Final = 0.5
@@ -61,7 +54,12 @@
 AGENT_RETRY_SECONDS: Final = 0.5
 # Starts and ends that are kept for an agent that does not answer.
 MOST_UNTOLD: Final = 1000
+# An agent decides within the target; later than this beyond it, it is lost.
 BID_CALL_MARGIN_SECONDS: Final = 0.5
+# Idle connections kept to one endpoint: as many as an engine has slots.
+MOST_IDLE_CONNECTIONS: Final = 64
+# How often a draining router looks whether it is done.
+DRAIN_POLL_SECONDS: Final = 0.05
 # After the order to stop, the balancer asks twice more before it looks elsewhere.
 BALANCER_SECONDS: Final = 2.6
 # Set aside at the end of the grace period, to end before being killed.
--- a/pistachiolever/gateway/dialect.py
+++ b/pistachiolever/gateway/dialect.py
@@ -108,13 +108,11 @@
 
     def answer_facts(self, head: ResponseHead) -> AnswerFacts:
         """Return what an endpoint says of its answer."""
-        load = _triple(head.value(self.load))
         return AnswerFacts(
             (head.value(self.request_id) or b"").decode("latin-1"),
             head.value(self.signature) is not None,
             head.value(self.not_run) is not None,
             keep_seconds(head),
-            load,
         )
 
     def caller_headers(self, head: ResponseHead, whole: bool) -> list[Header]:
@@ -171,13 +169,3 @@
         number = _number(tokens, "size of a prompt part") or 0
         parts.append(PromptPart(name.decode("latin-1"), number))
     return parts
-
-
-def _triple(value: bytes | None) -> tuple[int, int, int] | None:
-    """Return running, waiting and slots, if they are told as three numbers."""
-    if value is None:
-        return None
-    numbers = value.split(b",")
-    if len(numbers) != 3 or not all(n.strip().isdigit() for n in numbers):
-        return None
-    return (int(numbers[0]), int(numbers[1]), int(numbers[2]))
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -9,7 +9,6 @@
 from attrs import define, field
 
 from pistachiolever.admission.models import Load
-from pistachiolever.admission.shares import FadingSum
 from pistachiolever.core.mailbox import Mailbox
 from pistachiolever.discovery.directory import EndpointDirectory
 from pistachiolever.discovery.models import Announcement, EndpointState
@@ -17,9 +16,12 @@
 from pistachiolever.events.const import EventCode
 from pistachiolever.events.lines import EventLines
 from pistachiolever.gateway.budget import RetryBudget
+from pistachiolever.gateway.const import MOST_IDLE_CONNECTIONS
+from pistachiolever.gateway.fair_shares import FairShares
 from pistachiolever.gateway.gates import AgentGate, Gate, LocalGate, make_local_gate
 from pistachiolever.gateway.health import EndpointHealth
 from pistachiolever.gateway.placement import Candidate, Placement
+from pistachiolever.gateway.policy import PlacementPolicy
 from pistachiolever.gateway.settings import GatewaySettings
 from pistachiolever.metrics.instruments import Instruments
 from pistachiolever.registry.const import ROUTER_SECONDS
@@ -27,9 +29,6 @@
 from pistachiolever.routing.models import PassConfiguration
 from pistachiolever.routing.table import RouteTable
 
-# Idle connections kept to one endpoint.
-MOST_IDLE_CONNECTIONS = 64
-
 
 class ConfigurationDecoder(Protocol):
     """Reads the document of a whole configuration."""
@@ -47,8 +46,6 @@
     local: LocalGate
     health: EndpointHealth = field(factory=EndpointHealth)
     bidding_tokens: float = 0.0
-    told_load: tuple[int, int, int] | None = None
-    told_at: float = float("-inf")
 
     def load(self) -> Load:
         """Return what stands before the endpoint."""
@@ -66,13 +63,14 @@
     rng: Random
     now: Callable[[], float]
     instruments: Instruments = field(factory=Instruments)
+    policy: PlacementPolicy = PlacementPolicy()
     table: RouteTable | None = None
     directory: EndpointDirectory = field(factory=EndpointDirectory)
     handle_by_id: dict[str, EndpointHandle] = field(factory=dict)
     pool: ConnectionPool = field(init=False)
     placement: Placement = field(init=False)
     budget: RetryBudget = field(init=False)
-    service_by_account: dict[str, dict[str, FadingSum]] = field(factory=dict)
+    shares: FairShares = field(factory=FairShares)
     new_gates: Mailbox[AgentGate | LocalGate] = field(factory=Mailbox)
     gone_addresses: Mailbox[str] = field(factory=Mailbox)
     router_counts: deque[tuple[float, int]] = field(factory=deque)
@@ -80,7 +78,7 @@
     def __attrs_post_init__(self) -> None:
         """Start with nothing known."""
         self.pool = ConnectionPool(most_idle=MOST_IDLE_CONNECTIONS)
-        self.placement = Placement(self.settings.failure_domain)
+        self.placement = Placement(self.settings.failure_domain, self.policy)
         self.budget = RetryBudget(
             self.settings.retry_ratio,
             self.settings.retry_window_seconds,
@@ -174,6 +172,7 @@
             local,
             self.events,
             self.now,
+            lambda uses: self.shares.hear(news.endpoint_id, uses, self.now()),
         )
         self.new_gates.put(gate)
         return EndpointHandle(news, gate, local)
@@ -204,18 +203,12 @@
             and not handle.health.is_ejected(now)
         ]
 
-    def elsewhere(self, account_id: str, endpoint_id: str) -> float:
-        """Return an account's recent service at all other endpoints."""
-        now = self.now()
-        known = self.service_by_account.get(account_id, {})
-        return sum(
-            fading.read(now) for other, fading in known.items() if other != endpoint_id
-        )
-
-    def note_service(self, account_id: str, endpoint_id: str, value: float) -> None:
-        """Take in what an endpoint's agent says of an account's service there."""
-        known = self.service_by_account.setdefault(account_id, {})
-        known[endpoint_id] = FadingSum(value, self.now())
+    def share(self) -> float | None:
+        """Return what an account may have got lately at all endpoints."""
+        if self.table is None:
+            return None
+        tokens_per_second = self.table.configuration.tokens_per_second
+        return self.shares.share(tokens_per_second, self.now())
 
     def note_unreached(self, handle: EndpointHandle, error: str) -> None:
         """Leave an endpoint alone that takes no connection."""
--- a/pistachiolever/gateway/gates.py
+++ b/pistachiolever/gateway/gates.py
@@ -12,10 +12,12 @@
     PROGRESS_CALL_SECONDS,
     PROGRESS_PATH,
     PROGRESS_SECONDS,
+    SHARES_SECONDS,
 )
 from pistachiolever.admission.core import AdmissionCore, Capacity
 from pistachiolever.admission.desk import AdmissionDesk
 from pistachiolever.admission.models import (
+    AccountUse,
     Bid,
     BidReply,
     EndedRun,
@@ -87,6 +89,8 @@
     fallback: LocalGate
     events: EventLines
     now: Callable[[], float]
+    hear_uses: Callable[[list[AccountUse]], None]
+    uses_at: float = float("-inf")
     last_load: Load = Load()
     silent_until: float = 0.0
     silent: bool = False
@@ -162,7 +166,8 @@
         """Tell the agent what was seen since the last time."""
         started, self.started_ids = self.started_ids, []
         ended, self.ended_runs = self.ended_runs, []
-        progress = Progress(self.router_id, started, ended)
+        wants_uses = self.now() - self.uses_at >= SHARES_SECONDS
+        progress = Progress(self.router_id, wants_uses, started, ended)
         try:
             reply = await self.caller.call(
                 self.address,
@@ -178,6 +183,9 @@
             self._note_silent(str(error))
             return
         self.last_load = reply.load
+        if reply.uses is not None:
+            self.uses_at = self.now()
+            self.hear_uses(reply.uses)
         if self.silent:
             self.silent = False
             self.events.record(EventCode.AGENT_FOUND, agent=self.address)
--- a/pistachiolever/gateway/journey.py
+++ b/pistachiolever/gateway/journey.py
@@ -9,10 +9,7 @@
 from pistachiolever.gateway.attempt import AnswerSink, Attempt, AttemptEnd, WholeAnswer
 from pistachiolever.gateway.const import (
     DEFAULT_RETRY_SECONDS,
-    IDLE_SHARE,
     LEAST_SEND_SECONDS,
-    MOST_BIDS,
-    REBID_SHARE,
     RETRY_AFTER_SHARE,
 )
 from pistachiolever.gateway.dialect import Dialect
@@ -77,7 +74,7 @@
         request = self.request
         begun = self.fleet.now()
         try:
-            while len(refused) < MOST_BIDS:
+            while len(refused) < self._most_bids():
                 choices = self._rank(refused | request.tried)
                 if not choices and not refused:
                     # Better the same endpoint again than none.
@@ -87,9 +84,13 @@
                 if not choices:
                     return None
                 choice = choices[0]
+                asked = self.fleet.handle_by_id[choice.endpoint.endpoint_id]
                 patience = self._patience(len(choices) > 1)
                 reply = await self._bid(choice, patience)
                 handle = self.fleet.handle_by_id.get(choice.endpoint.endpoint_id)
+                if reply is not None and reply.granted and handle is None:
+                    # The endpoint left meanwhile; its agent should not wait for it.
+                    asked.gate.ended(request.bid_id, 0)
                 if reply is None or handle is None:
                     if request.left(self.fleet.now()) < LEAST_SEND_SECONDS:
                         return None
@@ -104,6 +105,19 @@
         finally:
             self.queued_seconds += self.fleet.now() - begun
 
+    def _most_bids(self) -> int:
+        """Return how many endpoints are asked for room."""
+        policy = self.fleet.policy
+        return policy.beyond_bids if self._is_beyond_share() else policy.most_bids
+
+    def _is_beyond_share(self) -> bool:
+        """Tell whether the account had its fair share of the engines lately."""
+        share = self.fleet.share()
+        if share is None or not self.request.service.engine:
+            return False
+        got = self.fleet.shares.elsewhere(self.request.account_id, "", self.fleet.now())
+        return got > share
+
     def _rank(self, avoid: set[str]) -> list[Choice]:
         """Return the endpoints for the request, the best first."""
         facts = self.request.facts
@@ -120,7 +134,7 @@
 
         Work that a busy endpoint refused would only be read anew at another one.
         """
-        most = IDLE_SHARE * self.request.route.target_seconds
+        most = self.fleet.policy.idle_share * self.request.route.target_seconds
         return [choice for choice in choices if choice.wait < most]
 
     def _patience(self, has_others: bool) -> float:
@@ -128,7 +142,8 @@
         left = self.request.left(self.fleet.now())
         if not has_others:
             return left
-        return min(left, REBID_SHARE * self.request.route.target_seconds)
+        share = self.fleet.policy.rebid_share
+        return min(left, share * self.request.route.target_seconds)
 
     async def _bid(self, choice: Choice, patience: float) -> BidReply | None:
         """Ask for room at one endpoint; None when it did not decide in time."""
@@ -146,9 +161,11 @@
             handle.bidding_tokens -= tokens
         if reply is None:
             return None
-        fleet.note_service(request.account_id, endpoint_id, reply.service)
+        fleet.shares.note_got(
+            request.account_id, endpoint_id, reply.service, fleet.now()
+        )
         fleet.events.record(
-            EventCode.REQUEST_GRANTED if reply.granted else EventCode.REQUEST_REFUSED,
+            EventCode.REQUEST_GRANTED if reply.granted else EventCode.BID_REFUSED,
             request.request_id,
             endpoint=endpoint_id,
             waited=round(fleet.now() - granted_at, 4),
@@ -179,7 +196,9 @@
             request.output_tokens if engine else 0,
             request.facts.model,
             request.facts.parts if engine else [],
-            self.fleet.elsewhere(request.account_id, endpoint_id),
+            self.fleet.shares.elsewhere(request.account_id, endpoint_id, now),
+            self.fleet.share(),
+            request.bids > 1,
             engine.slots if engine else handle.endpoint.slots,
             engine.memory_tokens if engine else 0,
             engine.event_tokens if engine else 1,
--- a/pistachiolever/gateway/models.py
+++ b/pistachiolever/gateway/models.py
@@ -24,16 +24,12 @@
 
 @frozen
 class AnswerFacts:
-    """What an endpoint's headers say of its answer.
-
-    `load` is running and waiting requests and slots, where they are told.
-    """
+    """What an endpoint's headers say of its answer."""
 
     request_id: str
     signed: bool
     not_run: bool
     keep_seconds: float
-    load: tuple[int, int, int] | None = None
 
 
 @define(eq=False)
--- a/pistachiolever/gateway/placement.py
+++ b/pistachiolever/gateway/placement.py
@@ -11,8 +11,6 @@
 from pistachiolever.discovery.models import Announcement
 from pistachiolever.gateway.const import (
     BUSY_PENALTY_SECONDS,
-    BUSY_REREAD_WEIGHT,
-    CALM_REREAD_WEIGHT,
     COLD_PENALTY_SECONDS,
     DISTANCE_SECONDS,
     FAILURE_PENALTY_SECONDS,
@@ -21,6 +19,7 @@
     PART_HOME_SECONDS,
 )
 from pistachiolever.gateway.health import EndpointHealth
+from pistachiolever.gateway.policy import PlacementPolicy
 
 
 @frozen
@@ -79,6 +78,7 @@
     """Ranks endpoints for a request."""
 
     failure_domain: str
+    policy: PlacementPolicy = PlacementPolicy()
     homes: PartHomes = field(factory=PartHomes)
 
     def rank(
@@ -91,7 +91,7 @@
     ) -> list[Choice]:
         """Return the candidates, the best first."""
         home = _home_of(parts, candidates)
-        weight = _reread_weight(candidates)
+        weight = self._reread_weight(candidates)
         choices = [
             self._choice(
                 model,
@@ -140,23 +140,23 @@
             cost += COLD_PENALTY_SECONDS
         return Choice(endpoint, cost, wait, reread, failures)
 
+    def _reread_weight(self, candidates: list[Candidate]) -> float:
+        """Return what reading a shared prompt again weighs against waiting.
+
+        While engines are free it delays nobody but the request itself; the more of
+        them have work that waits, the more others it holds up.
+        """
+        busy = sum(candidate.load.waiting > 0 for candidate in candidates)
+        pressure = busy / max(1, len(candidates))
+        calm = self.policy.calm_reread_weight
+        return calm + pressure * (self.policy.busy_reread_weight - calm)
+
     def _shared_unread(self, parts: list[PromptPart], cached: int) -> int:
         """Return the tokens of parts that others share and that must be read."""
         shared = sum(part.tokens for part in parts[:-1])
         return max(0, shared - cached)
 
 
-def _reread_weight(candidates: list[Candidate]) -> float:
-    """Return what reading a shared prompt again weighs against waiting.
-
-    While engines are free it delays nobody but the request itself; the more of them
-    have work that waits, the more others it holds up.
-    """
-    busy = sum(candidate.load.waiting > 0 for candidate in candidates)
-    pressure = busy / max(1, len(candidates))
-    return CALM_REREAD_WEIGHT + pressure * (BUSY_REREAD_WEIGHT - CALM_REREAD_WEIGHT)
-
-
 def _home_of(parts: list[PromptPart], candidates: list[Candidate]) -> str:
     """Return the endpoint where requests that share a prompt meet.
 
--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -7,6 +7,7 @@
 from pistachiolever.gateway.const import (
     BALANCER_SECONDS,
     COLD_RETRY_SECONDS,
+    DRAIN_POLL_SECONDS,
     FIRST_ENDPOINTS_SECONDS,
     GRACE_MARGIN_SECONDS,
 )
@@ -22,8 +23,6 @@
 from pistachiolever.routing.models import PassAccount, PassRoute
 from pistachiolever.routing.table import RouteTable, host_name
 
-DRAIN_POLL_SECONDS = 0.05
-
 
 class NotAllowedError(Exception):
     """A request that the configuration in force does not allow; has the status."""
--- a/pistachiolever/platform/main.py
+++ b/pistachiolever/platform/main.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from random import SystemRandom
 from signal import SIGHUP, SIGINT, SIGTERM
-from time import time
+from typing import Final
 
 from anyio import (
     Event,
@@ -21,6 +21,7 @@
 
 from pistachiolever.admission.agent import AgentProcess
 from pistachiolever.control.storage import FolderDisk, LogStorage
+from pistachiolever.core.clock import wall_ms
 from pistachiolever.edge.peers import PeerCaller
 from pistachiolever.events.const import EventCode
 from pistachiolever.events.lines import EventLines, LineOutput, make_lines
@@ -44,14 +45,9 @@
 from pistachiolever.settings.errors import InvalidDocumentError
 
 # How often the settings file is looked at, as it may change without a signal.
-SETTINGS_SECONDS = 1.0
+SETTINGS_SECONDS: Final = 1.0
 # Operators send configurations of hundreds of routes.
-CONTROL_LIMITS = HttpLimits(max_body_bytes=16 * 1024 * 1024)
-
-
-def wall_ms() -> int:
-    """Return the milliseconds since the epoch."""
-    return int(time() * 1000)
+CONTROL_LIMITS: Final = HttpLimits(max_body_bytes=16 * 1024 * 1024)
 
 
 @define
--- a/pistachiolever/registry/process.py
+++ b/pistachiolever/registry/process.py
@@ -165,7 +165,7 @@
             founders = [f"{seed}/{FOUNDER_LIFE}" for seed in self.settings.seeds]
             identity = Identity(f"{address}/{FOUNDER_LIFE}", True, founders=founders)
         else:
-            identity = Identity(f"{address}/{new_id(self.rng)[:12]}", True, joins=True)
+            identity = Identity(f"{address}/{new_id(self.rng)[:12]}", True)
         self.storage.save_identity(identity)
         return identity
 
--- a/tests/admission/test_core.py
+++ b/tests/admission/test_core.py
@@ -5,8 +5,8 @@
 
 from attrs import evolve
 
-from pistachiolever.admission.const import UNREAD_TOKENS
 from pistachiolever.admission.core import AdmissionCore, Capacity
+from pistachiolever.admission.fair_queue import FairQueue, Waiting
 from pistachiolever.admission.models import (
     AdmissionAction,
     Bid,
@@ -60,7 +60,7 @@
 
     def test_an_idle_engine_takes_a_request_of_any_size(self) -> None:
         core = make_core()
-        huge = bid("huge", prompt_tokens=UNREAD_TOKENS * 20)
+        huge = bid("huge", prompt_tokens=60_000)
         self.assertEqual(granted(core.bid(huge, 1.0)), ["huge"])
 
     def test_what_the_engine_cannot_read_soon_waits(self) -> None:
@@ -180,6 +180,92 @@
         self.assertLess(counts[0], counts[1])
 
 
+class FairShareTest(CaseTest):
+    """The load of hot accounts: room is kept for those below their share."""
+
+    def hot_core(self) -> AdmissionCore:
+        """Return a core whose account `hot` had thrice its share elsewhere."""
+        core = make_core()
+        core.bid(bid("first", "hot", **self.hot), 1.0)
+        return core
+
+    def setUp(self) -> None:
+        """Set what a router tells of the hot account and of a small one."""
+        self.hot: dict[str, Any] = {"elsewhere": 30_000.0, "share": 10_000.0}
+        self.small: dict[str, Any] = {"elsewhere": 0.0, "share": 10_000.0}
+
+    def test_beyond_its_share_an_account_is_served_by_an_idle_engine(self) -> None:
+        core = make_core()
+        self.assertEqual(granted(core.bid(bid("a", "hot", **self.hot), 1.0)), ["a"])
+
+    def test_it_waits_while_the_engine_has_anything_to_read(self) -> None:
+        core = self.hot_core()
+        self.assertEqual(core.bid(bid("second", "hot", **self.hot), 1.0), [])
+        taken = granted(core.bid(bid("small", "small", **self.small), 1.0))
+        self.assertEqual(taken, ["small"])
+
+    def test_it_is_refused_early_and_told_why(self) -> None:
+        core = self.hot_core()
+        actions: list[AdmissionAction] = []
+        for number in range(12):
+            actions.extend(core.bid(bid(f"hot{number}", "hot", **self.hot), 1.0))
+        reasons = {a.reason for a in actions if isinstance(a, Refused)}
+        self.assertEqual(reasons, {"beyond-share"})
+
+    def test_an_account_below_its_share_waits_up_to_its_target(self) -> None:
+        """What is refused beyond a share would have been in time below it."""
+        for fields, expected in ((self.hot, True), (self.small, False)):
+            core = make_core()
+            core.bid(bid("long", "other", prompt_tokens=20_000), 1.0)
+            actions = core.bid(bid("next", "one", **fields), 1.0)
+            with self.subTest(fields=fields):
+                self.assertEqual("next" in refused(actions), expected)
+
+    def test_what_is_below_a_share_comes_before_what_is_beyond_one(self) -> None:
+        """Also if the account below its larger share got more so far."""
+        core = make_core()
+        core.bid(bid("long", "other", prompt_tokens=6_000), 1.0)
+        core.bid(bid("hot", "hot", elsewhere=3_000.0, share=2_000.0), 1.0)
+        large = bid("large", "large", elsewhere=5_000.0, share=20_000.0)
+        core.bid(large, 1.01)
+        self.assertEqual(granted(core.started("long", 1.2))[:1], ["large"])
+
+    def test_a_large_prompt_beyond_a_share_does_not_block_the_engine(self) -> None:
+        """While accounts below their share ask for much; otherwise it is read."""
+        large: dict[str, Any] = {"prompt_tokens": 30_000, **self.hot}
+        calm, busy = make_core(), make_core()
+        for number in range(60):
+            now = 1.0 + number * 0.05
+            busy.bid(bid(f"s{number}", f"a{number}", **self.small), now)
+            busy.started(f"s{number}", now + 0.04)
+            busy.ended(f"s{number}", 10, now + 0.045)
+        self.assertEqual(
+            granted(calm.bid(bid("large", "hot", **large), 4.1)), ["large"]
+        )
+        self.assertEqual(
+            refused(busy.bid(bid("large", "hot", **large), 4.1)), ["large"]
+        )
+
+    def test_a_size_that_got_too_little_is_due_beyond_the_share(self) -> None:
+        """A hot account's share must not all go to its small prompts."""
+        core = make_core()
+        fields: dict[str, Any] = {"elsewhere": 0.0, "share": 16_000.0}
+        now = 1.0
+        for number in range(10):
+            name = f"small{number}"
+            core.bid(bid(name, "hot", prompt_tokens=1500, **fields), now)
+            core.started(name, now + 0.04)
+            core.ended(name, 100, now + 0.05)
+            now += 0.06
+        queue = FairQueue(core.service, core.policy, now)
+        for tokens, beyond in ((1500, True), (12_000, False)):
+            request = bid("next", "hot", prompt_tokens=tokens, **fields)
+            core.service.ask(request, 12_000, now)
+            waiting = Waiting(request, now, now + 1, now + 9, tokens)
+            with self.subTest(tokens=tokens):
+                self.assertEqual(queue.order([waiting])[0].beyond_share, beyond)
+
+
 class EndTest(CaseTest):
     """Ends are noticed, also those that nobody tells."""
 
--- a/tests/admission/test_flow.py
+++ b/tests/admission/test_flow.py
@@ -1,9 +1,12 @@
 """Reading prompts leaves running answers the pace they need."""
 
-from pistachiolever.admission.const import LEAST_FLOW_SHARE, MOST_PACE_SECONDS
+from pistachiolever.admission.const import MOST_PACE_SECONDS
 from pistachiolever.admission.flow import ReadingFlow, RunningAnswer, needed_pace
+from pistachiolever.admission.policy import AdmissionPolicy
 from tests.support.cases import CaseTest
 
+POLICY = AdmissionPolicy()
+
 
 class NeededPaceTest(CaseTest):
     """The pace follows the answers that are in the greatest need."""
@@ -11,11 +14,14 @@
     def test_table(self) -> None:
         calm = RunningAnswer(100, 0, 30.0)
         hurried = RunningAnswer(400, 0, 25.0)
-        self.assertEqual(needed_pace([]), MOST_PACE_SECONDS)
-        self.assertEqual(needed_pace([calm]), MOST_PACE_SECONDS)
-        self.assertLess(needed_pace([hurried] * 3 + [calm] * 7), MOST_PACE_SECONDS)
+        self.assertEqual(needed_pace([], POLICY), MOST_PACE_SECONDS)
+        self.assertEqual(needed_pace([calm], POLICY), MOST_PACE_SECONDS)
+        mixed = [hurried] * 3 + [calm] * 7
+        self.assertLess(needed_pace(mixed, POLICY), MOST_PACE_SECONDS)
         almost_done = RunningAnswer(400, 790, 2.0)
-        self.assertGreater(needed_pace([almost_done]), needed_pace([hurried]))
+        self.assertGreater(
+            needed_pace([almost_done], POLICY), needed_pace([hurried], POLICY)
+        )
 
 
 class FlowTest(CaseTest):
@@ -33,13 +39,14 @@
         self.now, self.events = 1.0, 1
         flow = ReadingFlow()
         self.drive(flow, 0, 40)
-        self.assertAlmostEqual(flow.share, LEAST_FLOW_SHARE)
+        self.assertAlmostEqual(flow.share, POLICY.least_flow_share)
         self.drive(flow, 2, 120)
         self.assertGreater(flow.share, 0.9)
         self.assertLess(flow.pace, 0.01)
 
     def test_credit_comes_in_at_the_share(self) -> None:
-        flow = ReadingFlow(share=0.5, credit=0.0, at=1.0)
+        flow = ReadingFlow(share=0.5, at=1.0)
+        flow.credit = 0.0
         flow.refill(10_000, 1.1)
         self.assertAlmostEqual(flow.credit, 500)
         flow.take(2500)
--- /dev/null
+++ b/tests/emulator/test_clock.py
@@ -0,0 +1,39 @@
+"""Emulated time passes only when nothing else is left to do."""
+
+from time import monotonic
+
+from anyio import Event, create_task_group, current_time, run, sleep
+
+from pistachiolever.emulator.clock import EmulatedLoop, EmulationStalledError
+from tests.support.cases import CaseTest
+
+OPTIONS = {"loop_factory": EmulatedLoop}
+
+
+class ClockTest(CaseTest):
+    """Sleeping takes no time of day."""
+
+    def test_an_hour_passes_at_once_and_in_order(self) -> None:
+        order: list[tuple[str, float]] = []
+
+        async def nap(name: str, seconds: float) -> None:
+            await sleep(seconds)
+            order.append((name, current_time()))
+
+        async def both() -> None:
+            async with create_task_group() as group:
+                group.start_soon(nap, "late", 3600.0)
+                group.start_soon(nap, "early", 0.5)
+
+        begun = monotonic()
+        run(both, backend_options=OPTIONS)
+        self.assertLess(monotonic() - begun, 60)
+        self.assertEqual([name for name, _ in order], ["early", "late"])
+        self.assertAlmostEqual(order[1][1], 3600.0, places=3)
+
+    def test_a_stall_is_an_error(self) -> None:
+        async def wait_for_ever() -> None:
+            await Event().wait()
+
+        with self.assertRaises(EmulationStalledError):
+            run(wait_for_ever, backend_options=OPTIONS)
--- a/tests/events/test_explain.py
+++ b/tests/events/test_explain.py
@@ -41,7 +41,7 @@
             elsewhere=10,
         )
         logs.now += 2
-        logs.router.record(EventCode.REQUEST_REFUSED, "r1", reason="late")
+        logs.router.record(EventCode.BID_REFUSED, "r1", reason="late")
         logs.router.record(
             EventCode.REQUEST_REFUSED, "r1", status=503, reason="no-room"
         )
--- a/tests/gateway/test_dialect.py
+++ b/tests/gateway/test_dialect.py
@@ -78,7 +78,7 @@
         )
         facts = DIALECT.answer_facts(head)
         self.assertTrue(facts.signed)
-        self.assertEqual((facts.load, facts.keep_seconds), ((3, 0, 8), 4.5))
+        self.assertEqual(facts.keep_seconds, 4.5)
         self.assertEqual(
             DIALECT.caller_headers(head, whole=True),
             [
--- /dev/null
+++ b/tests/gateway/test_fair_shares.py
@@ -0,0 +1,50 @@
+"""What an account may have of the engines, from what all of them were asked."""
+
+from pistachiolever.admission.models import AccountUse
+from pistachiolever.gateway.fair_shares import FairShares, max_min_level
+from tests.support.cases import CaseTest
+
+
+class LevelTest(CaseTest):
+    """Max-min: whoever asks for less than the level gets it all."""
+
+    def test_table(self) -> None:
+        table: list[tuple[list[float], float, float | None]] = [
+            ([], 100.0, None),
+            ([40.0, 60.0], 100.0, None),
+            ([200.0], 100.0, 100.0),
+            ([10.0, 500.0], 100.0, 90.0),
+            ([10.0, 20.0, 500.0, 600.0], 100.0, 35.0),
+            ([50.0, 50.0, 50.0, 50.0], 100.0, 25.0),
+        ]
+        for asked, capacity, level in table:
+            with self.subTest(asked=asked):
+                self.assertEqual(max_min_level(asked, capacity), level)
+
+
+class FairSharesTest(CaseTest):
+    """A router's view of all accounts at all endpoints."""
+
+    def setUp(self) -> None:
+        """Hear of two accounts at two endpoints."""
+        self.shares = FairShares()
+        hot, small = AccountUse("hot", 9000, 3000), AccountUse("small", 100, 100)
+        self.shares.hear("e1", [hot, small], 1.0)
+        self.shares.hear("e2", [hot], 1.0)
+
+    def test_service_is_summed_over_the_other_endpoints(self) -> None:
+        self.assertEqual(self.shares.elsewhere("hot", "e1", 1.0), 3000)
+        self.assertEqual(self.shares.elsewhere("hot", "", 1.0), 6000)
+        self.assertEqual(self.shares.elsewhere("unknown", "e1", 1.0), 0)
+
+    def test_the_share_is_what_small_accounts_leave(self) -> None:
+        self.assertAlmostEqual(self.shares.share(1000.0, 1.0) or 0, 4000 - 100)
+
+    def test_no_account_is_short_of_a_large_fleet(self) -> None:
+        self.assertIsNone(self.shares.share(1_000_000.0, 1.0))
+
+    def test_no_share_is_known_without_a_capacity(self) -> None:
+        self.assertIsNone(self.shares.share(0.0, 1.0))
+
+    def test_what_is_not_heard_of_again_fades(self) -> None:
+        self.assertLess(self.shares.elsewhere("hot", "", 13.0), 600)
