--- a/pistachiolever/admission/core.py
+++ b/pistachiolever/admission/core.py
@@ -100,6 +100,7 @@
     memory_used: float = 0.0
     foreign_running: int = 0
     demand: FadingSum = field(factory=FadingSum)
+    due_demand: FadingSum = field(factory=FadingSum)
     run_ends: FadingSum = field(factory=FadingSum)
     run_seconds: FadingSum = field(factory=FadingSum)
 
@@ -125,8 +126,6 @@
         self.cache.capacity_tokens = bid.memory_tokens
         self.service.hear(bid.account_id, bid.elsewhere, now)
         unread = bid.prompt_tokens - self.cache.cached_tokens(bid.model, bid.parts)
-        if bid.share is None or self.service.total(bid.account_id, now) < bid.share:
-            self.demand.add(max(0, unread), now)
         waiting = Waiting(
             bid,
             now,
@@ -135,10 +134,18 @@
             max(0, unread),
         )
         if not bid.asks_again:
-            self.service.ask(bid, waiting.cost, now)
+            self._note_demand(waiting, now)
         self.waiting_by_id[bid.bid_id] = waiting
         return self.review(now)
 
+    def _note_demand(self, waiting: Waiting, now: float) -> None:
+        """Count what is asked for here, and what of it is below a share."""
+        bid = waiting.bid
+        self.service.ask(bid, waiting.cost, now)
+        self.demand.add(waiting.unread_tokens, now)
+        if bid.share is None or self.service.total(bid.account_id, now) < bid.share:
+            self.due_demand.add(waiting.unread_tokens, now)
+
     def withdraw(self, bid_id: str, now: float) -> list[AdmissionAction]:
         """Drop a bid whose router no longer wants it."""
         self.waiting_by_id.pop(bid_id, None)
@@ -250,7 +257,9 @@
         """Grant what fits, in fair order, and refuse what comes too late."""
         if not self.waiting_by_id:
             return []
-        queue = FairQueue(self.service, self.policy, now)
+        part = self._part_of_readable(self.demand, now)
+        is_gated = part > self.policy.gate_demand
+        queue = FairQueue(self.service, self.policy, now, is_gated)
         turns = queue.order(list(self.waiting_by_id.values()))
         actions: list[AdmissionAction] = []
         while (chosen := self._next(turns, now)) is not None:
@@ -289,20 +298,18 @@
 
     def _has_room_beyond(self, turn: Turn, now: float) -> bool:
         """Tell whether the engine is free enough for a request beyond a share."""
-        if self._is_too_large(turn, now):
+        if self._is_too_large(turn):
             return False
         return self.unread_tokens(now) <= self.policy.beyond_unread_tokens
 
-    def _is_too_large(self, turn: Turn, now: float) -> bool:
+    def _is_too_large(self, turn: Turn) -> bool:
         """Tell whether reading a prompt beyond a share would hold up too many."""
-        if self._demand_share(now) <= self.policy.bound_demand:
-            return False
         return turn.waiting.unread_tokens > self.policy.beyond_most_unread
 
-    def _demand_share(self, now: float) -> float:
-        """Return what accounts below their share asked to be read, against what can."""
+    def _part_of_readable(self, demand: FadingSum, now: float) -> float:
+        """Return what was asked to be read lately against what can be read."""
         readable = self.reading_speed() * SERVICE_MEMORY_SECONDS
-        return self.demand.read(now) / readable
+        return demand.read(now) / readable
 
     def _is_full(self) -> bool:
         """Tell whether all slots are taken."""
@@ -381,7 +388,7 @@
             share = wait_share
             if turn.beyond_share:
                 share = min(share, self.policy.beyond_share_wait)
-                if self._is_too_large(turn, now):
+                if self._is_too_large(turn):
                     share = 0.0
             own = min(
                 waiting.unread_tokens / speed, self.policy.own_reading_share * target
@@ -402,7 +409,7 @@
         A burst is worth waiting out. While more comes than can be read, a queue only
         makes all late, so it is kept short.
         """
-        excess = self._demand_share(now) - 1.0
+        excess = self._part_of_readable(self.due_demand, now) - 1.0
         part = min(1.0, max(0.0, excess / self.policy.full_excess))
         calm, busy = self.policy.calm_wait_share, self.policy.busy_wait_share
         return calm + part * (busy - calm)
--- a/pistachiolever/admission/fair_queue.py
+++ b/pistachiolever/admission/fair_queue.py
@@ -84,6 +84,7 @@
     service: RecentService
     policy: AdmissionPolicy
     now: float
+    is_gated: bool = True
 
     def order(self, waiting: list[Waiting]) -> list[Turn]:
         """Return the requests in the order of their grants."""
@@ -102,7 +103,7 @@
         waiting, service = taken
         bid = waiting.bid
         reached = service + waiting.cost / 2
-        if bid.share is None or reached <= bid.share:
+        if not self.is_gated or bid.share is None or reached <= bid.share:
             return Turn(waiting, service, False)
         is_due = self.service.size_part(bid, self.now) < self.policy.size_part
         is_due = is_due and reached <= self.policy.most_share * bid.share
--- a/pistachiolever/admission/policy.py
+++ b/pistachiolever/admission/policy.py
@@ -30,9 +30,9 @@
     beyond_unread_tokens: float = 0.0
     # And only if at most so many tokens of it have to be read.
     beyond_most_unread: float = 12_000.0
-    # That bound holds while accounts below their share ask for more than this part of
-    # what can be read.
-    bound_demand: float = 0.3
+    # Accounts beyond their share are held back while all together ask for more than
+    # this part of what can be read.
+    gate_demand: float = 0.8
     # Requests of a size and kind that got less than this part of what the account got
     # in proportion are not taken as beyond its share, up to so many times the share.
     size_part: float = 0.8
