--- a/pistachiolever/platform/control.py
+++ b/pistachiolever/platform/control.py
@@ -44,7 +44,7 @@
                 await self._announce(exchange, path[len(INSTANCES_PATH) :], body)
             elif path.startswith(INSTANCES_PATH) and method == b"DELETE":
                 endpoint_id = path[len(INSTANCES_PATH) :]
-                await self.registry.leave(endpoint_id, decode_birth(body))
+                await self.registry.endpoints.leave(endpoint_id, decode_birth(body))
                 await self._answer(exchange, 200, b"{}")
             else:
                 await self._answer(exchange, 404, _error("no such call"))
@@ -72,7 +72,7 @@
     ) -> None:
         """Take in a heartbeat."""
         news = decode_announcement(endpoint_id, body, self.inner_port)
-        await self.registry.announce(news)
+        await self.registry.endpoints.announce(news)
         self._count(ANNOUNCEMENTS, "taken")
         await self._answer(exchange, 200, b"{}")
 
--- a/pistachiolever/registry/process.py
+++ b/pistachiolever/registry/process.py
@@ -17,8 +17,6 @@
 from pistachiolever.control.storage import Identity, LogStorage
 from pistachiolever.core.ids import new_id
 from pistachiolever.core.mailbox import Mailbox
-from pistachiolever.discovery.directory import EndpointDirectory
-from pistachiolever.discovery.models import Announcement, EndpointState
 from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.peers import CallRefusedError, InnerFace, PeerCaller
 from pistachiolever.events.const import EventCode
@@ -29,9 +27,7 @@
 from pistachiolever.raft.models import Join, RaftEnvelope, Received, RoleChanged
 from pistachiolever.registry.const import (
     ANNOUNCE_PATH,
-    EXPIRE_SECONDS,
     FOUNDER_LIFE,
-    GOSSIP_SECONDS,
     HAND_OVER_SECONDS,
     JOIN_PATH,
     JOIN_SECONDS,
@@ -43,11 +39,11 @@
     RAFT_PATH,
     READ_PATH,
     ROUTER_SECONDS,
-    SPREAD_SECONDS,
     STORE_PATH,
     WATCH_HOLD_SECONDS,
     WATCH_PATH,
 )
+from pistachiolever.registry.endpoint_news import EndpointNews
 from pistachiolever.registry.errors import UnavailableError
 from pistachiolever.registry.models import (
     Accepted,
@@ -107,10 +103,9 @@
     state: ControlState = field(init=False)
     core: RaftCore = field(init=False)
     agreement: Agreement = field(init=False)
-    directory: EndpointDirectory = field(factory=EndpointDirectory)
+    endpoints: EndpointNews = field(init=False)
     link_by_member: dict[str, MemberLink] = field(factory=dict)
     new_links: Mailbox[MemberLink] = field(factory=Mailbox)
-    unspread: dict[str, Announcement] = field(factory=dict)
     watched_at_by_router: dict[str, float] = field(factory=dict)
     known_addresses: list[str] = field(factory=list)
     changed: Event = field(factory=Event)
@@ -134,13 +129,18 @@
         self.agreement = Agreement(
             self.core, self.storage, self.state, self, self._send, self.now
         )
+        self.endpoints = EndpointNews(
+            self.caller, self.events, self.now, self._other_addresses, self._wake
+        )
         self.known_addresses = list(self.settings.seeds)
         gauge = self.instruments.gauge
         gauge(
             "pistachiolever_configuration_version",
             lambda: self.state.configuration.version,
         )
-        gauge("pistachiolever_endpoints", lambda: len(self.directory.living()))
+        gauge(
+            "pistachiolever_endpoints", lambda: len(self.endpoints.directory.living())
+        )
         gauge("pistachiolever_routers", self._router_count)
         gauge("pistachiolever_leads", lambda: self.core.is_leader)
         gauge("pistachiolever_members", lambda: len(self.core.members))
@@ -174,8 +174,7 @@
         async with create_task_group() as group:
             group.start_soon(self.agreement.run)
             group.start_soon(self._join_when_out)
-            group.start_soon(self._gossip)
-            group.start_soon(self._expire)
+            group.start_soon(self.endpoints.run)
             while links := await self.new_links.take_all():
                 for link in links:
                     group.start_soon(link.run)
@@ -260,9 +259,7 @@
         """Read here or at the leader; None when that did not work."""
         try:
             if self.core.is_leader:
-                await self.agreement.confirm(LEADER_CALL_SECONDS)
-                current = self.state.configuration
-                return ReadReply(current.version, current.document)
+                return await self._confirmed()
             if not self.core.leader:
                 return None
             return await self.caller.call(
@@ -275,89 +272,11 @@
         except (NotLeadingError, PeerError):
             return None
 
-    # Endpoints.
-
-    async def announce(self, news: Announcement) -> None:
-        """Take in what an endpoint says; raise UnavailableError if it can't spread."""
-        matters = self.directory.merge(news, self.now())
-        self.unspread[news.endpoint_id] = news
-        if matters:
-            self._note_endpoint(news, "announced")
-            self._wake()
-        if news.state is EndpointState.DRAINING:
-            # Acknowledged only where routers surely hear of it, also when resent.
-            await self._spread_now(news)
-
-    async def leave(self, endpoint_id: str, born_ms: int | None) -> None:
-        """Note that an endpoint's life ends; raise UnavailableError as above."""
-        news = self.directory.leave(endpoint_id, born_ms, self.now())
-        self._note_endpoint(news, "left")
-        self.unspread[news.endpoint_id] = news
-        self._wake()
-        await self._spread_now(news)
-
-    async def _spread_now(self, news: Announcement) -> None:
-        """Tell the other members before the endpoint is answered."""
-        others = self._other_addresses()
-        heard: list[str] = []
-
-        async def tell(address: str) -> None:
-            """Tell one member."""
-            try:
-                batch = AnnounceBatch([news])
-                await self.caller.call(
-                    address, ANNOUNCE_PATH, batch, Accepted, SPREAD_SECONDS
-                )
-            except PeerError:
-                return
-            heard.append(address)
-
-        async with create_task_group() as group:
-            for address in others:
-                group.start_soon(tell, address)
-        if others and len(heard) * 2 < len(others):
-            raise UnavailableError("too few members heard that the endpoint leaves")
-
-    async def _gossip(self) -> None:
-        """Pass on announcements that need not arrive at once."""
-        while True:
-            await sleep(GOSSIP_SECONDS)
-            if not self.unspread:
-                continue
-            batch = AnnounceBatch(list(self.unspread.values()))
-            self.unspread.clear()
-            async with create_task_group() as group:
-                for address in self._other_addresses():
-                    group.start_soon(self._tell, address, batch)
-
-    async def _tell(self, address: str, batch: AnnounceBatch) -> None:
-        """Send announcements to one member; it hears the next ones if these fail."""
-        try:
-            await self.caller.call(
-                address, ANNOUNCE_PATH, batch, Accepted, SPREAD_SECONDS
-            )
-        except PeerError:
-            return
-
-    async def _expire(self) -> None:
-        """Drop endpoints that are silent for long."""
-        while True:
-            await sleep(EXPIRE_SECONDS)
-            for endpoint_id in self.directory.expire(self.now()):
-                self.events.record(EventCode.ENDPOINT_DROPPED, endpoint=endpoint_id)
-
-    def _note_endpoint(self, news: Announcement, what: str) -> None:
-        """Record a change of an endpoint."""
-        self.events.record(
-            EventCode.ENDPOINT_CHANGED,
-            endpoint=news.endpoint_id,
-            what=what,
-            state=news.state.value,
-            born=news.born_ms,
-            sequence=news.sequence,
-            service=news.service_id,
-            address=news.address,
-        )
+    async def _confirmed(self) -> ReadReply:
+        """Return the configuration once a quorum confirmed that this member leads."""
+        await self.agreement.confirm(LEADER_CALL_SECONDS)
+        current = self.state.configuration
+        return ReadReply(current.version, current.document)
 
     # The agreement.
 
@@ -475,22 +394,13 @@
     async def _take_read(self, _request: ReadRequest) -> ReadReply:
         """Read for another member."""
         try:
-            await self.agreement.confirm(LEADER_CALL_SECONDS)
+            return await self._confirmed()
         except NotLeadingError as error:
             raise CallRefusedError(409) from error
-        current = self.state.configuration
-        return ReadReply(current.version, current.document)
 
     async def _take_announcements(self, batch: AnnounceBatch) -> Accepted:
         """Merge what another member heard."""
-        now = self.now()
-        changes = [
-            news for news in batch.announcements if self.directory.merge(news, now)
-        ]
-        for news in changes:
-            self._note_endpoint(news, "told")
-        if changes:
-            self._wake()
+        self.endpoints.hear(batch)
         return Accepted()
 
     async def _take_watch(self, request: WatchRequest) -> WatchReply:
@@ -508,7 +418,7 @@
         """Tell whether a watcher lacks anything."""
         return (
             request.life != self.life
-            or self.directory.change > request.change
+            or self.endpoints.directory.change > request.change
             or (self.settled and self.state.configuration.version > request.version)
             or self._member_addresses() != request.members
         )
@@ -520,12 +430,12 @@
         known = request.change if request.life == self.life else -1
         return WatchReply(
             self.life,
-            self.directory.change,
+            self.endpoints.directory.change,
             self._member_addresses(),
             self._router_count(),
             current.version if is_newer else -1,
             current.document if is_newer else "",
-            self.directory.after(known),
+            self.endpoints.directory.after(known),
         )
 
     def _member_addresses(self) -> list[str]:
--- a/tests/registry/test_process.py
+++ b/tests/registry/test_process.py
@@ -283,9 +283,9 @@
             news = Announcement(
                 "e1", 9, 1, EndpointState.READY, "s", "10.0.0.1:80", "north"
             )
-            await fleet.member_by_name["b"].process.announce(news)
+            await fleet.member_by_name["b"].process.endpoints.announce(news)
             await fleet.until(lambda: listener.states == {"e1": EndpointState.READY})
-            await fleet.member_by_name["c"].process.leave("e1", None)
+            await fleet.member_by_name["c"].process.endpoints.leave("e1", None)
             await fleet.until(lambda: listener.states == {"e1": EndpointState.GONE})
             await fleet.until(lambda: listener.count == 1)
             await fleet.stop(fleet.leader())
