Members behind in their term hear so when a pre-vote is refused

Cause: a refused pre-vote did not tell the refuser's term. A member with the longer log and a lower term asked for the same term for ever, and one with the higher term was refused for its shorter log: with one of three gone nobody could lead.

--- a/pistachiolever/cli/explain.py
+++ b/pistachiolever/cli/explain.py
@@ -1,5 +1,6 @@
 """Commands that read the logs of a fleet after the fact."""
 
+from collections.abc import Iterable
 from pathlib import Path
 
 from click import Path as ClickPath, argument, command, option
@@ -22,13 +23,19 @@
 
     Example: pistachiolever explain 9c41d07be2a35f68 router-1.log engine-3.log
     """
+    lines, unread = read_lines(files)
+    story = explain(request_id, lines, unread)
+    show(_document(story), _text(story), as_json)
+
+
+def read_lines(files: Iterable[Path]) -> tuple[list[LogLine], int]:
+    """Return the event lines of log files, and how many could not be read."""
     reader = LineReader()
     lines: list[LogLine] = []
     for path in files:
         with open(path, encoding="utf-8", errors="replace") as file:
             lines.extend(reader.read(file))
-    story = explain(request_id, lines, reader.unread)
-    show(_document(story), _text(story), as_json)
+    return (lines, reader.unread)
 
 
 def _document(story: Story) -> dict[str, object]:
--- a/pistachiolever/cli/main.py
+++ b/pistachiolever/cli/main.py
@@ -18,6 +18,7 @@
 from pistachiolever.cli.experiment import experiment
 from pistachiolever.cli.explain import explain_request
 from pistachiolever.cli.fleet import claims, status, timeline
+from pistachiolever.cli.report import report
 from pistachiolever.cli.roles import control, init, router, sidecar, standalone, version
 
 
@@ -51,6 +52,7 @@
     init,
     plan,
     preset,
+    report,
     resume,
     rollback,
     router,
--- a/pistachiolever/emulator/fleet.py
+++ b/pistachiolever/emulator/fleet.py
@@ -3,11 +3,12 @@
 from random import Random
 
 from anyio import create_task_group, current_time, run, sleep_until
-from attrs import define, field
+from attrs import define, evolve, field
 
 from pistachiolever.admission.agent import AgentProcess
 from pistachiolever.admission.policy import AdmissionPolicy
 from pistachiolever.discovery.models import Announcement, EndpointState
+from pistachiolever.emulator.bound import needed_share
 from pistachiolever.emulator.callers import Caller
 from pistachiolever.emulator.clock import EmulatedLoop
 from pistachiolever.emulator.const import EPOCH_MS, HOST, SERVICE_ID
@@ -62,7 +63,10 @@
         """Run the load to its end; return what callers got."""
         run(self._play, backend_options={"loop_factory": EmulatedLoop})
         busy = [engine.busy_seconds for engine in self.engine_by_address.values()]
-        return self.ledger.score(self.tally, sum(busy) / len(busy) / self.shape.seconds)
+        score = self.ledger.score(
+            self.tally, sum(busy) / len(busy) / self.shape.seconds
+        )
+        return evolve(score, needed=needed_share(self.shape, self.ledger))
 
     async def _play(self) -> None:
         """Build the platform, send all requests, wait for their ends."""
--- a/pistachiolever/emulator/ledger.py
+++ b/pistachiolever/emulator/ledger.py
@@ -36,7 +36,9 @@
     """Parts of what was owed that callers got, and what engines did.
 
     `whole` to `worst_accounts` are shares of the credit owed, `read_again` the price of
-    shared parts that were read again against it; counts are shares of requests.
+    shared parts that were read again against it; counts are shares of requests. `busy`
+    is the part of the engines' time that was used, `needed` what the owed requests
+    need at least (emulator.bound).
     """
 
     worth: float
@@ -50,6 +52,7 @@
     refused: float
     failed: float
     busy: float
+    needed: float = 0.0
     served_by_kind: dict[str, float] = field(factory=dict)
 
 
@@ -119,6 +122,7 @@
             statuses.count("refused") / count,
             statuses.count("failed") / count,
             busy,
+            0.0,
             by_kind | by_size,
         )
 
@@ -148,8 +152,8 @@
         arrival = entry.arrival
         return (self._window(entry), arrival.account_id, arrival.kind.kind_id)
 
-    def _owed(self) -> dict[Key, float]:
-        """Return the credit owed by window, account and kind.
+    def owed_parts(self) -> list[tuple[Arrival, float]]:
+        """Return each request with the part of it that is owed.
 
         An account that asks for more than its share in a window is owed that part.
         """
@@ -165,13 +169,21 @@
             window: max_min_level(by_account.values(), capacity)
             for window, by_account in asked.items()
         }
-        owed: dict[Key, float] = {}
+        parts: list[tuple[Arrival, float]] = []
         for entry in self.entries:
-            window, account_id, _ = key = self._key(entry)
+            window, account_id, _ = self._key(entry)
             most = level[window]
             part = 1.0
             if most is not None:
                 part = min(1.0, most / asked[window][account_id])
+            parts.append((entry.arrival, part))
+        return parts
+
+    def _owed(self) -> dict[Key, float]:
+        """Return the credit owed by window, account and kind."""
+        owed: dict[Key, float] = {}
+        for entry, (_, part) in zip(self.entries, self.owed_parts(), strict=True):
+            key = self._key(entry)
             owed[key] = owed.get(key, 0.0) + entry.most * part
         return owed
 
--- a/pistachiolever/events/explain.py
+++ b/pistachiolever/events/explain.py
@@ -114,10 +114,16 @@
             f"{last.get('unread')} tokens unread and {last.get('queued')} queued at "
             f"{last.get('speed')} a second; account {last.get('account')} had "
             f"{last.get('service')} here and {last.get('elsewhere')} elsewhere"
+            f"{_share_text(last.get('fair'))}"
         )
     return f"answered {end.get('status')}: {end.get('reason')}"
 
 
+def _share_text(share: object) -> str:
+    """Return the account's share of the endpoints, if accounts were short of them."""
+    return "" if share is None else f", its share was {share}"
+
+
 def _missing(own: list[LogLine], lines: list[LogLine], unread: int) -> list[str]:
     """Return what the logs at hand do not tell."""
     missing: list[str] = []
--- a/pistachiolever/raft/core.py
+++ b/pistachiolever/raft/core.py
@@ -271,7 +271,10 @@
             has_leader = self.now - self.heard_at < ELECTION_SECONDS or self.is_leader
             granted = message.term > self.term and is_recent and not has_leader
             granted = granted and self.may_vote
-            self._send(sender, VoteReply(message.term, granted, True))
+            # A refusal tells the own term, without which one that is behind would
+            # ask for the same term for ever.
+            term = message.term if granted else self.term
+            self._send(sender, VoteReply(term, granted, True))
             return
         free = self.voted_for in ("", message.candidate)
         granted = message.term == self.term and free and is_recent and self.may_vote
@@ -283,7 +286,11 @@
 
     def _vote_reply(self, sender: str, message: VoteReply) -> None:
         """Count a vote."""
-        if self.is_leader or not message.granted:
+        if self.is_leader:
+            return
+        if not message.granted:
+            if message.term > self.term:
+                self._step_down(message.term, "")
             return
         if message.is_pre_vote:
             if message.term == self.term + 1 and self.pre_votes:
--- a/pistachiolever/raft/membership.py
+++ b/pistachiolever/raft/membership.py
@@ -52,13 +52,20 @@
                 return [learner if each == member else each for each in members]
     if learners and len(members) < MOST_MEMBERS:
         return [*members, learners[0]]
-    return _without_dead(own, members, view_by_member)
+    return _without_dead(own, members, view_by_member, bool(learners))
 
 
 def _without_dead(
-    own: str, members: list[str], view_by_member: dict[str, MemberView]
+    own: str,
+    members: list[str],
+    view_by_member: dict[str, MemberView],
+    has_successor: bool,
 ) -> list[str] | None:
-    """Drop the member that has been silent longest, if enough others are left."""
+    """Drop the member that has been silent longest, if that makes the others safer.
+
+    Four bear the loss of one as five do with one silent, but only five have its disk
+    if it comes back. So a single silent one of five stays until a successor waits.
+    """
     silent = {
         member: view_by_member[member].silent_seconds
         for member in members
@@ -68,5 +75,7 @@
     alive = len(members) - len(dead)
     if not dead or alive < LEAST_MEMBERS_TO_DROP:
         return None
+    if len(dead) == 1 and len(members) % 2 == 1 and not has_successor:
+        return None
     longest = max(dead, key=lambda member: silent[member])
     return [member for member in members if member != longest]
--- /dev/null
+++ b/tests/events/test_report.py
@@ -0,0 +1,77 @@
+"""What went wrong, by cause and over time, from the lines of several processes."""
+
+from pistachiolever.events.const import EventCode
+from pistachiolever.events.explain import LineReader
+from pistachiolever.events.report import (
+    ANSWERED,
+    FAILED,
+    LATE,
+    LEFT,
+    REFUSED,
+    Ended,
+    ended_requests,
+    plot,
+    rows_by,
+)
+from tests.events.test_explain import Logs
+from tests.support.cases import CaseTest
+
+
+class ReportTest(CaseTest):
+    """One request for each way to end."""
+
+    def setUp(self) -> None:
+        """Log five requests that end in different ways."""
+        logs = Logs()
+        router, agent = logs.router, logs.agent
+        fields = {"account": "small", "route": "plan", "endpoint": "e1"}
+        router.record(EventCode.REQUEST_FINISHED, "ok", first=0.2, queued=0.1, **fields)
+        router.record(
+            EventCode.REQUEST_FINISHED, "late", first=2.0, queued=1.8, **fields
+        )
+        agent.record(
+            EventCode.GRANT_REFUSED, "refused", reason="beyond-share", account="hot"
+        )
+        router.record(
+            EventCode.REQUEST_REFUSED, "refused", status=503, reason="no-room"
+        )
+        logs.now += 5000
+        router.record(EventCode.ATTEMPT_FAILED, "failed", reason="reset", endpoint="e2")
+        router.record(EventCode.REQUEST_REFUSED, "failed", status=502, reason="reset")
+        router.record(EventCode.REQUEST_CANCELLED, "left", sends=0)
+        lines = LineReader().read(logs.text)
+        self.ends = ended_requests(lines, 1.0)
+
+    def test_each_end_has_its_cause(self) -> None:
+        found = [(end.outcome, end.cause) for end in self.ends]
+        self.assertCountEqual(
+            found,
+            [
+                (ANSWERED, "-"),
+                (LATE, "queued"),
+                (REFUSED, "beyond-share"),
+                (FAILED, "reset"),
+                (LEFT, "queued"),
+            ],
+        )
+
+    def test_the_lines_of_an_agent_tell_the_account(self) -> None:
+        (refused,) = [end for end in self.ends if end.outcome == REFUSED]
+        self.assertEqual((refused.account, refused.endpoint), ("hot", "-"))
+
+    def test_the_group_with_the_most_trouble_comes_first(self) -> None:
+        rows = rows_by(self.ends, lambda end: end.account)
+        self.assertEqual([row.group for row in rows], ["-", "hot", "small"])
+        self.assertEqual((rows[2].total, rows[2].troubled), (2, 1))
+
+    def test_quiet_stretches_are_shown_in_the_plot(self) -> None:
+        lines = plot(self.ends, 2.0, 10)
+        self.assertEqual(len(lines), 3)
+        self.assertIn("rrrrr", lines[0])
+        self.assertTrue(lines[1].endswith(" 0"))
+        self.assertIn("F", lines[2])
+        self.assertEqual(plot([], 2.0, 10), [])
+
+    def test_many_requests_fit_the_width(self) -> None:
+        many = [Ended(n, REFUSED, "late", "a", "r", "e") for n in range(1000)]
+        self.assertLessEqual(len(plot(many, 10.0, 50)[0]), 80)
--- a/tests/raft/test_membership.py
+++ b/tests/raft/test_membership.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from hypothesis import strategies as st
+from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from pistachiolever.raft.const import DEAD_MEMBER_SECONDS
@@ -12,6 +12,9 @@
     Apply,
     HandOver,
     Join,
+    PersistEntries,
+    PersistSnapshot,
+    PersistState,
     ProposalPlaced,
     Propose,
     RaftAction,
@@ -79,6 +82,21 @@
                 [view("b/0", dead), view("c/0", dead), view("d/1")],
                 None,
             ),
+            "a dead one of five keeps its disk's vote": (
+                [*FOUNDERS, "d/1", "e/1"],
+                [view("b/0"), view("c/0", dead), view("d/1"), view("e/1")],
+                None,
+            ),
+            "a dead one of five makes room for a successor": (
+                [*FOUNDERS, "d/1", "e/1"],
+                [view("b/0"), view("c/0", dead), *map(view, ["d/1", "e/1", "f/1"])],
+                ["a/0", "b/0", "d/1", "e/1"],
+            ),
+            "two dead of five": (
+                [*FOUNDERS, "d/1", "e/1"],
+                [view("b/0", dead), view("c/0", dead + 1), view("d/1"), view("e/1")],
+                ["a/0", "b/0", "d/1", "e/1"],
+            ),
             "at most five": (
                 [*FOUNDERS, "d/1", "e/1"],
                 [view(m) for m in ["b/0", "c/0", "d/1", "e/1", "f/1"]],
@@ -90,13 +108,21 @@
                 self.assertEqual(next_members("a/0", members, views), expected)
 
 
+def is_write(action: RaftAction) -> bool:
+    """Tell whether an action goes to the disk."""
+    return isinstance(action, PersistState | PersistEntries | PersistSnapshot)
+
+
 class MembershipMachine(RuleBasedStateMachine):
-    """Members are cut off, crash, lose one disk at a time, join and are dropped.
+    """Members are cut off, crash, lose disks, join and are dropped.
 
-    At most one disk is lost until the one before is replaced: that is what a fleet of
+    Disks stall, and a crash then leaves any part of what they were writing. At most
+    `tolerated` disks are lost until those before are replaced: one is what a fleet of
     three bears.
     """
 
+    tolerated = 1
+
     def __init__(self) -> None:
         """Start three founders; two more VMs may join."""
         super().__init__()
@@ -105,22 +131,29 @@
         self.disks: dict[str, FakeDisk] = {}
         self.cores: dict[str, RaftCore] = {}
         self.states: dict[str, list[str]] = {}
-        self.life_by_address = dict.fromkeys("abc", 0)
+        self.life_by_address = dict.fromkeys("abcde", 0)
         self.bag: list[RaftEnvelope] = []
         self.oracle: list[str] = []
         self.acknowledged: list[str] = []
         self.reads: dict[int, set[str]] = {}
         self.placed_by: dict[str, int] = {}
         self.cut: set[str] = set()
-        self.lag_by_address = dict.fromkeys("abcd", 0.0)
+        self.lag_by_address = dict.fromkeys("abcde", 0.0)
         self.next_number = 0
-        self.lost: str | None = None
+        self.lost: set[str] = set()
+        self.stalled: set[str] = set()
+        self.writing: dict[str, list[RaftAction]] = {}
+        self.unread: dict[str, list[RaftInput]] = {}
         for member in FOUNDERS:
             self.disks[member] = FakeDisk()
             self._start(member)
 
     def _start(self, member: str) -> None:
-        """Start a member from its disk."""
+        """Start a member from its disk, with a part of what it was writing."""
+        half_done = self.writing.pop(member, [])
+        for action in half_done[: self.rng.randint(0, len(half_done))]:
+            self.disks[member].write(action)
+        self.unread.pop(member, None)
         stored: StoredLog = self.disks[member].stored()
         founder = member in FOUNDERS
         peers = [m for m in FOUNDERS if m != member] if founder else []
@@ -134,8 +167,19 @@
         """Give a living member a message."""
         if member not in self.cores:
             return
+        if member in self.writing:
+            # A member that waits for its disk does nothing else.
+            self.unread.setdefault(member, []).append(message)
+            return
         own_now = self.now - self.lag_by_address[member[0]]
         actions = self.cores[member].handle(message, own_now)
+        if member[0] in self.stalled and any(map(is_write, actions)):
+            self.writing[member] = actions
+            return
+        self._finish(member, actions)
+
+    def _finish(self, member: str, actions: list[RaftAction]) -> None:
+        """Write what actions demand, then carry them out."""
         for action in actions:
             self.disks[member].write(action)
         for action in actions:
@@ -239,6 +283,23 @@
         self.cut = before
         self._deliver()
 
+    @rule(address=st.sampled_from("abcde"))
+    def stall_disk(self, address: str) -> None:
+        """A disk stops taking writes, or takes them again after those that wait."""
+        if address not in self.stalled:
+            self.stalled.add(address)
+            return
+        self._release(address)
+        self._deliver()
+
+    def _release(self, address: str) -> None:
+        """Let a disk take writes again."""
+        self.stalled.discard(address)
+        for member in [member for member in self.writing if member[0] == address]:
+            self._finish(member, self.writing.pop(member))
+            for message in self.unread.pop(member, []):
+                self._give(member, message)
+
     @rule(address=st.sampled_from("abc"))
     def crash(self, address: str) -> None:
         """One VM loses power and comes back with its disk."""
@@ -253,33 +314,38 @@
         for member in list(self.cores):
             self._start(member)
 
-    @rule(address=st.sampled_from("abc"))
+    @rule(address=st.sampled_from("abcde"))
     def lose_disk(self, address: str) -> None:
         """One VM loses its disk and comes back in a new life."""
-        if self.lost is not None and not self._is_replaced():
+        known = [member for member in self.cores if member.startswith(address)]
+        if not known or len(self._unreplaced()) >= self.tolerated:
             return
-        for member in list(self.cores):
-            if member.startswith(address):
-                del self.cores[member]
+        for member in known:
+            del self.cores[member]
+            self.writing.pop(member, None)
+        self.lost -= set(known)
+        self.lost.add(self._join_anew(address))
+
+    def _unreplaced(self) -> set[str]:
+        """Return the new lives of lost disks that are not members yet, surely."""
+        for core in self.cores.values():
+            if core.is_leader and not core._is_changing():
+                self.lost -= set(core.members)
+        return self.lost
+
+    def _join_anew(self, address: str) -> str:
+        """Start a VM with an empty disk in a new life."""
         self.life_by_address[address] += 1
         member = f"{address}/{self.life_by_address[address]}"
         self.disks[member] = FakeDisk()
         self._start(member)
-        self.lost = member
-
-    def _is_replaced(self) -> bool:
-        """Tell whether the last lost disk counts again, by a committed change."""
-        return any(
-            self.lost in core.members and core.is_leader and not core._is_changing()
-            for core in self.cores.values()
-        )
+        return member
 
     @rule()
     def add(self) -> None:
         """A VM joins at a new address."""
-        if "d/1" not in self.cores:
-            self.disks["d/1"] = FakeDisk()
-            self._start("d/1")
+        if not any(member.startswith("d") for member in self.cores):
+            self._join_anew("d")
 
     @rule()
     def hand_over(self) -> None:
@@ -298,6 +364,8 @@
     def teardown(self) -> None:
         """Once all is joined, the fleet works again and remembers everything."""
         self.cut = set()
+        for address in list(self.stalled):
+            self._release(address)
         self._run(12.0)
         leaders = [m for m, core in self.cores.items() if core.is_leader]
         assert leaders, "nobody leads"
@@ -307,3 +375,35 @@
 
 MembershipTest = MembershipMachine.TestCase
 MembershipTest.settings = CHEAP_STATEFUL
+
+
+class FiveMembersMachine(MembershipMachine):
+    """Five members, of which any two may lose their disks at the same moment."""
+
+    tolerated = 2
+
+    def __init__(self) -> None:
+        """Let two more VMs join the founders before anything happens."""
+        super().__init__()
+        for address in "de":
+            self._join_anew(address)
+        self._run(12.0)
+        assert all(len(core.members) == 5 for core in self.cores.values())
+
+    @rule(addresses=st.sets(st.sampled_from("abcde"), min_size=2, max_size=3))
+    def cut_off_several(self, addresses: set[str]) -> None:
+        """Cut two or three VMs off from all others; a change is tried meanwhile."""
+        self.cut = addresses
+        self.change()
+
+    @rule(first=st.sampled_from("abcde"), second=st.sampled_from("abcde"))
+    def lose_two_disks(self, first: str, second: str) -> None:
+        """Two VMs lose their disks at once, right after a change."""
+        self.change()
+        self.lose_disk(first)
+        if second != first:
+            self.lose_disk(second)
+
+
+FiveMembersTest = FiveMembersMachine.TestCase
+FiveMembersTest.settings = settings(CHEAP_STATEFUL, max_examples=100)
