One order of log lines, one count of lines left out, one computation of what is owed

Explain and report sorted lines and summed what was left out each for itself; the ledger computed the owed part of each request twice. Dead: emulator Outcome, the count of emulated connections. Constants of the emulator stand in const.py with their units.

--- a/pistachiolever/cli/report.py
+++ b/pistachiolever/cli/report.py
@@ -7,6 +7,7 @@
 
 from pistachiolever.cli.explain import read_lines
 from pistachiolever.cli.output import show
+from pistachiolever.events.explain import lines_left_out
 from pistachiolever.events.report import (
     ANSWERED,
     FAILED,
@@ -69,11 +70,7 @@
         "route": rows_by(ends, lambda end: end.route),
         "endpoint": rows_by(ends, lambda end: end.endpoint),
     }
-    left_out = sum(
-        int(line.inputs.get("lines", 0))
-        for line in lines
-        if line.name == "LINES_LEFT_OUT"
-    )
+    left_out = lines_left_out(lines)
     document: dict[str, object] = {
         "requests": len(ends),
         "lines_left_out": left_out,
--- a/pistachiolever/emulator/const.py
+++ b/pistachiolever/emulator/const.py
@@ -16,7 +16,9 @@
 # What a generation is worth beside its size, and its most, against its kind's mean.
 BASE_WORTH: Final = 0.3
 MOST_WORTH: Final = 4.0
-# After the last arrival the emulator goes on for the longest deadline.
+# Requests of a clump come within this time.
+CLUMP_SECONDS: Final = 0.1
+# Names in the configuration of an emulated platform.
 SERVICE_ID: Final = "models"
 HOST: Final = "emulated"
 MODEL: Final = "m"
@@ -24,4 +26,5 @@
 OUTPUT_HEADER: Final = b"x-emulated-output"
 # A part that is read again within this time after its last use is counted.
 READ_AGAIN_SECONDS: Final = 10.0
+# Birth of all emulated engines, in milliseconds since the epoch; any time will do.
 EPOCH_MS: Final = 1_700_000_000_000
--- a/pistachiolever/emulator/ledger.py
+++ b/pistachiolever/emulator/ledger.py
@@ -97,7 +97,7 @@
         whole = sum(got.values()) / total
         windows = sorted(_shares(owed, got, lambda key: key[0]).values())
         by_kind = _shares(owed, got, lambda key: key[2])
-        by_size = self._by_size(owed)
+        by_size = self._by_size()
         kinds = sorted([*by_kind.values(), *by_size.values()])
         accounts = sorted(_shares(owed, got, lambda key: key[1]).values())
         tenth = max(1, round(len(accounts) / 10))
@@ -126,24 +126,25 @@
             by_kind | by_size,
         )
 
-    def _by_size(self, owed: dict[Key, float]) -> dict[str, float]:
+    def _by_size(self) -> dict[str, float]:
         """Return the parts that the largest tenth of a kind and the fifth below got."""
-        most_by_key: dict[Key, float] = {}
-        for entry in self.entries:
-            key = self._key(entry)
-            most_by_key[key] = most_by_key.get(key, 0.0) + entry.most
+        owed = [
+            entry.most * part
+            for entry, (_, part) in zip(self.entries, self.owed_parts(), strict=True)
+        ]
         shares: dict[str, float] = {}
         for kind in self.shape.kinds:
-            entries = [e for e in self.entries if e.arrival.kind == kind]
-            entries.sort(key=lambda entry: -entry.arrival.weighted_tokens)
-            tenth = max(1, len(entries) // 10)
-            groups = {"tenth": entries[:tenth], "fifth": entries[tenth : 3 * tenth]}
+            pairs = [
+                (entry, amount)
+                for entry, amount in zip(self.entries, owed, strict=True)
+                if entry.arrival.kind == kind
+            ]
+            pairs.sort(key=lambda pair: -pair[0].arrival.weighted_tokens)
+            tenth = max(1, len(pairs) // 10)
+            groups = {"tenth": pairs[:tenth], "fifth": pairs[tenth : 3 * tenth]}
             for name, group in groups.items():
-                asked = sum(
-                    entry.most * owed[self._key(entry)] / most_by_key[self._key(entry)]
-                    for entry in group
-                )
-                earned = sum(entry.earned for entry in group)
+                asked = sum(amount for _, amount in group)
+                earned = sum(entry.earned for entry, _ in group)
                 shares[f"{kind.kind_id} {name}"] = min(1.0, earned / asked)
         return shares
 
--- a/pistachiolever/emulator/links.py
+++ b/pistachiolever/emulator/links.py
@@ -150,7 +150,6 @@
 
     engine_by_address: dict[str, EmulatedEngine] = field(factory=dict)
     way_seconds: Callable[[str], float] = lambda address: 0.0
-    connections: int = 0
 
     async def take(self, address: str, connect_seconds: float) -> ClientConnection:
         """Return a connection, kept ones first."""
@@ -159,7 +158,6 @@
         if idle:
             idle.pop()
         else:
-            self.connections += 1
             await sleep(2 * self.way_seconds(address))
         # There is no socket: the engine is called directly.
         no_stream: Any = None
--- a/pistachiolever/emulator/load.py
+++ b/pistachiolever/emulator/load.py
@@ -5,12 +5,9 @@
 
 from attrs import define, field
 
-from pistachiolever.emulator.const import LEAST_DEADLINE_SHARE
+from pistachiolever.emulator.const import CLUMP_SECONDS, LEAST_DEADLINE_SHARE
 from pistachiolever.emulator.models import Arrival, Episode, KindShape, LoadShape
 
-# Requests of a clump come within this time, in seconds.
-CLUMP_SECONDS = 0.1
-
 
 @define
 class LoadSource:
--- a/pistachiolever/emulator/models.py
+++ b/pistachiolever/emulator/models.py
@@ -2,6 +2,8 @@
 
 from attrs import field, frozen
 
+from pistachiolever.admission.const import GENERATED_WEIGHT
+
 
 @frozen
 class PartShape:
@@ -142,16 +144,4 @@
     @property
     def weighted_tokens(self) -> float:
         """Return what the request counts towards an account's share."""
-        return self.prompt_tokens + 2.0 * self.output_tokens
-
-
-@frozen
-class Outcome:
-    """How a request ended for its caller."""
-
-    arrival: Arrival
-    credit: float
-    owed: float
-    status: str
-    first_seconds: float | None = None
-    attempts: int = 1
+        return self.prompt_tokens + GENERATED_WEIGHT * self.output_tokens
--- a/pistachiolever/events/explain.py
+++ b/pistachiolever/events/explain.py
@@ -23,6 +23,11 @@
     request: str
     inputs: dict[str, Any] = field(factory=dict)
 
+    @property
+    def order(self) -> tuple[int, str, int]:
+        """Return what sorts lines: by time, and as each process wrote them."""
+        return (self.ms, self.process, self.number)
+
     @property
     def text(self) -> str:
         """Return the inputs as text."""
@@ -68,7 +73,7 @@
     may differ by the skew of the VMs' clocks.
     """
     own = [line for line in lines if line.request == request_id]
-    own.sort(key=lambda line: (line.ms, line.process, line.number))
+    own.sort(key=lambda line: line.order)
     return Story(request_id, own, _cause(own), _missing(own, lines, unread))
 
 
@@ -124,6 +129,15 @@
     return "" if share is None else f", its share was {share}"
 
 
+def lines_left_out(lines: Iterable[LogLine]) -> int:
+    """Return how many lines the processes say they left out."""
+    return sum(
+        int(line.inputs.get("lines", 0))
+        for line in lines
+        if line.name == "LINES_LEFT_OUT"
+    )
+
+
 def _missing(own: list[LogLine], lines: list[LogLine], unread: int) -> list[str]:
     """Return what the logs at hand do not tell."""
     missing: list[str] = []
@@ -131,11 +145,7 @@
         missing.append("no line names this request")
     if unread:
         missing.append(f"{unread} lines are cut short and were not read")
-    left_out = sum(
-        int(line.inputs.get("lines", 0))
-        for line in lines
-        if line.name == "LINES_LEFT_OUT"
-    )
+    left_out = lines_left_out(lines)
     if left_out:
         missing.append(f"{left_out} lines were left out under load, by whole requests")
     granted = {line.process for line in own if line.name == "REQUEST_GRANTED"}
--- a/pistachiolever/events/report.py
+++ b/pistachiolever/events/report.py
@@ -52,7 +52,7 @@
     refusal_by_request: dict[str, LogLine] = {}
     failure_by_request: dict[str, LogLine] = {}
     ends: list[Ended] = []
-    for line in sorted(lines, key=lambda line: (line.ms, line.process, line.number)):
+    for line in sorted(lines, key=lambda line: line.order):
         if line.name in ("GRANT_REFUSED", "BID_REFUSED"):
             refusal_by_request[line.request] = line
         elif line.name == "ATTEMPT_FAILED":
