--- a/pistachiolever/emulator/ledger.py
+++ b/pistachiolever/emulator/ledger.py
@@ -145,7 +145,8 @@
             for name, group in groups.items():
                 asked = sum(amount for _, amount in group)
                 earned = sum(entry.earned for entry, _ in group)
-                shares[f"{kind.kind_id} {name}"] = min(1.0, earned / asked)
+                if asked:
+                    shares[f"{kind.kind_id} {name}"] = min(1.0, earned / asked)
         return shares
 
     def _key(self, entry: Entry) -> Key:
--- a/tests/emulator/test_fleet.py
+++ b/tests/emulator/test_fleet.py
@@ -67,6 +67,18 @@
         self.assertEqual(again, score_of())
 
 
+class RareKindTest(CaseTest):
+    """A kind that nobody asks for in a run is left out of its figures."""
+
+    def test_a_kind_without_requests(self) -> None:
+        shape = short_shape(seconds=1.0)
+        plan, *others = shape.kinds
+        shape = evolve(shape, kinds=[evolve(plan, rate=0.0), *others])
+        score = run_trial(Trial(shape, 1))
+        self.assertNotIn("plan tenth", score.served_by_kind)
+        self.assertIn("query tenth", score.served_by_kind)
+
+
 class ShapeTest(CaseTest):
     """Shapes and changes that can't be used are told so."""
 
