Log how an endpoint's response is framed and where its stream ended

The logs could not distinguish its hypotheses: REQUEST_FINISHED and ATTEMPT_FAILED now carry the framing of the response (length, chunked, close) and the bytes after the last whole event; the counter pistachiolever_stream_ends counts both. No decision depends on them. Removes Attempt._silent, which nothing used.

--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -13,13 +13,13 @@
     PREFILL_TIMEOUT_FACTOR,
     RESPONSE_TIMEOUT_TARGET_FRACTION,
 )
-from pistachiolever.gateway.event_stream import EventSplitter
+from pistachiolever.gateway.event_stream import EventBoundary, EventSplitter
 from pistachiolever.gateway.fleet import EndpointHandle, FleetView
 from pistachiolever.gateway.header_format import HeaderFormat, keep_alive_seconds
 from pistachiolever.gateway.models import ProxyRequest
 from pistachiolever.http1.client import ClientConnection
 from pistachiolever.http1.errors import PeerClosedError
-from pistachiolever.http1.models import Header, ResponseHead
+from pistachiolever.http1.models import Framing, Header, ResponseHead
 from pistachiolever.routing.models import RequestKind
 
 
@@ -90,7 +90,8 @@
     connection: ClientConnection | None = None
     first_chunk_at: float | None = None
     output_events: int = 0
-    _silent: bool = field(default=False)
+    framing: Framing | None = None
+    boundary: EventBoundary = field(factory=EventBoundary)
 
     async def run(self) -> AttemptResult:
         """Send the request and forward the response.
@@ -145,6 +146,7 @@
             response = await connection.exchange(head, request.body)
         if timeout.cancelled_caught:
             return self._unknown_outcome("silent")
+        self.framing = response.framing
         metadata = self.header_format.parse_response(response)
         if metadata.request_id and metadata.request_id != request.request_id:
             return self._unknown_outcome("an answer to another request")
@@ -266,6 +268,7 @@
                 return self._unknown_outcome("silent within a stream")
             if data is None:
                 break
+            self.boundary.feed(data)
             events = self.splitter.feed(data) if resumable else data
             if self.splitter.gap_found:
                 return self._unknown_outcome("an event is missing")
--- a/pistachiolever/gateway/event_stream.py
+++ b/pistachiolever/gateway/event_stream.py
@@ -1,7 +1,42 @@
 """Splits an event stream into whole events, so that it can be resumed between them."""
 
+from re import compile as compile_pattern
+from typing import Final
+
 from attrs import define
 
+# An empty line ends an event; lines end with LF, CR LF or CR.
+EVENT_END: Final = compile_pattern(rb"(?:\r\n|\n|\r(?!\n)){2}")
+# The longest event end, without its last byte.
+EVENT_END_OVERLAP_BYTES: Final = 3
+
+
+@define
+class EventBoundary:
+    """Tracks whether a stream ends between two events, without keeping its events.
+
+    `unfinished_bytes` is the size of the event that has not ended yet.
+    """
+
+    received_bytes: int = 0
+    unfinished_bytes: int = 0
+    _tail: bytes = b""
+
+    def feed(self, data: bytes) -> None:
+        """Add received bytes."""
+        self.received_bytes += len(data)
+        joined = self._tail + data
+        self._tail = joined[-EVENT_END_OVERLAP_BYTES:]
+        rest = b""
+        if not joined.endswith(b"\n\n"):
+            ends = [match.end() for match in EVENT_END.finditer(joined)]
+            if not ends:
+                self.unfinished_bytes += len(data)
+                return
+            rest = joined[ends[-1] :]
+        # Further empty lines belong to no event.
+        self.unfinished_bytes = len(rest.lstrip(b"\r\n"))
+
 
 @define
 class EventSplitter:
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -30,7 +30,9 @@
     QUEUED,
     REQUESTS,
     RETRIES,
+    STREAM_ENDS,
 )
+from pistachiolever.routing.models import RequestKind
 
 
 @define(eq=False)
@@ -301,6 +303,9 @@
         first = attempt.first_chunk_at
         kind = request.route.kind.value
         instruments = fleet.instruments
+        if attempt.framing is not None and request.route.kind is RequestKind.STREAM:
+            place = "within" if attempt.boundary.unfinished_bytes else "between"
+            instruments.count(STREAM_ENDS, attempt.framing.value, place)
         instruments.count(ATTEMPTS, handle.endpoint.endpoint_id, result.verdict.value)
         if first is not None:
             instruments.observe(FIRST_CHUNK, first - request.arrived_at, kind)
@@ -320,6 +325,8 @@
             verdict=result.verdict.value,
             reason=result.reason,
             status=result.status,
+            framing=attempt.framing.value if attempt.framing else "",
+            unfinished=attempt.boundary.unfinished_bytes,
             queued=round(self.queued_seconds, 4),
             first=round(first - request.arrived_at, 4) if first is not None else None,
             engine=round(first - sent_at, 4) if first is not None else None,
--- a/pistachiolever/http1/client.py
+++ b/pistachiolever/http1/client.py
@@ -28,7 +28,7 @@
 
 from pistachiolever.http1.const import CONNECT_SECONDS, MAX_HEAD_BYTES, READ_BYTES
 from pistachiolever.http1.errors import PeerClosedError
-from pistachiolever.http1.models import RequestHead, ResponseHead
+from pistachiolever.http1.models import RequestHead, ResponseHead, framing_of
 from pistachiolever.http1.sockets import has_input, tune_socket
 
 # A request with a body up to this size is sent in one write, before the response is
@@ -51,6 +51,7 @@
     keep_alive_seconds: float = 0.0
     requests: int = 0
     broken: bool = False
+    _method: bytes = b""
 
     def __attrs_post_init__(self) -> None:
         """Create the protocol state machine."""
@@ -64,6 +65,7 @@
         there is no response.
         """
         self.requests += 1
+        self._method = head.method
         parts = self._encode(head, body)
         if len(body) <= SMALL_BODY_BYTES:
             await self._send(b"".join(parts))
@@ -123,7 +125,9 @@
             if isinstance(event, InformationalResponse):
                 continue
             if isinstance(event, Response):
-                return ResponseHead(event.status_code, list(event.headers))
+                status, headers = event.status_code, list(event.headers)
+                framing = framing_of(self._method, status, headers)
+                return ResponseHead(status, headers, framing)
             raise PeerClosedError("closed before an answer")
 
     async def read_chunk(self) -> bytes | None:
--- a/pistachiolever/http1/models.py
+++ b/pistachiolever/http1/models.py
@@ -1,5 +1,7 @@
 """Heads of requests and responses, and the limits of a server."""
 
+from enum import Enum
+
 from attrs import field, frozen
 
 from pistachiolever.http1.const import (
@@ -48,13 +50,34 @@
         return self.target.split(b"?", 1)[0].decode("latin-1")
 
 
+class Framing(Enum):
+    """How the end of a response's body is determined."""
+
+    NO_BODY = "none"
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
 @frozen
 class ResponseHead:
-    """Status and headers (lowercase names) of a response."""
+    """Status, headers (lowercase names) and framing of a response."""
 
     status: int
     headers: list[Header] = field(factory=list)
+    framing: Framing = Framing.LENGTH
 
     def value(self, name: bytes) -> bytes | None:
         """Return the first value of a header, or None."""
         return first_value(self.headers, name)
+
+
+def framing_of(method: bytes, status: int, headers: list[Header]) -> Framing:
+    """Return the framing of the response to a request (RFC 9112, section 6.3)."""
+    if method == b"HEAD" or status in (204, 304):
+        return Framing.NO_BODY
+    if first_value(headers, b"transfer-encoding") is not None:
+        return Framing.CHUNKED
+    if first_value(headers, b"content-length") is not None:
+        return Framing.LENGTH
+    return Framing.CLOSE
--- a/pistachiolever/metrics/instruments.py
+++ b/pistachiolever/metrics/instruments.py
@@ -54,6 +54,11 @@
     "Retries requested from the retry budget",
     ("service", "allowed"),
 )
+STREAM_ENDS: Final = Instrument(
+    "pistachiolever_stream_ends",
+    "Event streams of endpoints that ended within or between events",
+    ("framing", "place"),
+)
 FIRST_CHUNK: Final = Instrument(
     "pistachiolever_first_part_seconds",
     "Time from arrival to the first chunk",
@@ -83,7 +88,15 @@
 ANNOUNCEMENTS: Final = Instrument(
     "pistachiolever_announcements", "Endpoint announcements received", ("outcome",)
 )
-COUNTERS: Final = (REQUESTS, ATTEMPTS, RETRIES, GRANTS, CONFIGURATIONS, ANNOUNCEMENTS)
+COUNTERS: Final = (
+    REQUESTS,
+    ATTEMPTS,
+    RETRIES,
+    STREAM_ENDS,
+    GRANTS,
+    CONFIGURATIONS,
+    ANNOUNCEMENTS,
+)
 HISTOGRAMS: Final = (FIRST_CHUNK, QUEUED, ENGINE_FIRST_CHUNK, GRANT_WAIT)
 GAUGES: Final = (
     Instrument(
--- a/tests/gateway/test_event_stream.py
+++ b/tests/gateway/test_event_stream.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from pistachiolever.gateway.event_stream import EventSplitter
+from pistachiolever.gateway.event_stream import EventBoundary, EventSplitter
 from tests.support.cases import CaseTest
 
 
@@ -47,3 +47,30 @@
         splitter = EventSplitter()
         splitter.feed(event(1) + event(3))
         self.assertTrue(splitter.gap_found)
+
+
+class EventBoundaryTest(CaseTest):
+    """The position between events does not depend on how the bytes arrive."""
+
+    def test_table(self) -> None:
+        cases = [
+            (b"", 0),
+            (b"data: a", 7),
+            (b"data: a\n", 8),
+            (b"data: a\r\n", 9),
+            (b"data: a\n\n", 0),
+            (b"data: a\r\n\r\n", 0),
+            (b"data: a\r\r", 0),
+            (b"data: a\n\n\n", 0),
+            (b"data: a\n\ndata: bc", 8),
+            (b"data: a\r\n\r\ndata: bc\r\n", 10),
+            (b": ping\n\n", 0),
+        ]
+        for data, unfinished_bytes in cases:
+            for step in (1, 2, 3, len(data) or 1):
+                with self.subTest(data=data, step=step):
+                    boundary = EventBoundary()
+                    for start in range(0, len(data), step):
+                        boundary.feed(data[start : start + step])
+                    self.assertEqual(boundary.unfinished_bytes, unfinished_bytes)
+                    self.assertEqual(boundary.received_bytes, len(data))
