Add tests that fail for answers framed as complete though broken off

The first one reproduces the incident: a stream without length or chunks whose connection closes within an event reaches the caller with a terminating chunk when its route allows no resumption. The others came up in a search for the same cause in every path that frames an answer: streams without events, callers without chunks, resumed streams without event ids, CR LF line ends, started plain responses, and the sidecar's plain calls.

--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -34,7 +34,7 @@
     WeightedService,
 )
 from pistachiolever.routing.table import RouteTable
-from tests.http1.test_server import free_address, read_all
+from tests.http1.test_server import free_address
 from tests.registry.test_process import make_discarding_logger
 from tests.support.cases import CaseTest
 
@@ -174,6 +174,79 @@
     await stream.aclose()
 
 
+async def stream_unframed(
+    endpoint: Endpoint, stream: SocketStream, head: bytes
+) -> None:
+    """Stream all events after the Last-Event-Id, delimited by the connection's end."""
+    last = int(value(head, b"last-event-id") or b"0")
+    body = b"".join(EVENTS[last:])
+    await stream.send(HEAD % id_of(head) + b"Connection: close\r\n\r\n" + body)
+    await stream.aclose()
+
+
+async def stream_unframed_part(
+    endpoint: Endpoint, stream: SocketStream, head: bytes
+) -> None:
+    """Close the connection of an unframed stream within the third event."""
+    body = EVENTS[0] + EVENTS[1] + EVENTS[2][:5]
+    await stream.send(HEAD % id_of(head) + b"Connection: close\r\n\r\n" + body)
+    await stream.aclose()
+
+
+async def stream_unframed_empty(
+    endpoint: Endpoint, stream: SocketStream, head: bytes
+) -> None:
+    """Close the connection of an unframed stream before the first event."""
+    await stream.send(HEAD % id_of(head) + b"Connection: close\r\n\r\n")
+    await stream.aclose()
+
+
+async def stream_short_length(
+    endpoint: Endpoint, stream: SocketStream, head: bytes
+) -> None:
+    """Send a stream whose length ends within the second event."""
+    body = EVENTS[0] + EVENTS[1][:5]
+    await stream.send(HEAD % id_of(head) + b"Content-Length: %d\r\n\r\n" % len(body))
+    await stream.send(body)
+
+
+async def stream_short_chunks(
+    endpoint: Endpoint, stream: SocketStream, head: bytes
+) -> None:
+    """Send a stream whose last chunk ends within the second event."""
+    body = EVENTS[0] + EVENTS[1][:5]
+    await stream.send(HEAD % id_of(head) + b"Transfer-Encoding: chunked\r\n\r\n")
+    await stream.send(chunk(body) + b"0\r\n\r\n")
+
+
+async def stream_without_ids(
+    endpoint: Endpoint, stream: SocketStream, head: bytes
+) -> None:
+    """Break off a stream whose events have no ids, after two of them."""
+    await stream.send(HEAD % id_of(head) + b"Transfer-Encoding: chunked\r\n\r\n")
+    await stream.send(chunk(b"data: a\n\ndata: b\n\n"))
+    await sleep(0.05)
+    await stream.aclose()
+
+
+async def stream_other_line_ends(
+    endpoint: Endpoint, stream: SocketStream, head: bytes
+) -> None:
+    """Stream all events with lines that end with CR LF."""
+    await stream.send(HEAD % id_of(head) + b"Transfer-Encoding: chunked\r\n\r\n")
+    for event in EVENTS:
+        await stream.send(chunk(event.replace(b"\n", b"\r\n")))
+    await stream.send(b"0\r\n\r\n")
+
+
+async def break_off_long(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
+    """Break off a response that is too long to be buffered."""
+    await stream.send(HEAD % id_of(head) + b"Content-Length: 400000\r\n\r\n")
+    await stream.send(b"x" * 300_000)
+    await sleep(0.05)
+    await stream.aclose()
+
+
 async def hold(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
     """Send nothing."""
     await sleep(30)
@@ -188,14 +261,19 @@
     head: bytes
     attempts: int
     raw: bytes
+    reset: bool
 
 
-def send_request(path: bytes, *scripts: Script, extra: bytes = b"") -> Result:
+def send_request(
+    path: bytes, *scripts: Script, extra: bytes = b"", version: bytes = b"1.1"
+) -> Result:
     """Send one request through a router to endpoints with these scripts."""
-    return run(_send_request, path, list(scripts), extra)
+    return run(_send_request, path, list(scripts), extra, version)
 
 
-async def _send_request(path: bytes, scripts: list[Script], extra: bytes) -> Result:
+async def _send_request(
+    path: bytes, scripts: list[Script], extra: bytes, version: bytes
+) -> Result:
     """Run a router, its endpoints and one caller."""
     settings = GatewaySettings(
         "r", "north", await free_address(), await free_address(), "/ready", 2, 1, 10, 99
@@ -223,16 +301,28 @@
             host, _, port_text = settings.front_address.rpartition(":")
             async with await connect_tcp(host, int(port_text)) as caller:
                 await caller.send(
-                    b"GET %s HTTP/1.1\r\nHost: x\r\nX-Request-Id: id1\r\n"
+                    b"GET %s HTTP/%s\r\nHost: x\r\nX-Request-Id: id1\r\n"
                     b"X-Deadline-Ms: 1500\r\nConnection: close\r\n"
-                    b"Authorization: Bearer key\r\n%s\r\n" % (path, extra)
+                    b"Authorization: Bearer key\r\n%s\r\n" % (path, version, extra)
                 )
-                raw = await read_all(caller)
+                raw, reset = await read_until_end(caller)
             group.cancel_scope.cancel()
     head, _, body = raw.partition(b"\r\n\r\n")
     status = int(head.split(b" ")[1]) if head else 0
     attempts = sum(len(endpoint.heads) for endpoint in endpoints)
-    return Result(status, body, head.lower(), attempts, raw)
+    return Result(status, body, head.lower(), attempts, raw, reset)
+
+
+async def read_until_end(stream: SocketStream) -> tuple[bytes, bool]:
+    """Return all bytes until the connection ends, and whether it was reset."""
+    data = b""
+    while True:
+        try:
+            data += await stream.receive()
+        except EndOfStream:
+            return data, False
+        except BrokenResourceError:
+            return data, True
 
 
 class PlainResponseTest(CaseTest):
@@ -321,3 +411,72 @@
     def test_caller_resumes_a_stream(self) -> None:
         result = send_request(b"/plan/1", stream_whole, extra=b"Last-Event-Id: 4\r\n")
         self.assertEqual(self.body(result), b"".join(EVENTS[4:]))
+
+    def test_unframed_stream_is_complete_after_a_whole_event(self) -> None:
+        for path in (b"/plan/1", b"/talk/1"):
+            with self.subTest(path):
+                result = send_request(path, stream_unframed)
+                self.assertEqual(self.body(result), self.whole())
+                self.assertTrue(result.raw.endswith(b"0\r\n\r\n"))
+
+    # Incident inc1: a stream that ended within an event reached its caller as complete.
+    def test_stream_that_ends_within_an_event_is_not_completed(self) -> None:
+        for script in (stream_unframed_part, stream_short_length, stream_short_chunks):
+            for path in (b"/plan/1", b"/talk/1"):
+                with self.subTest(path=path, script=script.__name__):
+                    result = send_request(path, script)
+                    self.assertEqual(result.status, 200)
+                    self.assertFalse(result.raw.endswith(b"0\r\n\r\n"))
+                    self.assertNotIn(b"content-length", result.head)
+
+    def test_unframed_stream_is_resumed(self) -> None:
+        for scripts in (
+            [stream_unframed_part, stream_whole],
+            [stream_unframed_part, stream_unframed],
+        ):
+            result = send_request(b"/plan/1", *scripts)
+            self.assertEqual(self.body(result), self.whole())
+            self.assertTrue(result.raw.endswith(b"0\r\n\r\n"))
+
+    # A crash before the first event reached the caller as a complete, empty answer.
+    def test_unframed_stream_without_events_is_not_completed(self) -> None:
+        result = send_request(b"/talk/1", stream_unframed_empty)
+        self.assertEqual((result.status, result.attempts), (502, 1), result.raw)
+        result = send_request(b"/plan/1", stream_unframed_empty, stream_unframed_empty)
+        self.assertEqual((result.status, result.attempts), (502, 2), result.raw)
+        result = send_request(b"/plan/1", stream_unframed_empty, stream_whole)
+        self.assertEqual(self.body(result), self.whole())
+
+    # Without chunks, an answer that was broken off looked complete once it was closed.
+    def test_broken_off_response_that_ends_with_its_connection_is_reset(self) -> None:
+        for script, reset in ((stream_whole, False), (stream_part, True)):
+            with self.subTest(script.__name__):
+                result = send_request(b"/talk/1", script, version=b"1.0")
+                self.assertEqual((result.status, result.reset), (200, reset))
+
+    # A resumed stream without event ids started anew: the caller got events twice.
+    def test_stream_without_event_ids_is_not_resumed(self) -> None:
+        result = send_request(b"/plan/1", stream_without_ids, stream_without_ids)
+        self.assertEqual(result.attempts, 1)
+        self.assertEqual(result.body.count(b"data: a"), 1)
+        self.assertFalse(result.raw.endswith(b"0\r\n\r\n"))
+
+    # A resumable stream with CR LF line ends was held back and then broken off.
+    def test_stream_with_other_line_ends_is_forwarded(self) -> None:
+        for path in (b"/plan/1", b"/talk/1"):
+            with self.subTest(path):
+                result = send_request(path, stream_other_line_ends)
+                expected = self.whole().replace(b"\n", b"\r\n")
+                self.assertEqual(self.body(result), expected)
+                self.assertTrue(result.raw.endswith(b"0\r\n\r\n"))
+
+
+class LongResponseTest(CaseTest):
+    """Responses that are too long to be buffered are forwarded as they arrive."""
+
+    # A response broken off after its start was requested again, to no avail.
+    def test_started_response_is_not_retried(self) -> None:
+        result = send_request(b"/read/1", break_off_long, break_off_long)
+        self.assertEqual((result.status, result.attempts), (200, 1))
+        self.assertIn(b"content-length: 400000", result.head)
+        self.assertLess(len(result.body), 400_000)
--- /dev/null
+++ b/tests/sidecar/test_adapters.py
@@ -0,0 +1,102 @@
+"""Responses of endpoints to a sidecar are complete, or the run did not complete."""
+
+from collections.abc import Callable
+
+from anyio import create_task_group, create_tcp_listener, fail_after, run
+from anyio.abc import SocketAttribute, SocketStream
+
+from pistachiolever.declarations.models import Service, ServiceKind
+from pistachiolever.settings.models import SidecarSettings
+from pistachiolever.sidecar.adapters import make_adapter
+from pistachiolever.sidecar.models import RunEnded, SidecarInput
+from pistachiolever.wire.models import Dispatch
+from tests.support.cases import CaseTest
+
+PART = b'data: {"choices": [{"text": "ab"}]}\n\n'
+USAGE = (
+    b'data: {"choices": [], "usage": {"prompt_tokens": 1, "completion_tokens": 2}}\n\n'
+)
+DONE = b"data: [DONE]\n\n"
+
+
+def adapter_inputs(kind: ServiceKind, response: bytes) -> list[SidecarInput]:
+    """Return what an adapter posts for one run and a raw response."""
+    return run(_run_adapter, kind, response)
+
+
+async def _run_adapter(kind: ServiceKind, response: bytes) -> list[SidecarInput]:
+    """Run one request at an endpoint that sends a raw response and closes."""
+
+    async def serve(stream: SocketStream) -> None:
+        async with stream:
+            await stream.receive()
+            await stream.send(response)
+
+    inputs: list[SidecarInput] = []
+    post: Callable[[SidecarInput], None] = inputs.append
+    with fail_after(5):
+        async with create_task_group() as group:
+            listener = await create_tcp_listener(local_host="127.0.0.1")
+            group.start_soon(listener.serve, serve)
+            port = listener.extra(SocketAttribute.local_port)
+            settings = SidecarSettings("e", "s", f"http://127.0.0.1:{port}")
+            adapter = make_adapter(settings, Service("s", kind, True, model="m"))
+            await adapter.run(Dispatch("r1", "one", "text", 10), post)
+            group.cancel_scope.cancel()
+    return inputs
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+UNFRAMED = HEAD + b"Connection: close\r\n\r\n"
+
+
+def framed(body: bytes) -> bytes:
+    """Return a response with a length."""
+    return HEAD + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
+class CompletenessTest(CaseTest):
+    """A response that may have been cut short never counts as complete."""
+
+    def check(self, kind: ServiceKind, cases: list[tuple[bytes, bool]]) -> None:
+        """Compare the result of one run for each response."""
+        for response, complete in cases:
+            with self.subTest(response):
+                inputs = adapter_inputs(kind, response)
+                ends = [item for item in inputs if isinstance(item, RunEnded)]
+                self.assertEqual(len(ends), 1)
+                self.assertEqual(ends[0].complete, complete)
+
+    def test_model(self) -> None:
+        self.check(
+            ServiceKind.MODEL,
+            [
+                (UNFRAMED + PART + USAGE + DONE, True),
+                (framed(PART + USAGE + DONE), True),
+                (UNFRAMED + PART, False),
+                (UNFRAMED + PART + DONE[:-1], False),
+                (UNFRAMED + PART + DONE[:-4], False),
+                (framed(PART), False),
+                (framed(PART + DONE)[:-3], False),
+                (UNFRAMED, False),
+            ],
+        )
+
+    def test_plain(self) -> None:
+        self.check(
+            ServiceKind.PLAIN,
+            [
+                (UNFRAMED + b'{"a": 1}', True),
+                (framed(b'{"a": 1}'), True),
+                (framed(b"12"), True),
+                (UNFRAMED + b'{"a": 1', False),
+                (framed(b'{"a": 1}')[:-1], False),
+                (UNFRAMED, False),
+            ],
+        )
+
+    # A number cut short in an unframed response reached the caller as the result.
+    def test_unframed_number_may_be_cut_short(self) -> None:
+        self.check(
+            ServiceKind.PLAIN, [(UNFRAMED + b"12", False), (UNFRAMED + b"-1.5", False)]
+        )
