Break off any stream that ends within an event

Cause: the end of a response without length and chunks is the end of its connection, also when the engine crashed. The router looked for an unfinished event only on routes that allow resumption, since there it needs whole events anyway; on all other stream routes it took the end of the body for the end of the stream.

The check now belongs to streams, whatever their route allows: without a terminating chunk the caller sees that the answer was broken off.

--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -274,7 +274,7 @@
                 return self._unknown_outcome("an event is missing")
             if events:
                 await self._send_events(response, events)
-        if resumable and self.splitter.buffer:
+        if self.boundary.unfinished_bytes:
             return self._unknown_outcome("the stream ended within an event")
         if not self.sink.started:
             await self.sink.start(response.status, self._stream_headers(response))
