Do not complete an unframed stream without events

Callers got 200 and an empty body when an engine crashed between the head of an unframed response and its first event.

Nothing was forwarded yet, so the attempt is retried where the route allows it and the caller gets 502 otherwise. test_unframed_stream_without_events_is_not_completed failed with (200, 1) instead of (502, 1) before.

--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -276,6 +276,8 @@
                 await self._send_events(response, events)
         if self.boundary.unfinished_bytes:
             return self._unknown_outcome("the stream ended within an event")
+        if response.framing is Framing.CLOSE and not self.boundary.received_bytes:
+            return self._unknown_outcome("the stream ended before its first event")
         if not self.sink.started:
             await self.sink.start(response.status, self._stream_headers(response))
         await self.sink.finish()
