Reset the connection of a broken-off response that has no other end

Callers of HTTP/1.0 get neither chunks nor, in a stream, a length: the end of the connection is the end of the answer. A stream that the router broke off ended for them exactly like a complete one.

While such a response is open its socket is now set to reset on close, which also covers a process that is killed; the option is taken back when the response is complete.

--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -43,8 +43,14 @@
     READ_BYTES,
 )
 from pistachiolever.http1.errors import BadRequestError
-from pistachiolever.http1.models import Header, HttpLimits, RequestHead
-from pistachiolever.http1.sockets import tune_socket
+from pistachiolever.http1.models import (
+    Framing,
+    Header,
+    HttpLimits,
+    RequestHead,
+    framing_of,
+)
+from pistachiolever.http1.sockets import set_reset_on_close, tune_socket
 
 Handler = Callable[["Exchange"], Awaitable[None]]
 
@@ -273,6 +279,7 @@
     head: RequestHead
     started: bool = False
     finished: bool = False
+    ends_with_connection: bool = False
 
     async def read_body(self) -> bytes:
         """Return the whole body; raise BadRequestError if it is too large."""
@@ -296,6 +303,10 @@
 
     async def start(self, status: int, headers: list[Header]) -> None:
         """Send the head of the response."""
+        if self._needs_close(status, headers):
+            # Without a reset, a response that is broken off would look complete.
+            self.ends_with_connection = True
+            set_reset_on_close(self.connection.stream, True)
         await self._write(self._head_bytes(status, headers))
 
     async def send(self, data: bytes) -> None:
@@ -306,6 +317,8 @@
         """Complete the response."""
         self.finished = True
         await self._write(self.connection.protocol.send(EndOfMessage()) or b"")
+        if self.ends_with_connection:
+            set_reset_on_close(self.connection.stream, False)
 
     async def respond(self, status: int, headers: list[Header], body: bytes) -> None:
         """Send a whole response in one write."""
@@ -317,6 +330,13 @@
         self.finished = True
         await self._write(b"".join(parts))
 
+    def _needs_close(self, status: int, headers: list[Header]) -> bool:
+        """Return whether only the end of the connection will end the response."""
+        version = self.connection.protocol.their_http_version
+        if version is None or version >= b"1.1":
+            return False
+        return framing_of(self.head.method, status, headers) is Framing.CLOSE
+
     def _head_bytes(self, status: int, headers: list[Header]) -> bytes:
         """Return the serialized head, with `connection: close` if it will be closed."""
         self.started = True
--- a/pistachiolever/http1/sockets.py
+++ b/pistachiolever/http1/sockets.py
@@ -4,6 +4,7 @@
 from socket import (
     IPPROTO_TCP,
     SO_KEEPALIVE,
+    SO_LINGER,
     SOL_SOCKET,
     TCP_KEEPCNT,
     TCP_KEEPIDLE,
@@ -11,6 +12,7 @@
     TCP_NODELAY,
     TCP_USER_TIMEOUT,
 )
+from struct import pack
 
 from anyio.abc import SocketAttribute, SocketStream
 
@@ -39,6 +41,19 @@
         return
 
 
+def set_reset_on_close(stream: SocketStream, enabled: bool) -> None:
+    """Set whether closing the socket resets the connection.
+
+    The kernel also closes the socket that way if the process is killed.
+    """
+    socket = stream.extra(SocketAttribute.raw_socket)
+    try:
+        socket.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", enabled, 0))
+    except OSError:
+        # The peer has already disconnected; the next read reports it.
+        return
+
+
 def has_input(stream: SocketStream) -> bool:
     """Return whether an idle socket has unread data, an end of file or an error."""
     descriptor = stream.extra(SocketAttribute.raw_socket).fileno()
