Do not retry a plain response whose start the caller already has

A long response that was broken off went to a second endpoint, which ran the request in vain: its head could not be sent any more, the handler raised LocalProtocolError, and no event told how the request ended.

Cause: a retry was allowed by the verdict and the route alone, whether or not a part of an answer had left the router. A plain response that has started can't be continued, so it ends broken off. test_started_response_is_not_retried failed with two attempts before.

--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -341,6 +341,8 @@
         request, now = self.request, self.fleet.now()
         if not result.sent:
             return True
+        if self.sink.started and not request.route.resumable:
+            return False
         if not result.verdict.allows_retry(request.route.retryable):
             return False
         if request.attempt_count >= request.route.attempts:
