Do not resume a stream whose events have no ids

A resumable stream that broke off after events without ids went to another endpoint without Last-Event-Id, started anew, and the caller got its first events twice in one answer.

Cause: whether a started answer can be continued was taken from the route; it also depends on what was sent.

--- a/pistachiolever/gateway/event_stream.py
+++ b/pistachiolever/gateway/event_stream.py
@@ -43,7 +43,8 @@
     """Buffers incomplete events; tracks the id of the last complete one.
 
     Events up to `skip_through` were sent before and are dropped. `gap_found` is set
-    when an event id does not follow its predecessor.
+    when an event id does not follow its predecessor, `resumable` is cleared by an event
+    with data but without an id.
     """
 
     last_id: int = 0
@@ -51,6 +52,7 @@
     buffer: bytes = b""
     skip_through: int = 0
     gap_found: bool = False
+    resumable: bool = True
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes; return the events that they complete."""
@@ -73,6 +75,8 @@
         event_id = event_id_of(event)
         if event_id is None:
             self.event_count += 1
+            if has_data(event):
+                self.resumable = False
             return True
         if event_id <= self.skip_through:
             return False
@@ -90,3 +94,8 @@
             value = line[3:].strip()
             return int(value) if value.isdigit() else None
     return None
+
+
+def has_data(event: bytes) -> bool:
+    """Return whether an event has data, unlike a comment or a retry time."""
+    return any(line.startswith(b"data") for line in event.splitlines())
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -341,7 +341,7 @@
         request, now = self.request, self.fleet.now()
         if not result.sent:
             return True
-        if self.sink.started and not request.route.resumable:
+        if self.sink.started and not self._may_resume():
             return False
         if not result.verdict.allows_retry(request.route.retryable):
             return False
@@ -366,6 +366,12 @@
         )
         return allowed
 
+    def _may_resume(self) -> bool:
+        """Return whether another endpoint can continue the started response."""
+        route = self.request.route
+        is_resumable = route.kind is RequestKind.STREAM and route.resumable
+        return is_resumable and self.splitter.resumable
+
     # Failure.
 
     async def _fail(self, reason: str) -> None:
--- a/tests/gateway/test_event_stream.py
+++ b/tests/gateway/test_event_stream.py
@@ -48,6 +48,19 @@
         splitter.feed(event(1) + event(3))
         self.assertTrue(splitter.gap_found)
 
+    def test_events_without_ids_prevent_resumption(self) -> None:
+        for data, resumable in (
+            (event(1), True),
+            (b": ping\n\n", True),
+            (b"retry: 10\n\n" + event(1), True),
+            (b"data: x\n\n", False),
+            (event(1) + b"event: part\ndata: x\n\n" + event(2), False),
+        ):
+            with self.subTest(data):
+                splitter = EventSplitter()
+                self.assertEqual(splitter.feed(data), data)
+                self.assertEqual(splitter.resumable, resumable)
+
 
 class EventBoundaryTest(CaseTest):
     """The position between events does not depend on how the bytes arrive."""
