Accept all line ends of event streams

Resumable streams whose lines end with CR LF or CR reached the caller not at all: the splitter waited for two line feeds until the stream ended, and then broke it off.

--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -89,7 +89,6 @@
     expected_prefill_seconds: float = 0.0
     connection: ClientConnection | None = None
     first_chunk_at: float | None = None
-    output_events: int = 0
     framing: Framing | None = None
     boundary: EventBoundary = field(factory=EventBoundary)
 
@@ -307,7 +306,6 @@
     async def _send_events(self, response: ResponseHead, events: bytes) -> None:
         """Send events, preceded by the head if it was not sent yet."""
         self._record_first_chunk()
-        self.output_events += events.count(b"\n\n")
         if not self.sink.started:
             await self.sink.start(response.status, self._stream_headers(response))
         await self.sink.send(events)
--- a/pistachiolever/gateway/event_stream.py
+++ b/pistachiolever/gateway/event_stream.py
@@ -5,9 +5,9 @@
 
 from attrs import define
 
-# An empty line ends an event; lines end with LF, CR LF or CR.
-EVENT_END: Final = compile_pattern(rb"(?:\r\n|\n|\r(?!\n)){2}")
-# The longest event end, without its last byte.
+# Empty lines end an event; lines end with LF, CR LF or CR.
+EVENT_END: Final = compile_pattern(rb"(?:\r?\n\r?\n|\r\r)[\r\n]*")
+# The longest end of an event, without its last byte.
 EVENT_END_OVERLAP_BYTES: Final = 3
 
 
@@ -19,23 +19,26 @@
     """
 
     received_bytes: int = 0
+    event_count: int = 0
     unfinished_bytes: int = 0
     _tail: bytes = b""
 
     def feed(self, data: bytes) -> None:
         """Add received bytes."""
         self.received_bytes += len(data)
+        if not self.unfinished_bytes:
+            # Further empty lines belong to no event.
+            data = data.lstrip(b"\r\n")
         joined = self._tail + data
-        self._tail = joined[-EVENT_END_OVERLAP_BYTES:]
-        rest = b""
-        if not joined.endswith(b"\n\n"):
-            ends = [match.end() for match in EVENT_END.finditer(joined)]
-            if not ends:
-                self.unfinished_bytes += len(data)
-                return
+        ends = [match.end() for match in EVENT_END.finditer(joined)]
+        if ends:
             rest = joined[ends[-1] :]
-        # Further empty lines belong to no event.
-        self.unfinished_bytes = len(rest.lstrip(b"\r\n"))
+            self.event_count += len(ends)
+            self.unfinished_bytes = len(rest)
+        else:
+            rest = joined
+            self.unfinished_bytes += len(data)
+        self._tail = rest[-EVENT_END_OVERLAP_BYTES:]
 
 
 @define
@@ -57,12 +60,12 @@
     def feed(self, data: bytes) -> bytes:
         """Add received bytes; return the events that they complete."""
         buffered = self.buffer + data
-        end = buffered.rfind(b"\n\n")
-        if end < 0:
-            self.buffer = buffered
-            return b""
-        whole, self.buffer = buffered[: end + 2], buffered[end + 2 :]
-        events = [event + b"\n\n" for event in whole.split(b"\n\n")[:-1]]
+        events: list[bytes] = []
+        start = 0
+        for match in EVENT_END.finditer(buffered):
+            events.append(buffered[start : match.end()])
+            start = match.end()
+        self.buffer = buffered[start:]
         return b"".join(event for event in events if self._accept(event))
 
     def resume(self) -> None:
@@ -89,7 +92,7 @@
 
 def event_id_of(event: bytes) -> int | None:
     """Return the id of an event, None if it has no numeric one."""
-    for line in event.split(b"\n"):
+    for line in event.splitlines():
         if line.startswith(b"id:"):
             value = line[3:].strip()
             return int(value) if value.isdigit() else None
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -277,7 +277,7 @@
     def _output_tokens(self, attempt: Attempt) -> int:
         """Return the approximate number of generated tokens."""
         engine = self.request.service.engine
-        return attempt.output_events * engine.event_tokens if engine else 0
+        return attempt.boundary.event_count * engine.event_tokens if engine else 0
 
     def _record_result(
         self,
--- a/tests/gateway/test_event_stream.py
+++ b/tests/gateway/test_event_stream.py
@@ -16,14 +16,14 @@
 
     def test_result_does_not_depend_on_chunk_boundaries(self) -> None:
         rng = Random(2)
-        whole = b"".join(event(n) for n in range(1, 50))
-        for _ in range(100):
+        for line_end in (b"\n", b"\r\n", b"\r") * 34:
+            whole = b"".join(event(n) for n in range(1, 50)).replace(b"\n", line_end)
             splitter = EventSplitter()
             out, at = b"", 0
             while at < len(whole):
                 step = rng.randint(1, 30)
                 piece = splitter.feed(whole[at : at + step])
-                self.assertTrue(not piece or piece.endswith(b"\n\n"))
+                self.assertTrue(not piece or piece.endswith(line_end * 2))
                 out += piece
                 at += step
             self.assertEqual((out, splitter.buffer), (whole, b""))
@@ -62,6 +62,12 @@
                 self.assertEqual(splitter.resumable, resumable)
 
 
+def end_events(data: bytes) -> list[bytes]:
+    """Return the whole events of a stream, separated by any line ends."""
+    text = data.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+    return [part for part in text.split(b"\n\n")[:-1] if part.strip()]
+
+
 class EventBoundaryTest(CaseTest):
     """The position between events does not depend on how the bytes arrive."""
 
@@ -78,6 +84,7 @@
             (b"data: a\n\ndata: bc", 8),
             (b"data: a\r\n\r\ndata: bc\r\n", 10),
             (b": ping\n\n", 0),
+            (b"data: a\n\n\n\ndata: b\n\n", 0),
         ]
         for data, unfinished_bytes in cases:
             for step in (1, 2, 3, len(data) or 1):
@@ -87,3 +94,4 @@
                         boundary.feed(data[start : start + step])
                     self.assertEqual(boundary.unfinished_bytes, unfinished_bytes)
                     self.assertEqual(boundary.received_bytes, len(data))
+                    self.assertEqual(boundary.event_count, len(end_events(data)))
