Do not take the start of a number for a plain service's result

Callers of the fleet's own interface got a wrong result, told as complete, when a plain service answered with a bare number in an unframed response that was cut short: the start of a number is a number. Other documents cut short are no JSON and failed already.

--- a/pistachiolever/sidecar/adapters.py
+++ b/pistachiolever/sidecar/adapters.py
@@ -164,7 +164,11 @@
         failed = _check_status(dispatch.request_id, response, False)
         if failed is not None:
             return failed
-        result_json = dumps(loads(response.content)).decode()
+        result = loads(response.content)
+        is_number = isinstance(result, int | float) and not isinstance(result, bool)
+        if is_number and not _is_framed(response):
+            raise InvalidResponseError("a number without a length may be cut short")
+        result_json = dumps(result).decode()
         if len(result_json) > self.settings.max_answer_bytes:
             return _failed(dispatch.request_id, Verdict.RAN, "answer-too-large")
         post(ResultReceived(dispatch.request_id, result_json))
@@ -221,6 +225,12 @@
     return _failed(request_id, Verdict.MAY_HAVE_RUN, "endpoint-error")
 
 
+def _is_framed(response: Response) -> bool:
+    """Return whether the end of the body is known without the connection's end."""
+    headers = response.headers
+    return "content-length" in headers or "transfer-encoding" in headers
+
+
 def _parse_event(event: ServerSentEvent, usage: Usage) -> str:
     """Return the text of one engine event; store the usage if it carries one."""
     try:
