Let endpoints that leave or ask for a pause govern routing at once

An endpoint's notice of leaving reached a router through discovery only, so a router out of touch kept sending requests to it; a Retry-After of a busy endpoint was ignored, and requests came back as soon as the next one was ranked.

Routers now keep notices by incarnation (gateway.notices): a leaving endpoint gets requests only while no other one can serve and the drain time lasts; a paused one gets none until its time has passed, then gradually more. Bids that wait there are placed anew, callers are told the end of the first pause, engines that pause are missing in the shared capacity. Tests without network: all endpoints pause, overlapping pauses, notices against older announcements, restarts and reused addresses, 300 endpoints of which a fifth leave, random runs against a naive model; four tests over loopback. None of them could pass before: the headers had no meaning.

--- a/pistachiolever/events/explain.py
+++ b/pistachiolever/events/explain.py
@@ -116,6 +116,9 @@
         )
     if end_lines[-1].name == "REQUEST_CANCELLED":
         return f"caller left after {end.get('total')} s, {end.get('sends')} attempts"
+    if end.get("reason") == "paused":
+        paused = ", ".join(end.get("paused", []))
+        return f"refused {end.get('status')}: endpoints asked for a pause: {paused}"
     failed = [line for line in request_lines if line.name == "ATTEMPT_FAILED"]
     if failed:
         last = failed[-1].inputs
--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -107,6 +107,10 @@
             self.fleet.record_unreachable(self.handle, error.detail)
             return AttemptResult(Verdict.NOT_RUN, sent=False, reason="unreached")
         try:
+            # A notice may have arrived while the connection was opened.
+            if not self.fleet.may_send(self.handle):
+                return AttemptResult(Verdict.NOT_RUN, sent=False, reason="held-back")
+            self.fleet.notices.record_send(self.handle.endpoint, self.fleet.now())
             with move_on_after(
                 self.request.remaining_seconds(self.fleet.now())
             ) as deadline:
@@ -149,12 +153,16 @@
         metadata = self.header_format.parse_response(response)
         if metadata.request_id and metadata.request_id != request.request_id:
             return self._unknown_outcome("an answer to another request")
+        # Status 421 comes from another endpoint, which has taken over the address.
+        if response.status != 421:
+            self.fleet.record_notices(self.handle, request.request_id, metadata)
         if metadata.not_run or response.status == 421:
             await self._discard_body(connection, response)
             return AttemptResult(
                 Verdict.NOT_RUN,
                 reason=f"refused {response.status}",
                 status=response.status,
+                endpoint_at_fault=metadata.retry_after is None,
             )
         if not 200 <= response.status < 300:
             return await self._handle_error_response(
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Protocol
 
-from anyio import create_task_group
+from anyio import CancelScope, create_task_group
 from attrs import define, field
 
 from pistachiolever.admission.models import Load
@@ -25,10 +25,16 @@
 from pistachiolever.gateway.const import MAX_IDLE_ENDPOINT_CONNECTIONS
 from pistachiolever.gateway.fair_shares import FairShares
 from pistachiolever.gateway.health import EndpointHealth
+from pistachiolever.gateway.models import ResponseMetadata
+from pistachiolever.gateway.notices import (
+    EndpointNotices,
+    Restriction,
+    pause_seconds,
+)
 from pistachiolever.gateway.placement import Candidate, Placement
 from pistachiolever.gateway.policy import PlacementPolicy
 from pistachiolever.gateway.settings import GatewaySettings
-from pistachiolever.metrics.instruments import Instruments
+from pistachiolever.metrics.instruments import HELD_BACK, Instruments
 from pistachiolever.registry.const import ROUTER_TIMEOUT_SECONDS
 from pistachiolever.routing.errors import InvalidConfigurationError
 from pistachiolever.routing.models import ProxyConfiguration
@@ -46,7 +52,8 @@
 class EndpointHandle:
     """One incarnation of an endpoint: its announcement, admission client and health.
 
-    `bidding_tokens` are the prompt tokens of this router's undecided bids for it.
+    `bidding_tokens` are the prompt tokens of this router's undecided bids for it;
+    cancelling `bid_scopes` withdraws these bids.
     """
 
     endpoint: Announcement
@@ -54,6 +61,12 @@
     local_admission: LocalAdmission
     health: EndpointHealth = field(factory=EndpointHealth)
     bidding_tokens: float = 0.0
+    bid_scopes: set[CancelScope] = field(factory=set)
+
+    def withdraw_bids(self) -> None:
+        """Withdraw undecided bids, so that their requests are placed anew."""
+        for scope in list(self.bid_scopes):
+            scope.cancel()
 
     def load(self) -> Load:
         """Return the last known load of the endpoint."""
@@ -78,6 +91,7 @@
     pool: ConnectionPool = field(init=False)
     placement: Placement = field(init=False)
     budget: RetryBudget = field(init=False)
+    notices: EndpointNotices = field(init=False)
     shares: FairShares = field(factory=FairShares)
     new_admission_clients: Mailbox[RemoteAdmission | LocalAdmission] = field(
         factory=Mailbox
@@ -94,6 +108,7 @@
             self.settings.retry_window_seconds,
             self.settings.retry_slack,
         )
+        self.notices = EndpointNotices(self.settings.drain_seconds)
 
     async def run(self) -> None:
         """Run admission clients; close connections to endpoints that are gone."""
@@ -206,11 +221,97 @@
         """
         return 1.0 / max(1, self.budget.router_count) if announcement.agent else 1.0
 
+    # Notices of endpoints.
+
+    def record_notices(
+        self, handle: EndpointHandle, request_id: str, metadata: ResponseMetadata
+    ) -> None:
+        """Record what an endpoint asks of this router in a response."""
+        endpoint, now = handle.endpoint, self.now()
+        if metadata.leaving and self.notices.record_leaving(endpoint, now):
+            self.events.record(
+                EventCode.ENDPOINT_LEAVING,
+                request_id,
+                endpoint=endpoint.endpoint_id,
+                born=endpoint.born_ms,
+                seconds=self.settings.drain_seconds,
+            )
+            handle.withdraw_bids()
+        if metadata.retry_after is None:
+            return
+        seconds = pause_seconds(metadata.retry_after)
+        self.events.record(
+            EventCode.ENDPOINT_PAUSED,
+            request_id,
+            endpoint=endpoint.endpoint_id,
+            born=endpoint.born_ms,
+            seconds=seconds or 0.0,
+            asked=metadata.retry_after[:40].decode("latin-1"),
+        )
+        if seconds is not None:
+            self.notices.record_pause(endpoint, seconds, now)
+            handle.withdraw_bids()
+
+    def may_send(self, handle: EndpointHandle) -> bool:
+        """Return whether the notices of an endpoint allow a request now."""
+        restriction = self.notices.restriction(handle.endpoint, self.now())
+        if restriction is Restriction.LEAVING:
+            usable = self._usable(handle.endpoint.service_id, set())
+            allowed = handle in usable
+        else:
+            allowed = restriction is Restriction.NONE
+        if not allowed:
+            self._count_held_back(handle, restriction)
+        return allowed
+
+    def held_back(self, service_id: str) -> dict[str, list[str]]:
+        """Return the restricted endpoints of a service, by kind of restriction."""
+        ids: dict[str, list[str]] = {}
+        for handle in self._ready(service_id, set()):
+            restriction = self.notices.restriction(handle.endpoint, self.now())
+            if restriction is not Restriction.NONE:
+                ids.setdefault(restriction.value, []).append(
+                    handle.endpoint.endpoint_id
+                )
+        return ids
+
+    def pause_remaining(self, service_id: str) -> float | None:
+        """Return the seconds until the first endpoint of a service takes requests.
+
+        None unless pauses prevent requests to all of its endpoints that stay.
+        """
+        now = self.now()
+        times = [
+            self.notices.available_at(handle.endpoint)
+            for handle in self._ready(service_id, set())
+        ]
+        staying = [at for at in times if at is not None]
+        if not staying or min(staying) <= now:
+            return None
+        return min(staying) - now
+
+    def _count_held_back(
+        self, handle: EndpointHandle, restriction: Restriction
+    ) -> None:
+        """Count a dispatch that a notice prevented."""
+        self.instruments.count(
+            HELD_BACK, handle.endpoint.endpoint_id, restriction.value
+        )
+
+    def _record_ended_pauses(self) -> None:
+        """Log the pauses that no longer limit requests."""
+        for pause in self.notices.pop_ended_pauses(self.now()):
+            self.events.record(
+                EventCode.ENDPOINT_RESUMED,
+                endpoint=pause.endpoint_id,
+                seconds=round(pause.seconds, 3),
+            )
+
     # Queries by requests.
 
     def candidates(self, service_id: str, avoid: set[str]) -> list[Candidate]:
         """Return the endpoints of a service that may get a request now."""
-        now = self.now()
+        self._record_ended_pauses()
         return [
             Candidate(
                 handle.endpoint,
@@ -218,6 +319,31 @@
                 handle.health,
                 handle.bidding_tokens,
             )
+            for handle in self._usable(service_id, avoid)
+        ]
+
+    def _usable(self, service_id: str, avoid: set[str]) -> list[EndpointHandle]:
+        """Return the endpoints that their notices allow to use.
+
+        Leaving ones are used only if there are no others.
+        """
+        usable: list[EndpointHandle] = []
+        leaving: list[EndpointHandle] = []
+        for handle in self._ready(service_id, avoid):
+            restriction = self.notices.restriction(handle.endpoint, self.now())
+            if restriction is Restriction.NONE:
+                usable.append(handle)
+                continue
+            if restriction is Restriction.LEAVING:
+                leaving.append(handle)
+            self._count_held_back(handle, restriction)
+        return usable or leaving
+
+    def _ready(self, service_id: str, avoid: set[str]) -> list[EndpointHandle]:
+        """Return the endpoints of a service that accept requests."""
+        now = self.now()
+        return [
+            handle
             for handle in self.handle_by_id.values()
             if handle.endpoint.service_id == service_id
             and handle.endpoint.state is EndpointState.READY
@@ -226,11 +352,29 @@
         ]
 
     def fair_share(self) -> float | None:
-        """Return the max-min share of recent service; None if it limits no account."""
+        """Return the max-min share of recent service; None if it limits no account.
+
+        Paused engines add nothing to the capacity that accounts share.
+        """
         if self.table is None:
             return None
         tokens_per_second = self.table.configuration.tokens_per_second
-        return self.shares.share(tokens_per_second, self.now())
+        return self.shares.share(
+            tokens_per_second * self._unpaused_fraction(), self.now()
+        )
+
+    def _unpaused_fraction(self) -> float:
+        """Return the fraction of engines that have not asked for a pause."""
+        if not self.notices.paused:
+            return 1.0
+        now = self.now()
+        engines = [h.endpoint for h in self.handle_by_id.values() if h.endpoint.agent]
+        paused = [
+            endpoint
+            for endpoint in engines
+            if self.notices.restriction(endpoint, now) is Restriction.PAUSED
+        ]
+        return 1.0 - len(paused) / max(1, len(engines))
 
     def record_unreachable(self, handle: EndpointHandle, error: str) -> None:
         """Eject an endpoint that accepts no connection."""
--- a/pistachiolever/gateway/header_format.py
+++ b/pistachiolever/gateway/header_format.py
@@ -60,6 +60,7 @@
     signature: bytes = b"x-signature"
     not_run: bytes = b"x-not-run"
     load: bytes = b"x-load"
+    leaving: bytes = b"x-leaving"
     internal_request_headers: frozenset[bytes] = field(factory=frozenset)
     internal_response_headers: frozenset[bytes] = field(factory=frozenset)
 
@@ -129,6 +130,8 @@
             head.value(self.signature) is not None,
             head.value(self.not_run) is not None,
             keep_alive_seconds(head),
+            (head.value(self.leaving) or b"0").strip() != b"0",
+            head.value(b"retry-after") if head.status == 503 else None,
         )
 
     def response_headers(self, head: ResponseHead, whole: bool) -> list[Header]:
@@ -136,9 +139,8 @@
 
         The length of a `whole` response is set anew, so the endpoint's one is dropped.
         """
-        dropped = (
-            HOP_HEADERS | self.internal_response_headers | {self.load, self.not_run}
-        )
+        dropped = HOP_HEADERS | self.internal_response_headers
+        dropped |= {self.load, self.not_run, self.leaving}
         if not whole:
             dropped = dropped - {b"content-length"}
         return [header for header in head.headers if header[0] not in dropped]
--- a/pistachiolever/gateway/models.py
+++ b/pistachiolever/gateway/models.py
@@ -27,13 +27,16 @@
     """Metadata in an endpoint's response headers.
 
     `signed` is true if the response carries a signature, `not_run` if it states that
-    the endpoint did not run the request.
+    the endpoint did not run the request, `leaving` if the endpoint is leaving.
+    `retry_after` is the unparsed value with which a busy endpoint asks for a pause.
     """
 
     request_id: str
     signed: bool
     not_run: bool
     keep_alive_seconds: float
+    leaving: bool = False
+    retry_after: bytes | None = None
 
 
 @define(eq=False)
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -15,6 +15,7 @@
 from pistachiolever.gateway.const import (
     DEFAULT_RETRY_AFTER_SECONDS,
     MIN_ATTEMPT_SECONDS,
+    PAUSE_RAMP_SECONDS,
     RETRY_AFTER_FRACTION,
 )
 from pistachiolever.gateway.event_stream import EventSplitter
@@ -70,7 +71,7 @@
                 return
             handle = await self._acquire_grant()
             if handle is None:
-                await self._fail("no-room")
+                await self._fail(self._no_grant_reason())
                 return
             result = await self._send_attempt(handle)
             if result.answered:
@@ -111,6 +112,9 @@
                     ):
                         return None
                     continue
+                if reply.granted and not self.fleet.may_send(handle):
+                    handle.admission.report_end(request.bid_id, 0)
+                    continue
                 if reply.granted:
                     load = reply.load
                     self.expected_prefill_seconds = load.unread_tokens / max(
@@ -123,6 +127,13 @@
         finally:
             self.queued_seconds += self.fleet.now() - started_at
 
+    def _no_grant_reason(self) -> str:
+        """Return why no endpoint granted the request."""
+        service_id = self.request.service.service_id
+        if self.fleet.pause_remaining(service_id) is not None:
+            return "paused"
+        return "no-room"
+
     def _max_bids(self) -> int:
         """Return how many endpoints may refuse before the request is refused."""
         policy = self.fleet.policy
@@ -179,9 +190,11 @@
         reply: BidReply | None = None
         submitted_at = fleet.now()
         try:
-            with move_on_after(timeout_seconds):
+            with move_on_after(timeout_seconds) as scope:
+                handle.bid_scopes.add(scope)
                 reply = await handle.admission.acquire(self._make_bid(endpoint_id))
         finally:
+            handle.bid_scopes.discard(scope)
             handle.bidding_tokens -= tokens
         if reply is None:
             return None
@@ -382,6 +395,7 @@
         """
         request = self.request
         status = 0
+        held_back = self.fleet.held_back(request.service.service_id)
         if self.sink.started:
             # The server closes the connection without completing the response.
             reason = f"broken off: {reason}"
@@ -411,10 +425,20 @@
             queued=round(self.queued_seconds, 4),
             prompt=request.metadata.prompt_tokens,
             total=round(self.fleet.now() - request.arrived_at, 4),
+            **held_back,
         )
 
     def _retry_after_header(self) -> Header:
-        """Return a Retry-After header that the caller can still honour."""
+        """Return a Retry-After header that the caller can still honour.
+
+        While all endpoints pause it names the end of the first pause, as an earlier
+        retry would be refused again.
+        """
+        paused_seconds = self.fleet.pause_remaining(self.request.service.service_id)
+        if paused_seconds is not None:
+            # Spread, since callers would otherwise return at the same moment.
+            spread = self.fleet.rng.random() * PAUSE_RAMP_SECONDS
+            return (b"retry-after", b"%.2f" % (paused_seconds + spread))
         remaining = self.request.remaining_seconds(self.fleet.now())
         seconds = DEFAULT_RETRY_AFTER_SECONDS
         if self.refusal is not None and self.refusal.retry_after_seconds:
--- a/pistachiolever/gateway/settings.py
+++ b/pistachiolever/gateway/settings.py
@@ -2,6 +2,8 @@
 
 from attrs import frozen
 
+from pistachiolever.gateway.const import DEFAULT_DRAIN_SECONDS
+
 
 @frozen
 class GatewaySettings:
@@ -9,7 +11,7 @@
 
     `retry_ratio`, `retry_window_seconds` and `retry_slack` limit retries over all
     routers; `grace_seconds` is the time from the stop signal until the process must
-    have ended.
+    have ended. A leaving endpoint serves on for `drain_seconds`.
     """
 
     node_id: str
@@ -21,3 +23,4 @@
     retry_ratio: float
     retry_window_seconds: float
     retry_slack: float
+    drain_seconds: float = DEFAULT_DRAIN_SECONDS
--- a/pistachiolever/metrics/instruments.py
+++ b/pistachiolever/metrics/instruments.py
@@ -59,6 +59,11 @@
     "Event streams of endpoints that ended within or between events",
     ("framing", "place"),
 )
+HELD_BACK: Final = Instrument(
+    "pistachiolever_held_back",
+    "Dispatches that an endpoint's notice prevented",
+    ("endpoint", "notice"),
+)
 FIRST_CHUNK: Final = Instrument(
     "pistachiolever_first_part_seconds",
     "Time from arrival to the first chunk",
@@ -93,6 +98,7 @@
     ATTEMPTS,
     RETRIES,
     STREAM_ENDS,
+    HELD_BACK,
     GRANTS,
     CONFIGURATIONS,
     ANNOUNCEMENTS,
--- a/pistachiolever/platform/names.py
+++ b/pistachiolever/platform/names.py
@@ -25,6 +25,7 @@
     signature=b"server-stamp",
     not_run=b"not-run",
     load=b"server-load",
+    leaving=b"server-leaving",
     internal_request_headers=frozenset(
         {
             b"expect-version",
--- a/pistachiolever/platform/settings.py
+++ b/pistachiolever/platform/settings.py
@@ -6,6 +6,7 @@
 
 from attrs import frozen
 
+from pistachiolever.gateway.const import DEFAULT_DRAIN_SECONDS
 from pistachiolever.gateway.settings import GatewaySettings
 from pistachiolever.platform.names import METRICS_PORT, READY_PATH
 from pistachiolever.registry.settings import RegistrySettings
@@ -76,6 +77,7 @@
             float(bounds["retryBudgetRatio"]),
             float(bounds["budgetWindowS"]),
             float(bounds["budgetSlack"]),
+            float(bounds.get("drainMs", DEFAULT_DRAIN_SECONDS * 1000)) / 1000,
         )
 
     def registry(self) -> RegistrySettings:
--- /dev/null
+++ b/tests/gateway/test_notices.py
@@ -0,0 +1,293 @@
+"""Notices of endpoints that leave or ask for a pause, without network."""
+
+from random import Random
+
+from attrs import evolve
+
+from pistachiolever.discovery.models import Announcement, EndpointState
+from pistachiolever.edge.peers import PeerClient
+from pistachiolever.gateway.const import MAX_NOTICES, MAX_PAUSE_SECONDS
+from pistachiolever.gateway.fleet import FleetView
+from pistachiolever.gateway.models import ResponseMetadata
+from pistachiolever.gateway.notices import (
+    EndpointNotices,
+    Restriction,
+    pause_seconds,
+)
+from pistachiolever.gateway.settings import GatewaySettings
+from tests.gateway.test_relay import CONFIGURATION
+from tests.registry.test_process import make_discarding_logger
+from tests.support.cases import CaseTest
+
+DRAIN_SECONDS = 2.0
+ENDPOINT = Announcement(
+    "e0", 5, 1, EndpointState.READY, "s", "10.0.0.1:80", "north", slots=8
+)
+
+
+def make_fleet(endpoints: list[Announcement], clock: list[float]) -> FleetView:
+    """Return a router's view of the endpoints; `clock` holds its time."""
+    settings = GatewaySettings("r", "north", "", "", "", 2, 1, 10, 99, DRAIN_SECONDS)
+    fleet = FleetView(
+        settings,
+        lambda _: CONFIGURATION,
+        PeerClient(),
+        make_discarding_logger("r"),
+        Random(1),
+        lambda: clock[0],
+    )
+    fleet.apply_announcements(endpoints)
+    return fleet
+
+
+def endpoints_of(count: int) -> list[Announcement]:
+    """Return endpoints with addresses of their own."""
+    return [
+        evolve(ENDPOINT, endpoint_id=f"e{n}", address=f"10.0.0.{n}:80")
+        for n in range(count)
+    ]
+
+
+def notify(
+    fleet: FleetView,
+    endpoint_id: str,
+    leaving: bool = False,
+    retry_after: bytes | None = None,
+) -> None:
+    """Record the notices of one response."""
+    metadata = ResponseMetadata("r1", True, True, 0.0, leaving, retry_after)
+    fleet.record_notices(fleet.handle_by_id[endpoint_id], "r1", metadata)
+
+
+def usable(fleet: FleetView) -> set[str]:
+    """Return the endpoints that may get a request."""
+    return {c.endpoint.endpoint_id for c in fleet.candidates("s", set())}
+
+
+class PauseValueTest(CaseTest):
+    """Absurd values of Retry-After are bounded or ignored."""
+
+    def test_table(self) -> None:
+        cases = [
+            (b"2", 2.0),
+            (b" 0.25 ", 0.25),
+            (b"864000", MAX_PAUSE_SECONDS),
+            (b"inf", MAX_PAUSE_SECONDS),
+            (b"0", None),
+            (b"-3", None),
+            (b"nan", None),
+            (b"", None),
+            (b"soon", None),
+            (b"Wed, 21 Oct 2026 07:28:00 GMT", None),
+        ]
+        for value, seconds in cases:
+            with self.subTest(value):
+                self.assertEqual(pause_seconds(value), seconds)
+
+
+class LeavingTest(CaseTest):
+    """A leaving endpoint gets requests only if no other one can serve them."""
+
+    def test_another_endpoint_serves(self) -> None:
+        clock = [100.0]
+        fleet = make_fleet(endpoints_of(2), clock)
+        notify(fleet, "e0", leaving=True)
+        self.assertEqual(usable(fleet), {"e1"})
+        self.assertFalse(fleet.may_send(fleet.handle_by_id["e0"]))
+
+    def test_only_endpoint_serves_until_it_has_left(self) -> None:
+        clock = [100.0]
+        fleet = make_fleet(endpoints_of(1), clock)
+        notify(fleet, "e0", leaving=True)
+        for seconds, expected in ((0.0, {"e0"}), (1.9, {"e0"}), (2.0, set())):
+            clock[0] = 100.0 + seconds
+            with self.subTest(seconds):
+                self.assertEqual(usable(fleet), expected)
+                self.assertEqual(
+                    fleet.may_send(fleet.handle_by_id["e0"]), bool(expected)
+                )
+
+    def test_notices_later_on_do_not_extend_the_time(self) -> None:
+        clock = [100.0]
+        fleet = make_fleet(endpoints_of(1), clock)
+        notify(fleet, "e0", leaving=True)
+        clock[0] = 101.5
+        notify(fleet, "e0", leaving=True)
+        clock[0] = 102.0
+        self.assertEqual(usable(fleet), set())
+
+    def test_older_and_newer_announcements_do_not_undo_it(self) -> None:
+        clock = [100.0]
+        fleet = make_fleet(endpoints_of(2), clock)
+        notify(fleet, "e0", leaving=True)
+        first = endpoints_of(2)[0]
+        for announcement in (first, evolve(first, sequence=9)):
+            fleet.apply_announcements([announcement])
+            self.assertEqual(usable(fleet), {"e1"})
+        # Forgotten by discovery and announced again.
+        del fleet.directory.record_by_id["e0"]
+        fleet.apply_announcements([])
+        fleet.apply_announcements([evolve(first, sequence=10)])
+        self.assertEqual(usable(fleet), {"e1"})
+
+    def test_restart_is_a_new_endpoint(self) -> None:
+        clock = [100.0]
+        fleet = make_fleet(endpoints_of(2), clock)
+        notify(fleet, "e0", leaving=True)
+        fleet.apply_announcements([evolve(endpoints_of(2)[0], born_ms=6)])
+        self.assertEqual(usable(fleet), {"e0", "e1"})
+
+    def test_reused_address_is_a_new_endpoint(self) -> None:
+        clock = [100.0]
+        fleet = make_fleet(endpoints_of(2), clock)
+        notify(fleet, "e0", leaving=True)
+        address = endpoints_of(2)[0].address
+        fleet.apply_announcements(
+            [evolve(ENDPOINT, endpoint_id="e9", born_ms=7, address=address)]
+        )
+        self.assertEqual(usable(fleet), {"e1", "e9"})
+
+    def test_a_fifth_of_300_endpoints_leave_within_a_second(self) -> None:
+        clock = [100.0]
+        fleet = make_fleet(endpoints_of(300), clock)
+        left: set[str] = set()
+        for number in range(60):
+            clock[0] = 100.0 + number / 60
+            notify(fleet, f"e{number * 5}", leaving=True)
+            left.add(f"e{number * 5}")
+            self.assertEqual(usable(fleet), set(fleet.handle_by_id) - left)
+
+
+class PauseTest(CaseTest):
+    """A paused endpoint gets no requests, then gradually more."""
+
+    def test_ends_gradually(self) -> None:
+        clock = [100.0]
+        fleet = make_fleet(endpoints_of(1), clock)
+        handle = fleet.handle_by_id["e0"]
+        notify(fleet, "e0", retry_after=b"2")
+        sends: list[float] = []
+        for step in range(300):
+            clock[0] = 100.0 + step / 100
+            while usable(fleet) and fleet.may_send(handle) and len(sends) < 99:
+                fleet.notices.record_send(handle.endpoint, clock[0])
+                sends.append(clock[0])
+        self.assertEqual(sends[0], 102.0)
+        self.assertLessEqual(sum(at < 102.25 for at in sends), 5)
+        self.assertLessEqual(sum(at < 102.45 for at in sends), 8)
+        # Afterwards requests are not limited.
+        self.assertEqual(len(sends), 99)
+        self.assertEqual(fleet.notices.paused, set())
+
+    def test_overlapping_pauses(self) -> None:
+        clock = [100.0]
+        fleet = make_fleet(endpoints_of(1), clock)
+        notify(fleet, "e0", retry_after=b"3")
+        clock[0] = 100.2
+        notify(fleet, "e0", retry_after=b"1")
+        for at, expected in ((101.3, set()), (102.9, set()), (103.0, {"e0"})):
+            clock[0] = at
+            with self.subTest(at):
+                self.assertEqual(usable(fleet), expected)
+
+    def test_pause_anew_during_the_gradual_end(self) -> None:
+        clock = [100.0]
+        fleet = make_fleet(endpoints_of(1), clock)
+        notify(fleet, "e0", retry_after=b"1")
+        clock[0] = 101.1
+        fleet.notices.record_send(fleet.handle_by_id["e0"].endpoint, clock[0])
+        notify(fleet, "e0", retry_after=b"1")
+        self.assertEqual(usable(fleet), set())
+        clock[0] = 102.1
+        self.assertEqual(usable(fleet), {"e0"})
+
+    def test_all_endpoints_pause(self) -> None:
+        clock = [100.0]
+        fleet = make_fleet(endpoints_of(3), clock)
+        self.assertIsNone(fleet.pause_remaining("s"))
+        for number, value in enumerate((b"4", b"2", b"9")):
+            notify(fleet, f"e{number}", retry_after=value)
+        self.assertEqual(usable(fleet), set())
+        self.assertAlmostEqual(fleet.pause_remaining("s") or 0.0, 2.0)
+        self.assertEqual(fleet.held_back("s"), {"paused": ["e0", "e1", "e2"]})
+        # A leaving endpoint is not one to come back to.
+        notify(fleet, "e1", leaving=True)
+        self.assertAlmostEqual(fleet.pause_remaining("s") or 0.0, 4.0)
+
+    def test_health_and_other_routers_are_not_affected(self) -> None:
+        clock = [100.0]
+        fleet, other = (make_fleet(endpoints_of(2), clock) for _ in range(2))
+        notify(fleet, "e0", retry_after=b"2")
+        self.assertEqual(fleet.handle_by_id["e0"].health.failures, 0.0)
+        self.assertEqual(usable(other), {"e0", "e1"})
+
+    def test_invalid_value_pauses_nothing(self) -> None:
+        clock = [100.0]
+        fleet = make_fleet(endpoints_of(1), clock)
+        for value in (b"-1", b"x", b"nan"):
+            notify(fleet, "e0", retry_after=value)
+        self.assertEqual(usable(fleet), {"e0"})
+
+    def test_shared_capacity_falls_meanwhile(self) -> None:
+        clock = [100.0]
+        engines = [evolve(e, agent=f"a{e.endpoint_id}:1") for e in endpoints_of(4)]
+        fleet = make_fleet(engines, clock)
+        self.assertEqual(fleet._unpaused_fraction(), 1.0)
+        notify(fleet, "e0", retry_after=b"2")
+        self.assertEqual(fleet._unpaused_fraction(), 0.75)
+
+
+class NoticesFuzzTest(CaseTest):
+    """Random notices, restarts and requests never break either promise."""
+
+    def test_random_runs(self) -> None:
+        for seed in range(40):
+            with self.subTest(seed):
+                self._run(Random(seed))
+
+    def _run(self, rng: Random) -> None:
+        """Run one random sequence against a naive model."""
+        clock = [100.0]
+        fleet = make_fleet(endpoints_of(4), clock)
+        born = dict.fromkeys(fleet.handle_by_id, 5)
+        leaving: dict[tuple[str, int], float] = {}
+        pause: dict[tuple[str, int], float] = {}
+        for _ in range(400):
+            clock[0] += rng.random() * 0.2
+            endpoint_id = rng.choice(list(born))
+            key = (endpoint_id, born[endpoint_id])
+            action = rng.random()
+            if action < 0.03:
+                notify(fleet, endpoint_id, leaving=True)
+                leaving.setdefault(key, clock[0])
+            elif action < 0.15:
+                seconds = rng.choice((0.1, 1.0, 3.0))
+                notify(fleet, endpoint_id, retry_after=b"%.1f" % seconds)
+                pause[key] = max(pause.get(key, 0.0), clock[0] + seconds)
+            elif action < 0.2:
+                born[endpoint_id] += 1
+                base = endpoints_of(4)[int(endpoint_id[1:])]
+                fleet.apply_announcements([evolve(base, born_ms=born[endpoint_id])])
+            elif action < 0.3:
+                number = int(endpoint_id[1:])
+                fleet.apply_announcements([endpoints_of(4)[number]])
+            for other in usable(fleet):
+                key = (other, born[other])
+                self.assertTrue(fleet.may_send(fleet.handle_by_id[other]))
+                self.assertLess(clock[0] - leaving.get(key, clock[0]), DRAIN_SECONDS)
+                self.assertGreaterEqual(clock[0], pause.get(key, 0.0))
+                fleet.notices.record_send(fleet.handle_by_id[other].endpoint, clock[0])
+
+
+class BoundTest(CaseTest):
+    """Notices of endpoints that are gone do not accumulate."""
+
+    def test_oldest_notices_are_dropped(self) -> None:
+        notices = EndpointNotices(DRAIN_SECONDS)
+        for number in range(MAX_NOTICES + 10):
+            endpoint = evolve(ENDPOINT, born_ms=number)
+            notices.record_pause(endpoint, 5.0, 100.0)
+        self.assertEqual(len(notices.by_incarnation), MAX_NOTICES)
+        self.assertEqual(len(notices.paused), MAX_NOTICES)
+        newest = evolve(ENDPOINT, born_ms=MAX_NOTICES + 9)
+        self.assertIs(notices.restriction(newest, 101.0), Restriction.PAUSED)
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -111,6 +111,22 @@
     await stream.send(b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
 
 
+async def ask_for_pause(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
+    """Refuse the request and ask for a pause of half a second."""
+    await stream.send(
+        b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nRetry-After: 0.5\r\n"
+        b"Content-Length: 0\r\n\r\n"
+    )
+
+
+async def respond_leaving(
+    endpoint: Endpoint, stream: SocketStream, head: bytes
+) -> None:
+    """Send a correct response that says the endpoint is leaving."""
+    headers = HEAD % id_of(head) + b"X-Leaving: 1\r\n"
+    await stream.send(headers + b"Content-Length: 4\r\n\r\nlast")
+
+
 async def fail(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
     """Run the request and fail."""
     await stream.send(
@@ -268,12 +284,28 @@
     path: bytes, *scripts: Script, extra: bytes = b"", version: bytes = b"1.1"
 ) -> Result:
     """Send one request through a router to endpoints with these scripts."""
-    return run(_send_request, path, list(scripts), extra, version)
+    return send_requests(path, *scripts, extra=extra, version=version)[0]
+
+
+def send_requests(
+    path: bytes,
+    *scripts: Script,
+    extra: bytes = b"",
+    version: bytes = b"1.1",
+    pauses: tuple[float, ...] = (0.0,),
+) -> list[Result]:
+    """Send requests through one router, each after a pause in seconds."""
+    request = (
+        b"GET %s HTTP/%s\r\nHost: x\r\nX-Request-Id: id1\r\n"
+        b"X-Deadline-Ms: 1500\r\nConnection: close\r\n"
+        b"Authorization: Bearer key\r\n%s\r\n" % (path, version, extra)
+    )
+    return run(_send_requests, request, list(scripts), pauses)
 
 
-async def _send_request(
-    path: bytes, scripts: list[Script], extra: bytes, version: bytes
-) -> Result:
+async def _send_requests(
+    request: bytes, scripts: list[Script], pauses: tuple[float, ...]
+) -> list[Result]:
     """Run a router, its endpoints and one caller."""
     settings = GatewaySettings(
         "r", "north", await free_address(), await free_address(), "/ready", 2, 1, 10, 99
@@ -286,6 +318,7 @@
     watcher = RegistryWatcher("r", True, list, PeerClient(), fleet, events)
     process = GatewayProcess(settings, HeaderFormat(), fleet, watcher)
     endpoints = [Endpoint(script) for script in scripts]
+    results: list[Result] = []
     with fail_after(10):
         async with create_task_group() as group:
             group.start_soon(process.run)
@@ -298,18 +331,25 @@
                 )
                 fleet.apply_announcements([evolve(base, address=f"127.0.0.1:{port}")])
             await sleep(0.05)
-            host, _, port_text = settings.front_address.rpartition(":")
-            async with await connect_tcp(host, int(port_text)) as caller:
-                await caller.send(
-                    b"GET %s HTTP/%s\r\nHost: x\r\nX-Request-Id: id1\r\n"
-                    b"X-Deadline-Ms: 1500\r\nConnection: close\r\n"
-                    b"Authorization: Bearer key\r\n%s\r\n" % (path, version, extra)
+            for pause in pauses:
+                await sleep(pause)
+                results.append(
+                    await _exchange(settings.front_address, request, endpoints)
                 )
-                raw, reset = await read_until_end(caller)
             group.cancel_scope.cancel()
+    return results
+
+
+async def _exchange(address: str, request: bytes, endpoints: list[Endpoint]) -> Result:
+    """Send a request on a connection of its own; return the result."""
+    attempts = sum(len(endpoint.heads) for endpoint in endpoints)
+    host, _, port = address.rpartition(":")
+    async with await connect_tcp(host, int(port)) as caller:
+        await caller.send(request)
+        raw, reset = await read_until_end(caller)
     head, _, body = raw.partition(b"\r\n\r\n")
     status = int(head.split(b" ")[1]) if head else 0
-    attempts = sum(len(endpoint.heads) for endpoint in endpoints)
+    attempts = sum(len(endpoint.heads) for endpoint in endpoints) - attempts
     return Result(status, body, head.lower(), attempts, raw, reset)
 
 
@@ -480,3 +520,36 @@
         self.assertEqual((result.status, result.attempts), (200, 1))
         self.assertIn(b"content-length: 400000", result.head)
         self.assertLess(len(result.body), 400_000)
+
+
+class NoticeTest(CaseTest):
+    """Endpoints that ask for a pause or leave get no requests of this router."""
+
+    def test_no_request_within_a_pause(self) -> None:
+        results = send_requests(b"/book/1", ask_for_pause, pauses=(0.0, 0.0, 0.2, 0.4))
+        self.assertEqual([result.status for result in results], [503] * 4)
+        self.assertEqual([result.attempts for result in results], [1, 0, 0, 1])
+        for result in results[:3]:
+            value = result.head.split(b"retry-after: ")[1].split(b"\r\n")[0]
+            self.assertGreater(float(value), 0.25)
+            self.assertLess(float(value), 1.1)
+
+    def test_another_endpoint_serves_within_a_pause(self) -> None:
+        results = send_requests(
+            b"/read/1", ask_for_pause, respond, pauses=(0.0, 0.0, 0.0, 0.0)
+        )
+        self.assertEqual([result.status for result in results], [200] * 4)
+        self.assertLessEqual(sum(result.attempts for result in results), 5)
+
+    def test_leaving_endpoint_gets_no_further_request(self) -> None:
+        results = send_requests(b"/read/1", respond_leaving, respond, pauses=(0.0,) * 6)
+        self.assertEqual([result.status for result in results], [200] * 6)
+        self.assertEqual([result.attempts for result in results], [1] * 6)
+        self.assertLessEqual([result.body for result in results].count(b"last"), 1)
+        for result in results:
+            self.assertNotIn(b"x-leaving", result.head)
+
+    def test_only_endpoint_serves_until_it_has_left(self) -> None:
+        results = send_requests(b"/read/1", respond_leaving, pauses=(0.0, 0.0, 2.1))
+        self.assertEqual([result.status for result in results], [200, 200, 503])
+        self.assertEqual(results[2].attempts, 0)
