Follow notices of leaving and pauses beside an endpoint too

A sidecar kept sending requests to an endpoint that said it was leaving or asked for a pause. It now drains and ends with a leaving endpoint, and starts nothing during a pause, also with a grant that is still open; afterwards the number of runs rises within half a second. The stand-ins play both (faults pause and leaving).

A role that ended by itself left its process running: the task that drains it on a signal waited for ever. Seen as a timeout of the new system test of a leaving engine; the next test of the shared fleet failed with it.

Tests: core without network, adapters over loopback, two with a real fleet.

--- a/pistachiolever/cli/processes.py
+++ b/pistachiolever/cli/processes.py
@@ -132,6 +132,9 @@
             await stop.wait()
             await process.drain()
 
-        group.start_soon(drain_on_stop)
-        await process.run()
+        async with create_task_group() as draining:
+            draining.start_soon(drain_on_stop)
+            await process.run()
+            # A role may also end by itself.
+            draining.cancel_scope.cancel()
         stop_server.set()
--- a/pistachiolever/edge/const.py
+++ b/pistachiolever/edge/const.py
@@ -13,4 +13,5 @@
 JSON_CONTENT_TYPE: Final = "application/json"
 REQUEST_ID_HEADER: Final = "x-request-id"
 IDEMPOTENCY_HEADER: Final = "idempotency-key"
+LEAVING_HEADER: Final = "x-leaving"
 MAX_IDEMPOTENCY_KEY_CHARS: Final = 128
--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -35,10 +35,6 @@
 MIN_STREAM_TIMEOUT_SECONDS: Final = 1.2
 # With less time left until its deadline, a request is not sent any more.
 MIN_ATTEMPT_SECONDS: Final = 0.03
-# Longest pause that an endpoint may ask for; longer ones are cut to it.
-MAX_PAUSE_SECONDS: Final = 60.0
-# Time after a pause within which requests to the endpoint rise to its slots.
-PAUSE_RAMP_SECONDS: Final = 0.5
 # Incarnations whose notices are remembered.
 MAX_NOTICES: Final = 20_000
 # Time that a leaving endpoint serves on unless the settings name one.
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -10,6 +10,7 @@
 
 from pistachiolever.admission.models import Load
 from pistachiolever.core.mailbox import Mailbox
+from pistachiolever.core.pause import pause_seconds
 from pistachiolever.discovery.directory import EndpointDirectory
 from pistachiolever.discovery.models import Announcement, EndpointState
 from pistachiolever.edge.peers import ConnectionPool, PeerClient
@@ -26,11 +27,7 @@
 from pistachiolever.gateway.fair_shares import FairShares
 from pistachiolever.gateway.health import EndpointHealth
 from pistachiolever.gateway.models import ResponseMetadata
-from pistachiolever.gateway.notices import (
-    EndpointNotices,
-    Restriction,
-    pause_seconds,
-)
+from pistachiolever.gateway.notices import EndpointNotices, Restriction
 from pistachiolever.gateway.placement import Candidate, Placement
 from pistachiolever.gateway.policy import PlacementPolicy
 from pistachiolever.gateway.settings import GatewaySettings
@@ -246,7 +243,7 @@
             endpoint=endpoint.endpoint_id,
             born=endpoint.born_ms,
             seconds=seconds or 0.0,
-            asked=metadata.retry_after[:40].decode("latin-1"),
+            asked=metadata.retry_after[:40],
         )
         if seconds is not None:
             self.notices.record_pause(endpoint, seconds, now)
--- a/pistachiolever/gateway/header_format.py
+++ b/pistachiolever/gateway/header_format.py
@@ -131,7 +131,7 @@
             head.value(self.not_run) is not None,
             keep_alive_seconds(head),
             (head.value(self.leaving) or b"0").strip() != b"0",
-            head.value(b"retry-after") if head.status == 503 else None,
+            _retry_after(head),
         )
 
     def response_headers(self, head: ResponseHead, whole: bool) -> list[Header]:
@@ -146,6 +146,12 @@
         return [header for header in head.headers if header[0] not in dropped]
 
 
+def _retry_after(head: ResponseHead) -> str | None:
+    """Return the Retry-After of a busy endpoint's response."""
+    value = head.value(b"retry-after") if head.status == 503 else None
+    return None if value is None else value.decode("latin-1")
+
+
 def keep_alive_seconds(head: ResponseHead) -> float:
     """Return how long to keep a connection after a response; 0 to close it."""
     for name, value in head.headers:
--- a/pistachiolever/gateway/models.py
+++ b/pistachiolever/gateway/models.py
@@ -36,7 +36,7 @@
     not_run: bool
     keep_alive_seconds: float
     leaving: bool = False
-    retry_after: bytes | None = None
+    retry_after: str | None = None
 
 
 @define(eq=False)
--- a/pistachiolever/gateway/notices.py
+++ b/pistachiolever/gateway/notices.py
@@ -8,12 +8,9 @@
 
 from attrs import define, field, frozen
 
+from pistachiolever.core.pause import PAUSE_RAMP_SECONDS
 from pistachiolever.discovery.models import Announcement
-from pistachiolever.gateway.const import (
-    MAX_NOTICES,
-    MAX_PAUSE_SECONDS,
-    PAUSE_RAMP_SECONDS,
-)
+from pistachiolever.gateway.const import MAX_NOTICES
 
 Incarnation = tuple[str, int]
 
@@ -137,21 +134,6 @@
         return notice
 
 
-def pause_seconds(retry_after: bytes) -> float | None:
-    """Return the length of a requested pause, up to MAX_PAUSE_SECONDS.
-
-    None if the value is not a number of seconds above 0.
-    """
-    try:
-        seconds = float(retry_after)
-    except ValueError:
-        return None
-    # The comparison is also false for NaN.
-    if not seconds > 0:
-        return None
-    return min(seconds, MAX_PAUSE_SECONDS)
-
-
 def _incarnation(endpoint: Announcement) -> Incarnation:
     """Return what identifies an incarnation of an endpoint."""
     return (endpoint.endpoint_id, endpoint.born_ms)
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -4,6 +4,7 @@
 from attrs import define, field
 
 from pistachiolever.admission.models import Bid, BidReply
+from pistachiolever.core.pause import PAUSE_RAMP_SECONDS
 from pistachiolever.core.verdict import Verdict
 from pistachiolever.events.const import EventCode
 from pistachiolever.gateway.attempt import (
@@ -15,7 +16,6 @@
 from pistachiolever.gateway.const import (
     DEFAULT_RETRY_AFTER_SECONDS,
     MIN_ATTEMPT_SECONDS,
-    PAUSE_RAMP_SECONDS,
     RETRY_AFTER_FRACTION,
 )
 from pistachiolever.gateway.event_stream import EventSplitter
--- a/pistachiolever/sidecar/adapters.py
+++ b/pistachiolever/sidecar/adapters.py
@@ -17,16 +17,19 @@
 from httpx_sse import ServerSentEvent, SSEError, aconnect_sse
 from orjson import JSONDecodeError, dumps, loads
 
+from pistachiolever.core.pause import pause_seconds
 from pistachiolever.core.verdict import Verdict
 from pistachiolever.declarations.models import Service, ServiceKind
 from pistachiolever.edge.const import (
     CONNECT_SECONDS,
     IDEMPOTENCY_HEADER,
+    LEAVING_HEADER,
     REQUEST_ID_HEADER,
 )
 from pistachiolever.settings.models import SidecarSettings
 from pistachiolever.sidecar.const import LOAD_POLL_SECONDS
 from pistachiolever.sidecar.models import (
+    EndpointNotice,
     OutputReceived,
     ResultReceived,
     RunEnded,
@@ -104,6 +107,7 @@
         async with aconnect_sse(
             self.http, "POST", url, json=body, headers=headers
         ) as source:
+            _post_notice(source.response, post)
             failed = _check_status(dispatch.request_id, source.response, True)
             if failed is not None:
                 return failed
@@ -161,6 +165,7 @@
                 json={"input": dispatch.input},
                 headers=headers,
             )
+        _post_notice(response, post)
         failed = _check_status(dispatch.request_id, response, False)
         if failed is not None:
             return failed
@@ -206,6 +211,16 @@
     return RunEnded(request_id, verdict, False, reason)
 
 
+def _post_notice(response: Response, post: Post) -> None:
+    """Post what the endpoint asks for in a response, if anything."""
+    leaving = response.headers.get(LEAVING_HEADER, "0").strip() != "0"
+    seconds = None
+    if response.status_code in (429, 503):
+        seconds = pause_seconds(response.headers.get("retry-after", ""))
+    if leaving or seconds:
+        post(EndpointNotice(leaving, seconds or 0.0))
+
+
 def _check_status(
     request_id: str, response: Response, unavailable_is_refusal: bool
 ) -> RunEnded | None:
--- a/pistachiolever/sidecar/core.py
+++ b/pistachiolever/sidecar/core.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 
 from pistachiolever.core.ids import new_id
+from pistachiolever.core.pause import PAUSE_RAMP_SECONDS
 from pistachiolever.core.verdict import Verdict
 from pistachiolever.declarations.models import Service
 from pistachiolever.edge.sse import final_event, part_event, result_event
@@ -20,11 +21,14 @@
 from pistachiolever.sidecar.models import (
     CancelRun,
     Drain,
+    EndpointNotice,
     FromRouter,
+    LeaveWithEndpoint,
     LoadReported,
     NewRevision,
     OutputReceived,
     RecordLimit,
+    RecordPause,
     RecordRunEnd,
     ReportClaim,
     ResultReceived,
@@ -64,7 +68,7 @@
     `tombstone_by_request` holds, with the time in seconds, requests that a router
     cancelled or tried to resume before their dispatch arrived; a late dispatch must not
     start them. `seen_attempts` holds the claimed attempts that may have run, oldest
-    first.
+    first. Until `paused_until` the endpoint gets no requests.
     """
 
     settings: SidecarSettings
@@ -75,6 +79,8 @@
     tombstone_by_request: dict[str, float] = field(factory=dict)
     seen_attempts: dict[str, bool] = field(factory=dict)
     draining: bool = False
+    leaving: bool = False
+    paused_until: float = float("-inf")
     now: float = 0.0
     grants: GrantTable = field(init=False)
     runs: RunTable = field(init=False)
@@ -97,6 +103,7 @@
             OutputReceived: self._handle_output,
             ResultReceived: self._handle_result,
             RunEnded: self._handle_run_ended,
+            EndpointNotice: self._handle_notice,
             LoadReported: self._handle_load,
             NewRevision: self._handle_new_revision,
             Drain: self._handle_drain,
@@ -123,10 +130,16 @@
 
     def free_slots(self) -> int:
         """Return how many more requests may start or be granted."""
-        if self.draining:
+        if self.draining or self._is_paused():
             return 0
         taken = self.runs.running + len(self.grants.open_by_id)
-        return self.limiter.allowed() - taken
+        return self._allowed_runs() - taken
+
+    def _allowed_runs(self) -> int:
+        """Return how many requests may run; after a pause this rises gradually."""
+        allowed = self.limiter.allowed()
+        ramp = (self.now - self.paused_until) / PAUSE_RAMP_SECONDS
+        return allowed if ramp >= 1 else max(1, int(allowed * ramp))
 
     def has_router(self, router_id: str) -> bool:
         """Return whether the router has a session."""
@@ -215,7 +228,7 @@
             return Refused(request_id, Verdict.NOT_RUN, "withdrawn")
         if self.draining:
             return Refused(request_id, Verdict.NOT_RUN, "endpoint-draining")
-        if not had_grant and self.free_slots() <= 0:
+        if self._is_paused() or (not had_grant and self.free_slots() <= 0):
             self.credits_by_router[self._router_id] = 0
             return Refused(
                 request_id, Verdict.NOT_RUN, NO_ROOM_REASON, message.grant_id
@@ -408,6 +421,23 @@
         self.limiter.max_limit = max(1, max_limit)
         self.limiter.kind = service.kind
 
+    def _handle_notice(self, message: EndpointNotice) -> None:
+        """Start no requests for the time the endpoint names, or any more if it leaves.
+
+        Of overlapping pauses the one that ends last counts.
+        """
+        if message.pause_seconds:
+            until = self.now + message.pause_seconds
+            self.paused_until = max(self.paused_until, until)
+            self._actions.append(RecordPause(message.pause_seconds))
+        if message.leaving and not self.leaving:
+            self.leaving = True
+            self._actions.append(LeaveWithEndpoint())
+
+    def _is_paused(self) -> bool:
+        """Return whether the endpoint wants no requests now."""
+        return self.now < self.paused_until
+
     def _handle_drain(self, message: Drain) -> None:
         """Refuse new requests from now on and notify the routers."""
         self.draining = True
--- a/pistachiolever/sidecar/models.py
+++ b/pistachiolever/sidecar/models.py
@@ -63,6 +63,14 @@
     output_tokens: int = 0
 
 
+@frozen
+class EndpointNotice:
+    """The endpoint said that it is leaving, or asked for a pause in seconds."""
+
+    leaving: bool
+    pause_seconds: float = 0.0
+
+
 @frozen
 class LoadReported:
     """The endpoint reported its load, as of some time ago."""
@@ -94,6 +102,7 @@
     | OutputReceived
     | ResultReceived
     | RunEnded
+    | EndpointNotice
     | LoadReported
     | NewRevision
     | Drain
@@ -154,6 +163,25 @@
     limit: int
 
 
+@frozen
+class RecordPause:
+    """Record in the event log that the endpoint asked for a pause."""
+
+    seconds: float
+
+
+@frozen
+class LeaveWithEndpoint:
+    """Drain and end the process, as its endpoint is leaving."""
+
+
 SidecarAction = (
-    SendToRouter | StartRun | CancelRun | ReportClaim | RecordRunEnd | RecordLimit
+    SendToRouter
+    | StartRun
+    | CancelRun
+    | ReportClaim
+    | RecordRunEnd
+    | RecordLimit
+    | RecordPause
+    | LeaveWithEndpoint
 )
--- a/pistachiolever/sidecar/tasks.py
+++ b/pistachiolever/sidecar/tasks.py
@@ -28,9 +28,11 @@
 from pistachiolever.sidecar.models import (
     CancelRun,
     Drain,
+    LeaveWithEndpoint,
     LoadReported,
     NewRevision,
     RecordLimit,
+    RecordPause,
     RecordRunEnd,
     ReportClaim,
     RouterConnected,
@@ -153,11 +155,24 @@
                 self._record_run_end(action)
             case RecordLimit(limit):
                 self.context.metrics.gauge("limit", limit)
-                self.context.recorder.record(
-                    EventCode.LIMIT_CHANGED,
-                    endpoint_id=self.settings.endpoint_id,
-                    detail=f"limit={limit}",
-                )
+                self._record_endpoint(EventCode.LIMIT_CHANGED, f"limit={limit}")
+            case RecordPause() | LeaveWithEndpoint():
+                self._follow_notice(action)
+
+    def _follow_notice(self, action: RecordPause | LeaveWithEndpoint) -> None:
+        """Record what the endpoint asked for; drain if it is leaving."""
+        if isinstance(action, RecordPause):
+            detail = f"seconds={action.seconds:.2f}"
+            self._record_endpoint(EventCode.ENDPOINT_PAUSED, detail)
+            return
+        self._record_endpoint(EventCode.ENDPOINT_LEAVING)
+        self._group.start_soon(self.drain)
+
+    def _record_endpoint(self, code: EventCode, detail: str = "") -> None:
+        """Record an event of the endpoint."""
+        self.context.recorder.record(
+            code, endpoint_id=self.settings.endpoint_id, detail=detail
+        )
 
     async def _run_request(self, dispatch: Dispatch) -> None:
         """Run one request at the endpoint."""
--- a/stand_ins/booking_desk.py
+++ b/stand_ins/booking_desk.py
@@ -10,7 +10,12 @@
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
-from stand_ins.faults import FaultInjector, FaultKind
+from stand_ins.faults import (
+    LEAVING_HEADERS,
+    PAUSE_HEADERS,
+    FaultInjector,
+    FaultKind,
+)
 
 
 class ConnectionCutError(Exception):
@@ -47,6 +52,8 @@
         fault = self.faults.next_call()
         if fault is FaultKind.OVERLOAD:
             return Response(status_code=429)
+        if fault is FaultKind.PAUSE:
+            return Response(status_code=429, headers=PAUSE_HEADERS)
         text = document["input"]
         count = self.count_by_input.get(text, 0) + 1
         self.count_by_input[text] = count
@@ -59,7 +66,10 @@
             return Response(status_code=500)
         if fault is FaultKind.GARBAGE:
             return Response("{not json")
-        return JSONResponse({"booked": text, "number": len(self.count_by_input)})
+        return JSONResponse(
+            {"booked": text, "number": len(self.count_by_input)},
+            headers=LEAVING_HEADERS if fault is FaultKind.LEAVING else None,
+        )
 
     async def executions(self, request: Request) -> Response:
         """Return the number of bookings of each input."""
--- a/stand_ins/engine.py
+++ b/stand_ins/engine.py
@@ -12,7 +12,12 @@
 from starlette.routing import Route
 
 from stand_ins.batch import Batch, EngineSettings, Sequence
-from stand_ins.faults import FaultInjector, FaultKind
+from stand_ins.faults import (
+    LEAVING_HEADERS,
+    PAUSE_HEADERS,
+    FaultInjector,
+    FaultKind,
+)
 
 # Steps by which the fault SLOW delays each token.
 SLOW_FACTOR = 20
@@ -86,6 +91,8 @@
             return Response(status_code=503)
         if fault is FaultKind.ERROR:
             return Response(status_code=500)
+        if fault is FaultKind.PAUSE:
+            return Response(status_code=503, headers=PAUSE_HEADERS)
         prompt = document["prompt"]
         self.runs_by_prompt[prompt] = self.runs_by_prompt.get(prompt, 0) + 1
         request_id = request.headers.get("x-request-id", "")
@@ -93,7 +100,9 @@
         self.sequence_by_id[request_id] = sequence
         self.has_work.set()
         return StreamingResponse(
-            self._events(sequence, 0, fault), media_type="text/event-stream"
+            self._events(sequence, 0, fault),
+            headers=LEAVING_HEADERS if fault is FaultKind.LEAVING else None,
+            media_type="text/event-stream",
         )
 
     async def _events(
--- a/stand_ins/faults.py
+++ b/stand_ins/faults.py
@@ -9,6 +9,8 @@
     """The kind of an injected fault.
 
     DUPLICATE sends a keep-alive comment before each token; SLOW delays each token.
+    PAUSE refuses the call and asks for a pause of a second; LEAVING serves it and says
+    that the endpoint is leaving.
     """
 
     NONE = "none"
@@ -19,6 +21,12 @@
     DUPLICATE = "duplicate"
     OVERLOAD = "overload"
     ERROR = "error"
+    PAUSE = "pause"
+    LEAVING = "leaving"
+
+
+PAUSE_HEADERS = {"retry-after": "1"}
+LEAVING_HEADERS = {"x-leaving": "1"}
 
 
 @define
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -6,14 +6,10 @@
 
 from pistachiolever.discovery.models import Announcement, EndpointState
 from pistachiolever.edge.peers import PeerClient
-from pistachiolever.gateway.const import MAX_NOTICES, MAX_PAUSE_SECONDS
+from pistachiolever.gateway.const import MAX_NOTICES
 from pistachiolever.gateway.fleet import FleetView
 from pistachiolever.gateway.models import ResponseMetadata
-from pistachiolever.gateway.notices import (
-    EndpointNotices,
-    Restriction,
-    pause_seconds,
-)
+from pistachiolever.gateway.notices import EndpointNotices, Restriction
 from pistachiolever.gateway.settings import GatewaySettings
 from tests.gateway.test_relay import CONFIGURATION
 from tests.registry.test_process import make_discarding_logger
@@ -52,7 +48,7 @@
     fleet: FleetView,
     endpoint_id: str,
     leaving: bool = False,
-    retry_after: bytes | None = None,
+    retry_after: str | None = None,
 ) -> None:
     """Record the notices of one response."""
     metadata = ResponseMetadata("r1", True, True, 0.0, leaving, retry_after)
@@ -64,27 +60,6 @@
     return {c.endpoint.endpoint_id for c in fleet.candidates("s", set())}
 
 
-class PauseValueTest(CaseTest):
-    """Absurd values of Retry-After are bounded or ignored."""
-
-    def test_table(self) -> None:
-        cases = [
-            (b"2", 2.0),
-            (b" 0.25 ", 0.25),
-            (b"864000", MAX_PAUSE_SECONDS),
-            (b"inf", MAX_PAUSE_SECONDS),
-            (b"0", None),
-            (b"-3", None),
-            (b"nan", None),
-            (b"", None),
-            (b"soon", None),
-            (b"Wed, 21 Oct 2026 07:28:00 GMT", None),
-        ]
-        for value, seconds in cases:
-            with self.subTest(value):
-                self.assertEqual(pause_seconds(value), seconds)
-
-
 class LeavingTest(CaseTest):
     """A leaving endpoint gets requests only if no other one can serve them."""
 
@@ -165,7 +140,7 @@
         clock = [100.0]
         fleet = make_fleet(endpoints_of(1), clock)
         handle = fleet.handle_by_id["e0"]
-        notify(fleet, "e0", retry_after=b"2")
+        notify(fleet, "e0", retry_after="2")
         sends: list[float] = []
         for step in range(300):
             clock[0] = 100.0 + step / 100
@@ -182,9 +157,9 @@
     def test_overlapping_pauses(self) -> None:
         clock = [100.0]
         fleet = make_fleet(endpoints_of(1), clock)
-        notify(fleet, "e0", retry_after=b"3")
+        notify(fleet, "e0", retry_after="3")
         clock[0] = 100.2
-        notify(fleet, "e0", retry_after=b"1")
+        notify(fleet, "e0", retry_after="1")
         for at, expected in ((101.3, set()), (102.9, set()), (103.0, {"e0"})):
             clock[0] = at
             with self.subTest(at):
@@ -193,10 +168,10 @@
     def test_pause_anew_during_the_gradual_end(self) -> None:
         clock = [100.0]
         fleet = make_fleet(endpoints_of(1), clock)
-        notify(fleet, "e0", retry_after=b"1")
+        notify(fleet, "e0", retry_after="1")
         clock[0] = 101.1
         fleet.notices.record_send(fleet.handle_by_id["e0"].endpoint, clock[0])
-        notify(fleet, "e0", retry_after=b"1")
+        notify(fleet, "e0", retry_after="1")
         self.assertEqual(usable(fleet), set())
         clock[0] = 102.1
         self.assertEqual(usable(fleet), {"e0"})
@@ -205,7 +180,7 @@
         clock = [100.0]
         fleet = make_fleet(endpoints_of(3), clock)
         self.assertIsNone(fleet.pause_remaining("s"))
-        for number, value in enumerate((b"4", b"2", b"9")):
+        for number, value in enumerate(("4", "2", "9")):
             notify(fleet, f"e{number}", retry_after=value)
         self.assertEqual(usable(fleet), set())
         self.assertAlmostEqual(fleet.pause_remaining("s") or 0.0, 2.0)
@@ -217,14 +192,14 @@
     def test_health_and_other_routers_are_not_affected(self) -> None:
         clock = [100.0]
         fleet, other = (make_fleet(endpoints_of(2), clock) for _ in range(2))
-        notify(fleet, "e0", retry_after=b"2")
+        notify(fleet, "e0", retry_after="2")
         self.assertEqual(fleet.handle_by_id["e0"].health.failures, 0.0)
         self.assertEqual(usable(other), {"e0", "e1"})
 
     def test_invalid_value_pauses_nothing(self) -> None:
         clock = [100.0]
         fleet = make_fleet(endpoints_of(1), clock)
-        for value in (b"-1", b"x", b"nan"):
+        for value in ("-1", "x", "nan"):
             notify(fleet, "e0", retry_after=value)
         self.assertEqual(usable(fleet), {"e0"})
 
@@ -233,7 +208,7 @@
         engines = [evolve(e, agent=f"a{e.endpoint_id}:1") for e in endpoints_of(4)]
         fleet = make_fleet(engines, clock)
         self.assertEqual(fleet._unpaused_fraction(), 1.0)
-        notify(fleet, "e0", retry_after=b"2")
+        notify(fleet, "e0", retry_after="2")
         self.assertEqual(fleet._unpaused_fraction(), 0.75)
 
 
@@ -262,7 +237,7 @@
                 leaving.setdefault(key, clock[0])
             elif action < 0.15:
                 seconds = rng.choice((0.1, 1.0, 3.0))
-                notify(fleet, endpoint_id, retry_after=b"%.1f" % seconds)
+                notify(fleet, endpoint_id, retry_after=f"{seconds:.1f}")
                 pause[key] = max(pause.get(key, 0.0), clock[0] + seconds)
             elif action < 0.2:
                 born[endpoint_id] += 1
--- a/tests/sidecar/test_adapters.py
+++ b/tests/sidecar/test_adapters.py
@@ -8,7 +8,7 @@
 from pistachiolever.declarations.models import Service, ServiceKind
 from pistachiolever.settings.models import SidecarSettings
 from pistachiolever.sidecar.adapters import make_adapter
-from pistachiolever.sidecar.models import RunEnded, SidecarInput
+from pistachiolever.sidecar.models import EndpointNotice, RunEnded, SidecarInput
 from pistachiolever.wire.models import Dispatch
 from tests.support.cases import CaseTest
 
@@ -100,3 +100,27 @@
         self.check(
             ServiceKind.PLAIN, [(UNFRAMED + b"12", False), (UNFRAMED + b"-1.5", False)]
         )
+
+
+class NoticeTest(CaseTest):
+    """What an endpoint asks for in its responses reaches the core."""
+
+    def test_table(self) -> None:
+        busy = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n"
+        body = b"Content-Length: 2\r\n\r\n{}"
+        cases: list[tuple[bytes, EndpointNotice | None]] = [
+            (framed(b"{}"), None),
+            (busy + b"\r\n", None),
+            (busy + b"Retry-After: 2\r\n\r\n", EndpointNotice(False, 2.0)),
+            (busy + b"Retry-After: -2\r\n\r\n", None),
+            (busy + b"Retry-After: soon\r\n\r\n", None),
+            (HEAD + b"Retry-After: 2\r\n" + body, None),
+            (HEAD + b"X-Leaving: 1\r\n" + body, EndpointNotice(True)),
+            (HEAD + b"X-Leaving: 0\r\n" + body, None),
+        ]
+        for kind in ServiceKind:
+            for response, notice in cases:
+                with self.subTest(kind=kind, response=response):
+                    inputs = adapter_inputs(kind, response)
+                    notices = [i for i in inputs if isinstance(i, EndpointNotice)]
+                    self.assertEqual(notices, [notice] if notice else [])
--- a/tests/sidecar/test_sidecar_core.py
+++ b/tests/sidecar/test_sidecar_core.py
@@ -12,7 +12,9 @@
 from pistachiolever.sidecar.models import (
     CancelRun,
     Drain,
+    EndpointNotice,
     FromRouter,
+    LeaveWithEndpoint,
     OutputReceived,
     ReportClaim,
     RouterConnected,
@@ -121,6 +123,31 @@
         core.handle(RunEnded("q1", Verdict.RAN, True), 2.0)
         self.assertTrue(core.is_idle())
 
+    def test_pause_starts_and_grants_nothing(self) -> None:
+        core = make_core(concurrency=4)
+        send(core, Bids([Bid("a", 1.0, 1.0, 9)]), router="r1")
+        grants = list(core.grants.open_by_id)
+        core.handle(EndpointNotice(False, 2.0), 1.0)
+        with_grant = send(core, Dispatch("q1", "a", "x", 1, grants[0]))
+        without = send(core, Dispatch("q2", "a", "x", 1), router="r2")
+        cases = ((with_grant, "q1", grants[0]), (without, "q2", ""))
+        for actions, request_id, grant_id in cases:
+            refused = Refused(request_id, Verdict.NOT_RUN, "no-room", grant_id)
+            self.assertEqual(sent_messages(actions, Refused), [refused])
+            self.assertEqual(count_starts(actions), 0)
+        for now in (1.5, 2.9):
+            self.assertEqual(sent_messages(core.handle(Tick(), now), Grant), [])
+        # Afterwards the number of runs rises gradually.
+        for now, allowed in ((3.0, 1), (3.3, 2), (3.6, 4)):
+            core.handle(Tick(), now)
+            self.assertEqual(core._allowed_runs(), allowed)
+
+    def test_leaving_endpoint_ends_the_sidecar_once(self) -> None:
+        core = make_core()
+        first = core.handle(EndpointNotice(True), 1.0)
+        again = core.handle(EndpointNotice(True), 1.1)
+        self.assertEqual((first, again), ([LeaveWithEndpoint()], []))
+
     def test_lowest_bid_of_all_routers_gets_the_grant(self) -> None:
         core = make_core(concurrency=1)
         send(core, Dispatch("q1", "a", "x", 1))
--- a/tests/system/test_failures.py
+++ b/tests/system/test_failures.py
@@ -131,6 +131,26 @@
         self.assertEqual(process.wait(10), 0)
         self.fleet.restart("router-0")
 
+    def test_paused_engine_gets_no_requests(self) -> None:
+        for number in range(2):
+            self.fleet.set_fault(f"stand-in-engine-{number}", "pause", calls=1)
+        for number in range(4):
+            started_at = time.monotonic()
+            answer = send(self.fleet, "router-0", f"tokens=5 paused {number}")
+            self.assert_complete(answer, f"tokens=5 paused {number}")
+            self.assertLess(time.monotonic() - started_at, 5.0)
+
+    def test_sidecar_ends_with_an_engine_that_says_it_is_leaving(self) -> None:
+        self.fleet.set_fault("stand-in-engine-0", "leaving", calls=1)
+        process = self.fleet.process_by_name["sidecar-engine-0"]
+        for number in range(40):
+            prompt = f"tokens=3 last {number}"
+            self.assert_complete(send(self.fleet, "router-0", prompt), prompt)
+            if process.poll() is not None:
+                break
+        self.assertEqual(process.wait(10), 0)
+        self.fleet.restart("sidecar-engine-0")
+
     def test_leaving_endpoint_finishes_and_gets_no_new_requests(self) -> None:
         prompts = [f"tokens=80 leaving {n}" for n in range(4)]
         with ThreadPoolExecutor(4) as pool:
