Read gauges on the event loop when metrics are scraped

Operators could not scrape agents and control processes on the platform: two gauges read the event loop's clock in the worker thread that renders the page, which raises NoEventLoopError; the connection closed without a response. Gauges are now read before the rendering, and one that fails is logged and left out.

--- a/pistachiolever/metrics/exposition.py
+++ b/pistachiolever/metrics/exposition.py
@@ -39,17 +39,19 @@
         if exchange.head.path != self.path:
             await exchange.respond(404, [], b"")
             return
-        text = await to_thread.run_sync(render, self.instruments)
+        # Gauges are read here, as they may use the event loop's clock.
+        gauges = self.instruments.read_gauges()
+        text = await to_thread.run_sync(render, self.instruments, gauges)
         content_type = (b"content-type", b"text/plain; version=0.0.4; charset=utf-8")
         await exchange.respond(200, [content_type], text)
 
 
-def render(instruments: Instruments) -> bytes:
-    """Return all metrics in the Prometheus text format."""
+def render(instruments: Instruments, gauges: dict[str, float]) -> bytes:
+    """Return all metrics in the Prometheus text format, with these gauge values."""
     from prometheus_client import CollectorRegistry, generate_latest
 
     registry = CollectorRegistry(auto_describe=False)
-    registry.register(_Collector(instruments))
+    registry.register(_Collector(instruments, gauges))
     return generate_latest(registry)
 
 
@@ -58,6 +60,7 @@
     """Converts the metrics for prometheus_client."""
 
     instruments: Instruments
+    gauges: dict[str, float]
 
     def collect(self) -> "Iterator[Metric]":
         """Yield the metric families; gauges only if this process reports them."""
@@ -89,9 +92,9 @@
                 )
             yield family
         for gauge in GAUGES:
-            read = self.instruments.gauge_by_name.get(gauge.name)
-            if read is not None:
-                yield GaugeMetricFamily(gauge.name, gauge.documentation, read())
+            value = self.gauges.get(gauge.name)
+            if value is not None:
+                yield GaugeMetricFamily(gauge.name, gauge.documentation, value)
 
 
 def _cumulative_buckets(durations: Durations) -> list[tuple[str, float]]:
--- a/pistachiolever/metrics/instruments.py
+++ b/pistachiolever/metrics/instruments.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from absl import logging
 from attrs import define, field, frozen
 
 # Distinct values of a label, to bound the number of time series; further values
@@ -174,6 +175,19 @@
         assert any(instrument.name == name for instrument in GAUGES), name
         self.gauge_by_name[name] = read
 
+    def read_gauges(self) -> dict[str, float]:
+        """Return the current values of the gauges; call it on the event loop.
+
+        A gauge that fails is logged and left out.
+        """
+        values: dict[str, float] = {}
+        for name, read in self.gauge_by_name.items():
+            try:
+                values[name] = float(read())
+            except Exception:  # noqa: BLE001
+                logging.exception("the gauge %s cannot be read", name)
+        return values
+
     def _limit_labels(self, instrument: Instrument, values: Labels) -> Labels:
         """Return the label values, replaced by OTHER above MAX_LABEL_VALUES."""
         return tuple(
--- a/tests/metrics/test_instruments.py
+++ b/tests/metrics/test_instruments.py
@@ -28,7 +28,7 @@
         instruments.observe(FIRST_CHUNK, 0.07, "stream")
         instruments.observe(FIRST_CHUNK, 99.0, "stream")
         instruments.gauge("pistachiolever_leads", lambda: True)
-        text = render(instruments).decode()
+        text = render(instruments, instruments.read_gauges()).decode()
         for line in (
             'pistachiolever_sends_total{endpoint="e1",verdict="RAN"} 2.0',
             'pistachiolever_first_part_seconds_bucket{kind="stream",le="0.05"} 0.0',
