Give back the slot of a bid that is granted and cancelled at once

A router lost a slot of an endpoint for the life of its handle whenever a request was cancelled in the moment between the grant of its bid and the next step of its task: a bid with an outcome was not withdrawn.

--- a/pistachiolever/admission/controller.py
+++ b/pistachiolever/admission/controller.py
@@ -39,11 +39,14 @@
         pending = PendingBid()
         self.pending_by_bid[bid.bid_id] = pending
         self._resolve(self.core.submit(bid, self.now()))
+        received = False
         try:
             await pending.done.wait()
+            received = True
         finally:
             self.pending_by_bid.pop(bid.bid_id, None)
-            if pending.outcome is None:
+            if not received:
+                # The bid may have been granted before its task was cancelled.
                 self._resolve(self.core.withdraw(bid.bid_id, self.now()))
         return self._make_reply(bid, pending.outcome)
 
--- /dev/null
+++ b/tests/admission/test_controller.py
@@ -0,0 +1,71 @@
+"""Bids of tasks that are cancelled leave nothing behind."""
+
+from random import Random
+
+from anyio import (
+    CancelScope,
+    create_task_group,
+    current_time,
+    move_on_after,
+    run,
+    sleep,
+)
+from attrs import evolve
+
+from pistachiolever.admission.controller import AdmissionController
+from pistachiolever.admission.core import AdmissionCore, Capacity
+from pistachiolever.admission.models import EndedRun
+from tests.admission.test_core import BID
+from tests.support.cases import CaseTest
+
+
+def make_controller() -> AdmissionController:
+    """Return the controller of an idle engine with few slots."""
+    core = AdmissionCore(Capacity(4, 500_000), Random(1))
+    return AdmissionController(core, current_time)
+
+
+class CancelledBidTest(CaseTest):
+    """A cancelled bid holds no slot, whether it was granted or not."""
+
+    # A bid granted at once and cancelled before its task ran again kept its slot.
+    def test_granted_and_cancelled_at_once(self) -> None:
+        async def cancel() -> AdmissionController:
+            controller = make_controller()
+            with CancelScope() as scope:
+                scope.cancel()
+                await controller.acquire(BID)
+            return controller
+
+        controller = run(cancel)
+        self.assertEqual(controller.core.run_by_id, {})
+        self.assertEqual(controller.core.reserved_tokens, 0)
+        self.assertEqual(controller.pending_by_bid, {})
+
+    def test_random_runs_leave_nothing(self) -> None:
+        async def random_runs(seed: int) -> AdmissionController:
+            rng = Random(seed)
+            controller = make_controller()
+
+            async def one(number: int) -> None:
+                bid = evolve(BID, bid_id=f"b{number}", request_id=f"r{number}", slots=4)
+                await sleep(rng.random() * 0.05)
+                reply = None
+                with move_on_after(rng.choice((0.0, 0.001, 0.01, 1.0))):
+                    reply = await controller.acquire(bid)
+                if reply is not None and reply.granted:
+                    await sleep(rng.random() * 0.01)
+                    controller.handle_progress([], [EndedRun(bid.bid_id, 5)])
+
+            async with create_task_group() as group:
+                for number in range(200):
+                    group.start_soon(one, number)
+            return controller
+
+        for seed in range(3):
+            with self.subTest(seed):
+                controller = run(random_runs, seed)
+                self.assertEqual(controller.core.run_by_id, {})
+                self.assertEqual(controller.core.queued_by_id, {})
+                self.assertEqual(controller.core.reserved_tokens, 0)
+                self.assertEqual(controller.pending_by_bid, {})
