End the tasks and bids of an endpoint that is gone

A router went on calling the agent of every endpoint incarnation it had ever known, once a tenth of a second each, and kept the id of each bid that was cancelled at its own fallback: both grow with restarts for the life of the process. Requests that waited for a grant of such an endpoint waited until their bid timed out. Tasks now end with the handle, bids are withdrawn and placed anew, cancelled bids are forgotten.

--- a/pistachiolever/gateway/admission_clients.py
+++ b/pistachiolever/gateway/admission_clients.py
@@ -25,6 +25,7 @@
     Progress,
     ProgressReply,
 )
+from pistachiolever.core.task import BackgroundTask
 from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.peers import PeerClient
 from pistachiolever.events.const import EventCode
@@ -51,6 +52,12 @@
     def report_end(self, bid_id: str, output_tokens: int) -> None:
         """Report the end of a granted request."""
 
+    async def run(self) -> None:
+        """Run the background task until the client is closed."""
+
+    def close(self) -> None:
+        """End the background task."""
+
 
 @define
 class LocalAdmission:
@@ -61,6 +68,15 @@
 
     controller: AdmissionController
     fraction: Callable[[], float]
+    task: BackgroundTask = field(factory=BackgroundTask)
+
+    async def run(self) -> None:
+        """Review the queue until the client is closed."""
+        await self.task.run(self.controller.run)
+
+    def close(self) -> None:
+        """End the background task."""
+        self.task.close()
 
     def load(self) -> Load:
         """Return the load by this router alone."""
@@ -107,6 +123,7 @@
     started_ids: list[str] = field(factory=list)
     ended_runs: list[EndedRun] = field(factory=list)
     local_ids: set[str] = field(factory=set)
+    task: BackgroundTask = field(factory=BackgroundTask)
 
     def load(self) -> Load:
         """Return the last load from the agent, or the local one without it."""
@@ -120,10 +137,14 @@
                 self.last_load = reply.load
                 return reply
         self.local_ids.add(bid.bid_id)
-        reply = await self.fallback.acquire(bid)
-        if not reply.granted:
-            self.local_ids.discard(bid.bid_id)
-        return reply
+        granted = False
+        try:
+            reply = await self.fallback.acquire(bid)
+            granted = reply.granted
+            return reply
+        finally:
+            if not granted:
+                self.local_ids.discard(bid.bid_id)
 
     async def _request_grant(self, bid: Bid) -> BidReply | None:
         """Return the agent's reply; None if the call fails."""
@@ -159,7 +180,15 @@
         self.ended_runs.append(EndedRun(bid_id, output_tokens))
 
     async def run(self) -> None:
-        """Send progress messages until cancelled.
+        """Send progress messages until the client is closed."""
+        await self.task.run(self._report_periodically)
+
+    def close(self) -> None:
+        """End the background task."""
+        self.task.close()
+
+    async def _report_periodically(self) -> None:
+        """Send progress messages.
 
         Starts and ends are sent within a tenth of the interval; without any, a message
         per interval still fetches the load.
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -65,6 +65,12 @@
         for scope in list(self.bid_scopes):
             scope.cancel()
 
+    def close(self) -> None:
+        """End the tasks of an endpoint that is gone; its bids are placed anew."""
+        self.withdraw_bids()
+        self.admission.close()
+        self.local_admission.close()
+
     def load(self) -> Load:
         """Return the last known load of the endpoint."""
         return self.admission.load()
@@ -90,9 +96,7 @@
     budget: RetryBudget = field(init=False)
     notices: EndpointNotices = field(init=False)
     shares: FairShares = field(factory=FairShares)
-    new_admission_clients: Mailbox[RemoteAdmission | LocalAdmission] = field(
-        factory=Mailbox
-    )
+    new_admission_clients: Mailbox[AdmissionClient] = field(factory=Mailbox)
     gone_addresses: Mailbox[str] = field(factory=Mailbox)
     router_counts: deque[tuple[float, int]] = field(factory=deque)
 
@@ -113,10 +117,7 @@
             group.start_soon(self._close_gone)
             while admissions := await self.new_admission_clients.get_all():
                 for admission in admissions:
-                    if isinstance(admission, RemoteAdmission):
-                        group.start_soon(admission.run)
-                    else:
-                        group.start_soon(admission.controller.run)
+                    group.start_soon(admission.run)
 
     async def _close_gone(self) -> None:
         """Close idle connections to endpoints that are gone."""
@@ -180,6 +181,7 @@
             announcement = active_by_id.get(endpoint_id)
             if announcement is None or announcement.born_ms != handle.endpoint.born_ms:
                 del self.handle_by_id[endpoint_id]
+                handle.close()
                 self.gone_addresses.put(handle.endpoint.address)
         for endpoint_id, announcement in active_by_id.items():
             known = self.handle_by_id.get(endpoint_id)
