Restore the order of delayed retries after one is cancelled

A retry could start later than planned after another request had been cancelled: filtering a heap does not keep it one.

--- a/pistachiolever/router/core.py
+++ b/pistachiolever/router/core.py
@@ -1,7 +1,7 @@
 """The router core: a state machine without I/O, clock or randomness of its own."""
 
 from collections.abc import Callable
-from heapq import heappop
+from heapq import heapify, heappop
 from typing import Any
 
 from attrs import define, field
@@ -149,6 +149,7 @@
             for entry in self.delayed_retries
             if entry.item.request.request_id != message.request_id
         ]
+        heapify(self.delayed_retries)
         self._end_request(message.request_id, _cancelled_refusal(Verdict.NOT_RUN))
 
     def _handle_resume(self, message: ResumeRequest) -> None:
--- a/tests/router/test_router_core.py
+++ b/tests/router/test_router_core.py
@@ -1,5 +1,6 @@
 """The router core with late, duplicate and lost messages."""
 
+from heapq import heappop, heappush
 from random import Random
 from unittest import TestCase
 
@@ -14,6 +15,7 @@
     Service,
     ServiceKind,
 )
+from pistachiolever.router.account_queues import QueuedRequest
 from pistachiolever.router.core import RouterCore
 from pistachiolever.router.models import (
     CallerRequest,
@@ -33,6 +35,7 @@
     Submit,
     Tick,
 )
+from pistachiolever.router.state import DelayedRetry
 from pistachiolever.settings.models import RouterSettings
 from pistachiolever.wire.models import (
     Chunk,
@@ -250,3 +253,27 @@
         actions = from_sidecar(core, Refused("r1", Verdict.NOT_RUN, "no-room"), 2.1)
         self.assertEqual(refusal_verdicts(actions), [Verdict.NOT_RUN])
         self.assertTrue(core.is_idle())
+
+
+class DelayedRetryTest(TestCase):
+    """Delayed retries start in the order of their times."""
+
+    # A cancelled retry left the others out of order: some started too late.
+    def test_cancelled_retry_keeps_the_order_of_the_others(self) -> None:
+        rng = Random(3)
+        for _ in range(50):
+            core = make_core()
+            numbers = list(range(12))
+            rng.shuffle(numbers)
+            for number in numbers:
+                request = CallerRequest(f"d{number}", "a", "plan", "x", 10, 1)
+                core.request_by_id[request.request_id] = request
+                item = QueuedRequest(request, 1.0, 99.0)
+                entry = DelayedRetry(2.0 + number, number, item)
+                heappush(core.delayed_retries, entry)
+            cancelled = f"d{rng.choice(numbers)}"
+            core.handle(CancelRequest(cancelled), 1.0)
+            entries = core.delayed_retries
+            times = [heappop(entries).retry_at for _ in range(len(entries))]
+            self.assertEqual(times, sorted(times))
+            self.assertEqual(len(times), 11)
