Know the memory of an engine before the first bid for it

With little load one of two engines got all requests: an engine whose agent had had no bid reported no free memory, and placement set it behind by the penalty of a full one. The agent now takes the memory from the engine's reports until a bid names it.

--- a/pistachiolever/admission/core.py
+++ b/pistachiolever/admission/core.py
@@ -225,6 +225,9 @@
         MISSING_RUN_TIMEOUT_SECONDS.
         """
         listed = {run.request_id: run for run in report.runs}
+        if not self.capacity.memory_tokens:
+            # No bid has named the capacity yet.
+            self.capacity.memory_tokens = report.total_tokens
         self._adjust_throttle(report, now)
         self.untracked_running = max(0, report.running - len(self.run_by_id))
         actions: list[AdmissionAction] = []
--- a/tests/admission/test_core.py
+++ b/tests/admission/test_core.py
@@ -300,3 +300,17 @@
         core.submit(bid("a"), 1.0)
         core.handle_end("a", 0, 1.0)
         self.assertEqual(core.service.local("one", 1.0), 0.0)
+
+
+class CapacityTest(CaseTest):
+    """The capacity of an engine is known before the first bid for it."""
+
+    # An engine without bids reported no memory and was placed behind all others.
+    def test_memory_comes_from_reports_until_a_bid_names_it(self) -> None:
+        core = AdmissionCore(Capacity(1), Random(1))
+        core.handle_report(EngineReport(1, 0, 0, 0, 400_000), 1.0)
+        share = core.policy.memory_share
+        self.assertEqual(core.load(1.0).free_memory_tokens, 400_000 * share)
+        core.submit(BID, 2.0)
+        core.handle_report(EngineReport(1, 0, 0, 0, 400_000), 3.0)
+        self.assertEqual(core.capacity.memory_tokens, BID.memory_tokens)
