Refuse a deregistration whose incarnation is not known

A member that did not know an endpoint acknowledged its deregistration without a start time as one of incarnation 0: the other members refused that as older than what they knew, and routers went on using an endpoint that had been told it was gone. The endpoint is now sent to another member (503).

--- a/pistachiolever/registry/endpoint_replicator.py
+++ b/pistachiolever/registry/endpoint_replicator.py
@@ -59,7 +59,13 @@
             await self._replicate(announcement)
 
     async def deregister(self, endpoint_id: str, born_ms: int | None) -> None:
-        """Mark an endpoint gone; raise UnavailableError if this is not replicated."""
+        """Mark an endpoint gone; raise UnavailableError if this is not replicated.
+
+        Without a start time, only a member that knows the endpoint can tell which
+        incarnation ends.
+        """
+        if born_ms is None and endpoint_id not in self.directory.record_by_id:
+            raise UnavailableError(f"the start time of {endpoint_id} is not known here")
         announcement = self.directory.mark_gone(endpoint_id, born_ms, self.now())
         self._record(announcement, "left")
         self.unsent_by_id[announcement.endpoint_id] = announcement
--- a/tests/discovery/test_directory.py
+++ b/tests/discovery/test_directory.py
@@ -1,6 +1,7 @@
 """Merging of announcements does not depend on order; ended incarnations stay ended."""
 
 from itertools import permutations
+from random import Random
 
 from attrs import evolve
 
@@ -71,6 +72,24 @@
                 directory.merge(announcement, 1.0)
             self.assertEqual([a.endpoint_id for a in directory.active()], ["e2"])
 
+    # An announcement that a newer holder refuses must not end an older holder.
+    def test_address_has_at_most_one_holder(self) -> None:
+        rng = Random(4)
+        directory = EndpointDirectory()
+        for step in range(5000):
+            announcement = evolve(
+                READY_ENDPOINT,
+                endpoint_id=f"e{rng.randrange(5)}",
+                born_ms=rng.randrange(step // 50, step // 50 + 20),
+                sequence=rng.randrange(50),
+                address=f"10.0.0.{rng.randrange(3)}:80",
+                state=rng.choice((READY, READY, DRAINING, GONE)),
+            )
+            directory.merge(announcement, step / 100)
+            directory.expire(step / 100)
+            addresses = [endpoint.address for endpoint in directory.active()]
+            self.assertEqual(len(addresses), len(set(addresses)))
+
     def test_repeated_announcement_does_not_change_the_number(self) -> None:
         directory = EndpointDirectory()
         directory.merge(READY_ENDPOINT, 1.0)
