Look for an uncommitted membership change in all uncommitted entries

A leader whose majority was stalled could append a second change of the voters behind 256 later entries, before the first one was committed: two majorities without a common member, and acknowledged configurations lost. The test failed with 256 and 700 later entries before.

--- a/pistachiolever/raft/core.py
+++ b/pistachiolever/raft/core.py
@@ -611,10 +611,10 @@
 
     def _has_uncommitted_member_change(self) -> bool:
         """Return whether the latest membership change is not committed yet."""
-        return any(
-            entry.members and entry.index > self.commit_index
-            for entry in self.log.entries[-MAX_APPEND_ENTRIES:]
+        uncommitted = self.log.entries_after(
+            self.commit_index, self.log.last_index() - self.commit_index
         )
+        return any(entry.members for entry in uncommitted)
 
     def _append_member_change(self, members: list[str]) -> None:
         """Append a membership entry, which takes effect at once."""
--- a/tests/raft/test_raft_core.py
+++ b/tests/raft/test_raft_core.py
@@ -9,6 +9,7 @@
 from pistachiolever.raft.models import (
     Append,
     Apply,
+    Entry,
     Propose,
     RaftEnvelope,
     RaftInput,
@@ -101,3 +102,20 @@
         applied = [a.entry.command for a in actions if isinstance(a, Apply)]
         self.assertEqual(applied, ["x"])
         self.assertTrue(core.has_lease(1.0))
+
+
+class MemberChangeTest(TestCase):
+    """At most one membership change is uncommitted."""
+
+    # Behind 256 later entries an uncommitted change was overlooked, and a second one
+    # could be appended: two majorities without a common member.
+    @params((0, True), (255, True), (256, True), (700, True))
+    def test_uncommitted_change_behind_later_entries(
+        self, later_entries: int, found: bool
+    ) -> None:
+        entries = [Entry(1, 1, "x"), Entry(2, 1, "", ["a", "b", "c", "d"])]
+        entries += [Entry(3 + n, 1, "y") for n in range(later_entries)]
+        core = RaftCore("a", ["b", "c"], Random(1), StoredLog(entries=entries))
+        self.assertEqual(core._has_uncommitted_member_change(), found)
+        core.commit_index = 2
+        self.assertFalse(core._has_uncommitted_member_change())
