--- a/pistachiolever/control/consensus.py
+++ b/pistachiolever/control/consensus.py
@@ -246,6 +246,7 @@
             case Restore(snapshot):
                 if snapshot.state:
                     self.state.load(snapshot.state)
+                self._complete_skipped(snapshot.index)
                 self.listener.applied()
             case MembersChanged(members):
                 self.listener.members_changed(members)
@@ -283,6 +284,15 @@
         if text:
             self.listener.applied()
 
+    def _complete_skipped(self, index: int) -> None:
+        """Complete the proposals up to an index that a snapshot covers.
+
+        The snapshot does not tell their results.
+        """
+        for skipped in [i for i in self.proposals_by_index if i <= index]:
+            for proposal in self.proposals_by_index.pop(skipped):
+                proposal.done.set()
+
     def _compact_if_large(self) -> None:
         """Compact the log into a snapshot when it exceeds a threshold."""
         has_many_entries = len(self.core.log.entries) >= SNAPSHOT_THRESHOLD_ENTRIES
