Do not attach a request to the run of another account

A dispatch with the id of an existing run was attached to it whatever its account, and would have got that account's answer. Ids are random, so no caller is known to have seen it; the sidecar now checks, as it did for resumes. The test failed before.

--- a/pistachiolever/sidecar/core.py
+++ b/pistachiolever/sidecar/core.py
@@ -188,6 +188,9 @@
         if not had_grant and self.free_slots() <= 0:
             had_grant = self.grants.close_oldest(self._router_id)
         existing = self.runs.run_by_id.get(message.request_id)
+        if existing is not None and existing.dispatch.account_id != message.account_id:
+            self._refuse(message.request_id, Verdict.NOT_RUN, "id-in-use")
+            return
         if existing is not None and self._reattach(existing):
             return
         refused = self._check_refusal(message, had_grant)
@@ -288,7 +291,7 @@
         self._send_events(run)
 
     def _refuse(self, request_id: str, verdict: Verdict, reason: str) -> None:
-        """Refuse to resume an answer."""
+        """Refuse a request of the router whose message is handled."""
         self._send(self._router_id, Refused(request_id, verdict, reason))
 
     # The endpoint.
--- a/tests/sidecar/test_sidecar_core.py
+++ b/tests/sidecar/test_sidecar_core.py
@@ -17,6 +17,7 @@
     LeaveWithEndpoint,
     OutputReceived,
     ReportClaim,
+    ResultReceived,
     RouterConnected,
     RouterDisconnected,
     RunEnded,
@@ -123,6 +124,18 @@
         core.handle(RunEnded("q1", Verdict.RAN, True), 2.0)
         self.assertTrue(core.is_idle())
 
+    # Another account's dispatch with the id of a run was attached to that run.
+    def test_dispatch_of_another_account_is_not_attached(self) -> None:
+        core = make_core()
+        send(core, Dispatch("q", "a", "x", 1))
+        core.handle(ResultReceived("q", '{"of": "a"}'), 1.5)
+        actions = send(core, Dispatch("q", "b", "x", 1), 2.0, "r2")
+        self.assertEqual(sent_messages(actions, Chunks), [])
+        self.assertEqual(
+            sent_messages(actions, Refused),
+            [Refused("q", Verdict.NOT_RUN, "id-in-use")],
+        )
+
     def test_pause_starts_and_grants_nothing(self) -> None:
         core = make_core(concurrency=4)
         send(core, Bids([Bid("a", 1.0, 1.0, 9)]), router="r1")
