Report only later cost for a run that another router attaches to

The account was charged again for what the run had cost before its request moved to another router. A resume already counted from there; a repeated dispatch did not.

--- a/pistachiolever/sidecar/core.py
+++ b/pistachiolever/sidecar/core.py
@@ -216,6 +216,8 @@
         if run.outcome is not None and not run.outcome.complete:
             self.runs.remove(run)
             return False
+        if run.router_id != self._router_id:
+            run.base_cost = run.reported_cost
         run.router_id = self._router_id
         run.cancel_at = None
         run.last_sent = 0
--- a/tests/sidecar/test_sidecar_core.py
+++ b/tests/sidecar/test_sidecar_core.py
@@ -136,6 +136,16 @@
             [Refused("q", Verdict.NOT_RUN, "id-in-use")],
         )
 
+    # A run's cost was charged again by the router that its request moved to.
+    def test_reattached_run_reports_only_later_cost(self) -> None:
+        core = make_core()
+        send(core, Dispatch("q", "a", "x", 1))
+        core.handle(ResultReceived("q", "1"), 1.5)
+        run = core.runs.run_by_id["q"]
+        run.reported_cost = 0.75
+        send(core, Dispatch("q", "a", "x", 1), 2.0, "r2")
+        self.assertEqual(run.base_cost, 0.75)
+
     def test_pause_starts_and_grants_nothing(self) -> None:
         core = make_core(concurrency=4)
         send(core, Bids([Bid("a", 1.0, 1.0, 9)]), router="r1")
