Keep tombstones in the order of their times

A tombstone that was set again kept its place at the front, and the expiry stopped at it: all later ones stayed, and their requests were refused as withdrawn for too long. The test failed before.

--- a/pistachiolever/sidecar/core.py
+++ b/pistachiolever/sidecar/core.py
@@ -254,13 +254,18 @@
         """Cancel a run; a claimed one continues, since its outcome is needed."""
         run = self.runs.run_by_id.get(message.request_id)
         if run is None:
-            self.tombstone_by_request[message.request_id] = self.now
+            self._add_tombstone(message.request_id)
             return
         if run.router_id != self._router_id:
             return
         run.router_id = ""
         self._cancel_unless_claimed(run)
 
+    def _add_tombstone(self, request_id: str) -> None:
+        """Remember that a request must not start; the newest tombstone comes last."""
+        self.tombstone_by_request.pop(request_id, None)
+        self.tombstone_by_request[request_id] = self.now
+
     def _handle_detach(self, message: Detach) -> None:
         """Stop sending events to the router; cancel the run if nobody resumes it."""
         run = self.runs.run_by_id.get(message.request_id)
@@ -273,7 +278,7 @@
         run = self.runs.run_by_id.get(message.request_id)
         if run is None:
             # A late dispatch must not start the request after this NOT_RUN.
-            self.tombstone_by_request[message.request_id] = self.now
+            self._add_tombstone(message.request_id)
             self._refuse(message.request_id, Verdict.NOT_RUN, "unknown-request")
             return
         if run.dispatch.account_id != message.account_id:
--- a/tests/sidecar/test_sidecar_core.py
+++ b/tests/sidecar/test_sidecar_core.py
@@ -8,6 +8,7 @@
 from pistachiolever.core.verdict import Verdict
 from pistachiolever.declarations.models import Service, ServiceKind
 from pistachiolever.settings.models import SidecarSettings
+from pistachiolever.sidecar.const import TOMBSTONE_SECONDS
 from pistachiolever.sidecar.core import SidecarCore
 from pistachiolever.sidecar.models import (
     CancelRun,
@@ -29,6 +30,7 @@
 from pistachiolever.wire.models import (
     Bid,
     Bids,
+    Cancel,
     Chunks,
     Dispatch,
     Grant,
@@ -146,6 +148,15 @@
         send(core, Dispatch("q", "a", "x", 1), 2.0, "r2")
         self.assertEqual(run.base_cost, 0.75)
 
+    # A tombstone that was set again kept its place and held up the expiry of others.
+    def test_tombstones_expire_in_order(self) -> None:
+        core = make_core()
+        send(core, Cancel("old"), 1.0)
+        send(core, Cancel("other"), 2.0)
+        send(core, Cancel("old"), 1.0 + TOMBSTONE_SECONDS)
+        core.handle(Tick(), 2.5 + TOMBSTONE_SECONDS)
+        self.assertEqual(list(core.tombstone_by_request), ["old"])
+
     def test_pause_starts_and_grants_nothing(self) -> None:
         core = make_core(concurrency=4)
         send(core, Bids([Bid("a", 1.0, 1.0, 9)]), router="r1")
