Keep a run cancellable after an earlier run of its request ended

A request can start anew at an endpoint before its failed run has ended there. The end of the earlier run then removed the cancel scope of the later one, which could not be cancelled any more, and the later end raised KeyError in the sidecar.

--- a/pistachiolever/sidecar/tasks.py
+++ b/pistachiolever/sidecar/tasks.py
@@ -1,6 +1,6 @@
 """The tasks of a sidecar process: they own its sockets and perform its actions."""
 
-from anyio import CancelScope, Event, create_task_group, move_on_after, sleep
+from anyio import Event, create_task_group, move_on_after, sleep
 from anyio.abc import TaskGroup
 from attrs import define, field
 
@@ -43,6 +43,7 @@
     StartRun,
     Tick,
 )
+from pistachiolever.sidecar.run_scopes import RunScopes
 from pistachiolever.sidecar.sessions import RouterSession
 from pistachiolever.wire.const import CLAIM_CLOSE_PATH, SIDECAR_HEARTBEAT_PATH
 from pistachiolever.wire.models import (
@@ -68,7 +69,7 @@
     actor: Actor[SidecarInput, SidecarAction] = field(init=False)
     adapter: EndpointAdapter = field(init=False)
     session_by_router: dict[str, RouterSession] = field(factory=dict)
-    scope_by_request: dict[str, CancelScope] = field(factory=dict)
+    run_scopes: RunScopes = field(factory=RunScopes)
     stopped: Event = field(factory=Event)
     pending_claim_reports: int = 0
     _group: TaskGroup = field(init=False)
@@ -145,9 +146,7 @@
             case StartRun(dispatch):
                 self._group.start_soon(self._run_request, dispatch)
             case CancelRun(request_id):
-                scope = self.scope_by_request.get(request_id)
-                if scope is not None:
-                    scope.cancel()
+                self.run_scopes.cancel(request_id)
             case ReportClaim():
                 self.pending_claim_reports += 1
                 self._group.start_soon(self._report_claim, action)
@@ -183,10 +182,8 @@
             endpoint_id=self.settings.endpoint_id,
         )
         self.context.metrics.incr("runs")
-        with CancelScope() as scope:
-            self.scope_by_request[dispatch.request_id] = scope
+        with self.run_scopes.open(dispatch.request_id):
             await self.adapter.run(dispatch, self.actor.post)
-        del self.scope_by_request[dispatch.request_id]
 
     def _record_run_end(self, action: RecordRunEnd) -> None:
         """Record the end of a run in metrics and event log."""
