Use a leaving endpoint for what all others refused

If every other endpoint had refused a request, the grant of the leaving one was given back and asked for again until the deadline: the check before sending did not know which endpoints had been tried. Whether another endpoint can serve is now decided once, when the endpoint is chosen; a notice in between withdraws the bid anyway.

--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -252,16 +252,15 @@
             handle.withdraw_bids()
 
     def may_send(self, handle: EndpointHandle) -> bool:
-        """Return whether the notices of an endpoint allow a request now."""
+        """Return whether the notices of a chosen endpoint allow a request now.
+
+        A leaving endpoint is chosen only if no other one can serve the request.
+        """
         restriction = self.notices.restriction(handle.endpoint, self.now())
-        if restriction is Restriction.LEAVING:
-            usable = self._usable(handle.endpoint.service_id, set())
-            allowed = handle in usable
-        else:
-            allowed = restriction is Restriction.NONE
-        if not allowed:
-            self._count_held_back(handle, restriction)
-        return allowed
+        if restriction in (Restriction.NONE, Restriction.LEAVING):
+            return True
+        self._count_held_back(handle, restriction)
+        return False
 
     def held_back(self, service_id: str) -> dict[str, list[str]]:
         """Return the restricted endpoints of a service, by kind of restriction."""
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from random import Random
+from time import monotonic
 
 from anyio import (
     BrokenResourceError,
@@ -549,6 +550,15 @@
         for result in results:
             self.assertNotIn(b"x-leaving", result.head)
 
+    # A grant of the leaving endpoint was given back and asked for again without end.
+    def test_leaving_endpoint_serves_what_the_other_one_refused(self) -> None:
+        started_at = monotonic()
+        results = send_requests(
+            b"/read/1", respond_leaving, shed, pauses=(0.0, 0.0, 0.0)
+        )
+        self.assertEqual([result.status for result in results], [200] * 3)
+        self.assertLess(monotonic() - started_at, 1.4)
+
     def test_only_endpoint_serves_until_it_has_left(self) -> None:
         results = send_requests(b"/read/1", respond_leaving, pauses=(0.0, 0.0, 2.1))
         self.assertEqual([result.status for result in results], [200, 200, 503])
