Check the lease against the default heartbeat if none is set

A settings file with a lease below twice the default heartbeat and no heartbeat of its own was accepted: the process lost its lease between two heartbeats. The missing value counted as 0, and the default lease stood twice in the code. The new case failed before.

--- a/pistachiolever/settings/loader.py
+++ b/pistachiolever/settings/loader.py
@@ -5,6 +5,10 @@
 
 from cattrs.preconf.orjson import make_converter
 
+from pistachiolever.settings.const import (
+    DEFAULT_HEARTBEAT_SECONDS,
+    DEFAULT_LEASE_SECONDS,
+)
 from pistachiolever.settings.errors import InvalidDocumentError, Problem
 from pistachiolever.settings.models import ProcessSettings
 from pistachiolever.settings.schema import check_schema, load_schema, read_document
@@ -30,8 +34,8 @@
     if role and role not in document:
         detail = f"missing; the role {role} requires this settings object"
         problems.append(Problem(file, role, detail))
-    heartbeat = document.get("heartbeat_seconds", 0)
-    lease = document.get("lease_seconds", 4.0)
+    heartbeat = document.get("heartbeat_seconds", DEFAULT_HEARTBEAT_SECONDS)
+    lease = document.get("lease_seconds", DEFAULT_LEASE_SECONDS)
     if _is_number(heartbeat) and _is_number(lease) and lease < 2 * heartbeat:
         detail = f"{lease} is too short; allowed: at least twice heartbeat_seconds"
         problems.append(Problem(file, "lease_seconds", detail))
--- a/tests/declarations/test_check.py
+++ b/tests/declarations/test_check.py
@@ -129,6 +129,9 @@
         self.assertEqual(lines, ["- accounts.a", '~ preset_in_force: "p" -> "q"'])
 
 
+LEASE = "lease_seconds"
+
+
 class SettingsTest(TestCase):
     """Settings of a process are validated before it starts."""
 
@@ -139,8 +142,11 @@
         (
             "short lease",
             {"lease_seconds": 1.0, "heartbeat_seconds": 0.9},
-            ["lease_seconds"],
+            [LEASE],
         ),
+        # A missing heartbeat counted as 0, so any lease passed the check.
+        ("lease too short for the default heartbeat", {"lease_seconds": 1.5}, [LEASE]),
+        ("heartbeat too long for the default lease", {"heartbeat_seconds": 3}, [LEASE]),
         ("unknown", {"colour": 1}, ["colour"]),
         ("nested", {"router": {"max_queue_bytes": 1}}, ["router.max_queue_bytes"]),
     )
