Drop Raft messages of processes that are no members

A process with other settings that sent a vote request to control ended its consensus task with KeyError, since the answer had no sender: the member stopped voting until it was restarted. Such messages are now dropped and logged once for each sender.

--- a/pistachiolever/control/process.py
+++ b/pistachiolever/control/process.py
@@ -56,6 +56,7 @@
     coordinator: FleetCoordinator | None = None
     consensus: ConsensusNode = field(init=False)
     sender_by_member: dict[str, RaftSender] = field(factory=dict)
+    unknown_senders: set[str] = field(factory=set)
     notified_revision: int = 0
     revision_changed: Event = field(factory=Event)
     stopped: Event = field(factory=Event)
@@ -135,9 +136,18 @@
         return self.core.has_lease(self.context.now())
 
     def receive(self, envelopes: list[RaftEnvelope]) -> None:
-        """Pass Raft messages from another member to the consensus node."""
+        """Pass Raft messages from other members to the consensus node.
+
+        Those of a process that is no member are dropped; it is logged once.
+        """
         for envelope in envelopes:
-            self.consensus.inbox.put(Received(envelope))
+            if envelope.sender in self.sender_by_member:
+                self.consensus.inbox.put(Received(envelope))
+            elif envelope.sender not in self.unknown_senders:
+                self.unknown_senders.add(envelope.sender)
+                self.context.recorder.record(
+                    EventCode.PEER_REFUSED, detail=f"no member: {envelope.sender}"
+                )
 
     async def _expire_leases(self) -> None:
         """Periodically end the leases that were not renewed."""
