Print the id of a change whose outcome is not known

An operator whose change ended with 504 could not submit the same change again: its id was made up by the command and never shown, so a second try was another change. The test failed before.

--- a/pistachiolever/cli/declarations.py
+++ b/pistachiolever/cli/declarations.py
@@ -213,7 +213,11 @@
     if base is None:
         base = client.current().number
     change = ChangeRequest(change_id or uuid4().hex, base, to_text(declarations))
-    result = client.apply(change)
+    try:
+        result = client.apply(change)
+    except CommandFailedError as error:
+        hint = f"to submit the same change again: --change-id {change.change_id}"
+        raise CommandFailedError(f"{error.message}\n{hint}", error.code) from error
     if result.accepted:
         document = {"accepted": True, "revision": result.revision}
         show(document, [f"accepted as revision {result.revision}"], as_json)
