--- a/pistachiolever/cli/caller.py
+++ b/pistachiolever/cli/caller.py
@@ -120,10 +120,13 @@
     Example: pistachiolever cancel --router 127.0.0.1:7101 --request ID
     """
     headers = {"authorization": f"Bearer {key}"}
-    with Client(trust_env=False, timeout=30.0) as http:
-        response = http.delete(
-            f"http://{address}/v1/requests/{request_id}", headers=headers
-        )
+    url = f"http://{address}/v1/requests/{request_id}"
+    try:
+        with Client(trust_env=False, timeout=30.0) as http:
+            response = http.delete(url, headers=headers)
+    except HTTPError as error:
+        detail = f"{address}: {error}; not known whether the request was cancelled"
+        raise CommandFailedError(detail, EXIT_FAILED) from error
     echo(response.text)
     if response.status_code != 200:
         raise CommandFailedError("not cancelled", EXIT_FAILED)
--- a/tests/cli/test_unreachable.py
+++ b/tests/cli/test_unreachable.py
@@ -10,6 +10,7 @@
 from pistachiolever.cli.const import EXIT_FAILED
 from pistachiolever.cli.main import cli
 from tests.support.cases import CaseTest
+from tests.system.fleet import free_address
 
 FOLDER = "examples/bengal"
 
@@ -60,3 +61,14 @@
         server.shutdown()
         server.server_close()
         self.assertEqual(len(set(UncertainControl.change_ids)), 1)
+
+
+class CancelTest(CaseTest):
+    """A router that does not answer is an error message."""
+
+    # Cancelling at an unreachable router ended with a traceback.
+    def test_unreachable_router(self) -> None:
+        arguments = ["cancel", "--router", free_address(), "--key", "k"]
+        result = CliRunner().invoke(cli, [*arguments, "--request", "q"])
+        self.assertEqual(result.exit_code, EXIT_FAILED)
+        self.assertIn("not known whether the request was cancelled", result.output)
