Follow the rate after an episode has ended within another

The emulator's load stayed low when a quiet episode ended within a hot one: the highest rate was looked for at starts of episodes only, and requests come at most at that rate. The test failed before: 47 requests during both episodes and 55 after the quiet one, now 59 and 649.

--- a/pistachiolever/emulator/load.py
+++ b/pistachiolever/emulator/load.py
@@ -68,10 +68,10 @@
         """
         shape, rng = self.shape, self.rng
         mean = kind.rate * shape.rate_factor * fraction
-        starts = [0.0, *(episode.at for episode in shape.episodes)]
-        max_rate = max(
-            self._episode_factor(kind, account_id, start) for start in starts
-        )
+        changes = [0.0]
+        for episode in shape.episodes:
+            changes += [episode.at, episode.at + episode.seconds]
+        max_rate = max(self._episode_factor(kind, account_id, at) for at in changes)
         max_rate *= mean * (1 + shape.swing)
         arrivals: list[Arrival] = []
         at = 0.0
