Deregister only at a member that knows the endpoint in the watch test

The test deregistered an endpoint without a start time at a member that mostly did not know it yet, and was content with an end of incarnation 0, which every real directory refuses as older. It calls again until the member accepts, as engines do, and also checks the incarnation that ended: 0 instead of 9 with the replicator as it was before.

--- a/tests/registry/test_process.py
+++ b/tests/registry/test_process.py
@@ -252,6 +252,7 @@
 
     versions: list[int] = field(factory=list)
     state_by_id: dict[str, EndpointState] = field(factory=dict)
+    born_by_id: dict[str, int] = field(factory=dict)
     router_count: int = 0
 
     def apply_configuration(self, version: int, document: str) -> None:
@@ -262,12 +263,22 @@
         """Store the states of endpoints."""
         for announcement in announcements:
             self.state_by_id[announcement.endpoint_id] = announcement.state
+            self.born_by_id[announcement.endpoint_id] = announcement.born_ms
 
     def update_router_count(self, count: int) -> None:
         """Store the number of routers."""
         self.router_count = count
 
 
+async def deregister(member: Member, endpoint_id: str) -> bool:
+    """Deregister an endpoint without a start time; return whether it was accepted."""
+    try:
+        await member.process.endpoints.deregister(endpoint_id, None)
+    except UnavailableError:
+        return False
+    return True
+
+
 class WatchTest(CaseTest):
     """Watchers receive every update, whichever member received it first."""
 
@@ -293,10 +304,14 @@
             await fleet.until(
                 lambda: listener.state_by_id == {"e1": EndpointState.READY}
             )
-            await fleet.member_by_name["c"].process.endpoints.deregister("e1", None)
+            # Member c may not know the endpoint yet; then it refuses.
+            with fail_after(5):
+                while not await deregister(fleet.member_by_name["c"], "e1"):
+                    await sleep(0.01)
             await fleet.until(
                 lambda: listener.state_by_id == {"e1": EndpointState.GONE}
             )
+            self.assertEqual(listener.born_by_id, {"e1": 9})
             await fleet.until(lambda: listener.router_count == 1)
             await fleet.stop(fleet.leader())
             await fleet.store(document(6))
