Replace engines in the emulator while only their responses tell of it

A shape can have a release: engines leave one after the other, serve on for a while and are gone; routers hear of it from responses only, or not at all. Counted are the requests that reach a leaving engine after its drain time, and those from a router that had a notice for longer.

--- a/pistachiolever/emulator/engine.py
+++ b/pistachiolever/emulator/engine.py
@@ -33,12 +33,16 @@
     """Tokens that all engines prefilled, prefilled again or found in their caches.
 
     `repeated_tokens` counts prefilled tokens of shared parts that a request to any
-    engine had used within the last REPEATED_PREFILL_SECONDS.
+    engine had used within the last REPEATED_PREFILL_SECONDS. `late_requests` counts the
+    requests that reached a leaving engine after its drain time, `disregarding_requests`
+    those that came from a router later than the drain time after a notice.
     """
 
     prefilled_tokens: int = 0
     repeated_tokens: int = 0
     cached_tokens: int = 0
+    late_requests: int = 0
+    disregarding_requests: int = 0
 
 
 @define
--- a/pistachiolever/emulator/fleet.py
+++ b/pistachiolever/emulator/fleet.py
@@ -2,12 +2,14 @@
 
 from random import Random
 
-from anyio import create_task_group, current_time, run, sleep_until
+from anyio import create_task_group, current_time, run, sleep, sleep_until
+from anyio.abc import TaskGroup
 from attrs import define, evolve, field
 
 from pistachiolever.admission.agent import AgentProcess
 from pistachiolever.admission.policy import AdmissionPolicy
 from pistachiolever.discovery.models import Announcement, EndpointState
+from pistachiolever.edge.peers import PeerApi
 from pistachiolever.emulator.bound import min_busy_fraction
 from pistachiolever.emulator.callers import Caller
 from pistachiolever.emulator.clock import EmulatedLoop
@@ -19,7 +21,7 @@
     EmulatedPool,
 )
 from pistachiolever.emulator.load import LoadGenerator
-from pistachiolever.emulator.models import Arrival, LoadShape
+from pistachiolever.emulator.models import Arrival, LoadShape, Release
 from pistachiolever.emulator.scoring import Score, ScoreCollector
 from pistachiolever.events.logger import EventLogger
 from pistachiolever.gateway.fleet import FleetView
@@ -51,6 +53,8 @@
     counters: EngineCounters = field(factory=EngineCounters)
     engine_by_address: dict[str, EmulatedEngine] = field(factory=dict)
     agent_by_address: dict[str, AgentProcess] = field(factory=dict)
+    api_by_address: dict[str, PeerApi] = field(factory=dict)
+    used_at_by_part: dict[str, float] = field(factory=dict)
     domain_by_address: dict[str, str] = field(factory=dict)
     routers_by_domain: dict[str, list[FleetView]] = field(factory=dict)
     collector: ScoreCollector = field(init=False)
@@ -66,7 +70,12 @@
         score = self.collector.score(
             self.counters, sum(busy) / len(busy) / self.shape.seconds
         )
-        return evolve(score, needed=min_busy_fraction(self.shape, self.collector))
+        return evolve(
+            score,
+            needed=min_busy_fraction(self.shape, self.collector),
+            late_requests=self.counters.late_requests,
+            disregarding_requests=self.counters.disregarding_requests,
+        )
 
     async def _run_load(self) -> None:
         """Build the platform, send all requests and wait until they end."""
@@ -79,10 +88,10 @@
         arrivals = LoadGenerator(self.shape, Random(self.seed)).arrivals()
         rng = Random(self.seed + 1)
         async with create_task_group() as background:
-            for engine in self.engine_by_address.values():
-                background.start_soon(engine.run)
-            for agent in self.agent_by_address.values():
-                background.start_soon(agent.run)
+            for number in range(len(self.engine_by_address)):
+                self._start_engine(number, background)
+            if self.shape.release is not None:
+                background.start_soon(self._release, self.shape.release, background)
             for routers in self.routers_by_domain.values():
                 for router in routers:
                     background.start_soon(router.run)
@@ -100,24 +109,71 @@
 
     def _build_engines(self) -> None:
         """Create the engines and their admission agents."""
-        used_at_by_part: dict[str, float] = {}
-        slow_downs = self.shape.engine.slow_downs
         for domain in self.shape.domains:
             for _ in range(domain.engines):
-                number = len(self.engine_by_address)
-                slow_down = slow_downs[number % len(slow_downs)]
-                model = EngineModel(
-                    self.shape.engine, slow_down, self.counters, used_at_by_part
-                )
-                engine = EmulatedEngine(model)
-                agent = AgentProcess(
-                    engine, self._make_event_logger(), Random(self.seed * 1000 + number)
-                )
-                agent.controller.core.set_policy(self.admission)
-                self.engine_by_address[f"engine{number}"] = engine
-                self.agent_by_address[f"agent{number}"] = agent
-                self.domain_by_address[f"engine{number}"] = domain.domain_id
-                self.domain_by_address[f"agent{number}"] = domain.domain_id
+                self._add_engine(domain.domain_id)
+
+    def _add_engine(self, domain_id: str) -> int:
+        """Create an engine and its admission agent; return its number."""
+        number = len(self.engine_by_address)
+        slow_downs = self.shape.engine.slow_downs
+        model = EngineModel(
+            self.shape.engine,
+            slow_downs[number % len(slow_downs)],
+            self.counters,
+            self.used_at_by_part,
+        )
+        engine = EmulatedEngine(model)
+        agent = AgentProcess(
+            engine, self._make_event_logger(), Random(self.seed * 1000 + number)
+        )
+        agent.controller.core.set_policy(self.admission)
+        self.engine_by_address[f"engine{number}"] = engine
+        self.agent_by_address[f"agent{number}"] = agent
+        self.api_by_address[f"agent{number}"] = agent.api()
+        self.domain_by_address[f"engine{number}"] = domain_id
+        self.domain_by_address[f"agent{number}"] = domain_id
+        return number
+
+    def _start_engine(self, number: int, background: TaskGroup) -> None:
+        """Start the tasks of an engine and its agent."""
+        background.start_soon(self.engine_by_address[f"engine{number}"].run)
+        background.start_soon(self.agent_by_address[f"agent{number}"].run)
+
+    async def _release(self, release: Release, background: TaskGroup) -> None:
+        """Replace engines one after the other."""
+        await sleep_until(release.at)
+        addresses = list(self.engine_by_address)
+        for address in addresses[: round(release.share * len(addresses))]:
+            engine = self.engine_by_address[address]
+            engine.leave(release)
+            number = self._add_engine(self.domain_by_address[address])
+            self._start_engine(number, background)
+            for routers in self.routers_by_domain.values():
+                for router in routers:
+                    router.apply_announcements([self._announcement(number)])
+            background.start_soon(self._end_engine, engine, release)
+            await sleep(release.gap_seconds)
+
+    async def _end_engine(self, engine: EmulatedEngine, release: Release) -> None:
+        """End a leaving engine when its time is over."""
+        await sleep(release.drain_seconds + release.linger_seconds)
+        engine.end()
+
+    def _announcement(self, number: int) -> Announcement:
+        """Return the announcement of an engine."""
+        address = f"engine{number}"
+        return Announcement(
+            f"e{number}",
+            ENGINE_START_MS,
+            1,
+            EndpointState.READY,
+            SERVICE_ID,
+            address,
+            self.domain_by_address[address],
+            self.shape.engine.slots,
+            agent=f"agent{number}",
+        )
 
     def _make_router(self, router_id: str, domain_id: str) -> FleetView:
         """Return a router that knows all endpoints and routes from the start."""
@@ -126,13 +182,12 @@
             is_near = self.domain_by_address[address] == domain_id
             return self.shape.near_seconds if is_near else self.shape.far_seconds
 
-        apis = {
-            address: agent.api() for address, agent in self.agent_by_address.items()
-        }
         fleet = FleetView(
             GatewaySettings(router_id, domain_id, "", "", "", 8.0, 0.2, 10.0, 50.0),
             self._reject_configuration,
-            EmulatedPeerClient(api_by_address=apis, latency_seconds=latency_seconds),
+            EmulatedPeerClient(
+                api_by_address=self.api_by_address, latency_seconds=latency_seconds
+            ),
             self._make_event_logger(),
             Random(f"{self.seed}/{router_id}"),
             current_time,
@@ -144,20 +199,7 @@
         fleet.table = RouteTable(self._configuration())
         fleet.budget.router_count = sum(domain.routers for domain in self.shape.domains)
         fleet.apply_announcements(
-            [
-                Announcement(
-                    f"e{number}",
-                    ENGINE_START_MS,
-                    1,
-                    EndpointState.READY,
-                    SERVICE_ID,
-                    address,
-                    self.domain_by_address[address],
-                    self.shape.engine.slots,
-                    agent=address.replace("engine", "agent"),
-                )
-                for number, address in enumerate(self.engine_by_address)
-            ]
+            [self._announcement(n) for n in range(len(self.engine_by_address))]
         )
         return fleet
 
--- a/pistachiolever/emulator/links.py
+++ b/pistachiolever/emulator/links.py
@@ -1,6 +1,7 @@
 """Emulated network: calls between processes and connections to engines."""
 
 from collections.abc import Callable
+from math import inf
 from typing import Any, TypeVar
 
 from anyio import Event, current_time, sleep
@@ -10,8 +11,10 @@
 from pistachiolever.edge.peers import ConnectionPool, PeerApi, PeerClient
 from pistachiolever.emulator.const import EVENT_BATCH_SECONDS, OUTPUT_HEADER
 from pistachiolever.emulator.engine import EngineModel, EngineTask
+from pistachiolever.emulator.models import Release
 from pistachiolever.gateway.header_format import HeaderFormat
 from pistachiolever.http1.client import ClientConnection
+from pistachiolever.http1.errors import PeerClosedError
 from pistachiolever.http1.models import RequestHead, ResponseHead
 
 T = TypeVar("T")
@@ -50,6 +53,34 @@
     connection_by_request: dict[str, "EmulatedConnection"] = field(factory=dict)
     has_work: Event = field(factory=Event)
     busy_seconds: float = 0.0
+    drain_seconds: float = 0.0
+    drain_ends_at: float | None = None
+    gives_notice: bool = False
+    gone: bool = False
+
+    def leave(self, release: Release) -> None:
+        """Begin to leave."""
+        self.drain_seconds = release.drain_seconds
+        self.drain_ends_at = current_time() + release.drain_seconds
+        self.gives_notice = release.notices
+
+    def end(self) -> None:
+        """Close all connections and accept no more."""
+        self.gone = True
+        for request_id, connection in list(self.connection_by_request.items()):
+            self.drop(request_id)
+            connection.has_update.set()
+
+    def count_late(self, router_drain_ends_at: float) -> None:
+        """Count a request that comes after the drain time.
+
+        For its router that time began with the first notice it received.
+        """
+        counters, now = self.model.counters, current_time()
+        if self.drain_ends_at is not None and now > self.drain_ends_at:
+            counters.late_requests += 1
+        if now > router_drain_ends_at:
+            counters.disregarding_requests += 1
 
     def submit(self, task: EngineTask, connection: "EmulatedConnection") -> None:
         """Queue a request whose response goes to a connection."""
@@ -92,6 +123,7 @@
 
     engine: EmulatedEngine = field(kw_only=True)
     latency_seconds: float = field(kw_only=True)
+    drain_ends_at_by_address: dict[str, float] = field(kw_only=True)
     request_id: str = ""
     event_tokens: int = 1
     first_event_seconds: float = 0.0
@@ -108,13 +140,28 @@
         self.request_id = metadata.request_id
         self.event_tokens = self.engine.model.spec.event_tokens
         await sleep(self.latency_seconds)
+        self._check_connected()
+        drain_ends_at = self.drain_ends_at_by_address.get(self.address, inf)
+        self.engine.count_late(drain_ends_at)
         task = EngineTask(metadata.request_id, metadata.model, metadata.parts, output)
         self.engine.submit(task, self)
         await self.has_update.wait()
         await sleep(self.latency_seconds + self.first_event_seconds)
-        names = (HEADER_FORMAT.request_id, HEADER_FORMAT.signature)
-        values = (metadata.request_id.encode(), b"emulated")
-        return ResponseHead(200, list(zip(names, values, strict=True)))
+        self._check_connected()
+        headers = [
+            (HEADER_FORMAT.request_id, metadata.request_id.encode()),
+            (HEADER_FORMAT.signature, b"emulated"),
+        ]
+        if self.engine.gives_notice:
+            headers.append((HEADER_FORMAT.leaving, b"1"))
+            ends_at = current_time() + self.engine.drain_seconds
+            self.drain_ends_at_by_address.setdefault(self.address, ends_at)
+        return ResponseHead(200, headers)
+
+    def _check_connected(self) -> None:
+        """Raise PeerClosedError if the engine is gone before the response is done."""
+        if self.engine.gone and not self.done:
+            raise PeerClosedError("connection reset")
 
     def update(self, generated_tokens: int, is_done: bool, now: float) -> None:
         """Update the number of events; notify the reader once per batch."""
@@ -132,6 +179,7 @@
                 return None
             self.has_update = Event()
             await self.has_update.wait()
+            self._check_connected()
         self.has_update = Event()
         if self.delivered_events >= self.events:
             return None
@@ -146,14 +194,21 @@
 
 @define
 class EmulatedPool(ConnectionPool):
-    """A pool of connections to emulated engines."""
+    """A router's pool of connections to emulated engines.
+
+    `drain_ends_at_by_address` is when the drain time ends of the engines that told this
+    router that they are leaving.
+    """
 
     engine_by_address: dict[str, EmulatedEngine] = field(factory=dict)
+    drain_ends_at_by_address: dict[str, float] = field(factory=dict)
     latency_seconds: Callable[[str], float] = lambda address: 0.0
 
     async def acquire(self, address: str, connect_seconds: float) -> ClientConnection:
         """Return an idle connection, or open one in a round trip."""
         engine = self.engine_by_address[address]
+        if engine.gone:
+            raise PeerClosedError(f"cannot connect to {address}", False)
         idle = self.idle_by_address.setdefault(address, [])
         if idle:
             idle.pop()
@@ -166,6 +221,7 @@
             no_stream,
             engine=engine,
             latency_seconds=self.latency_seconds(address),
+            drain_ends_at_by_address=self.drain_ends_at_by_address,
             first_event_seconds=engine.model.spec.first_ms / 1000,
         )
 
--- a/pistachiolever/emulator/models.py
+++ b/pistachiolever/emulator/models.py
@@ -108,6 +108,23 @@
     last_rank: int = 1_000_000
 
 
+@frozen
+class Release:
+    """Replaces a fraction `share` of the engines, one each `gap_seconds`.
+
+    A replacement starts when its predecessor begins to leave. That one serves for
+    `drain_seconds` and `linger_seconds` more, then its connections close. Nothing tells
+    the routers but its responses, and these only with `notices`.
+    """
+
+    at: float
+    gap_seconds: float
+    share: float = 1.0
+    drain_seconds: float = 2.0
+    linger_seconds: float = 6.0
+    notices: bool = True
+
+
 @frozen
 class LoadShape:
     """A platform and the load on it; times in seconds, rates per second.
@@ -142,6 +159,7 @@
     read_again_price: float = 0.0
     share_window_seconds: float = 4.0
     episodes: list[Episode] = field(factory=list)
+    release: Release | None = None
 
 
 @frozen
--- a/pistachiolever/emulator/scoring.py
+++ b/pistachiolever/emulator/scoring.py
@@ -45,7 +45,8 @@
     fraction. `in_time` to `failed` are fractions of the requests. `busy` is the
     fraction of engine time that was used, `needed` the minimum for the entitled
     requests (emulator.bound). `served_by_kind` holds the earned fraction of each kind
-    and of its largest requests.
+    and of its largest requests, `late_requests` and `disregarding_requests` are those
+    of EngineCounters.
     """
 
     worth: float
@@ -61,6 +62,8 @@
     busy: float
     needed: float = 0.0
     served_by_kind: dict[str, float] = field(factory=dict)
+    late_requests: float = 0.0
+    disregarding_requests: float = 0.0
 
 
 def credit_in_time(arrival: Arrival, event_tokens: int) -> float:
--- a/tests/emulator/test_fleet.py
+++ b/tests/emulator/test_fleet.py
@@ -14,7 +14,7 @@
     read_shape,
     run_trial,
 )
-from pistachiolever.emulator.models import Episode, LoadShape
+from pistachiolever.emulator.models import Episode, LoadShape, Release
 from pistachiolever.emulator.scoring import Score
 from tests.support.cases import CaseTest
 
@@ -106,3 +106,23 @@
         means = mean_score([score_of(), score_of()])
         self.assertAlmostEqual(means["whole"], score_of().whole)
         self.assertIn("kind plan tenth", means)
+
+
+class ReleaseTest(CaseTest):
+    """Engines are replaced while only their responses tell that they leave."""
+
+    def score(self, notices: bool) -> Score:
+        """Return the score of a run in which all engines are replaced."""
+        shape = read_shape((SHAPES / "bengal-calm.json").read_bytes())
+        release = Release(2.0, 1.0, notices=notices, linger_seconds=3.0)
+        changed = evolve(shape, seconds=14.0, episodes=[], release=release)
+        return run_trial(Trial(changed, 1))
+
+    def test_no_request_after_the_drain_time(self) -> None:
+        score = self.score(notices=True)
+        self.assertEqual((score.late_requests, score.disregarding_requests), (0, 0))
+        self.assertLess(score.failed, 0.005)
+
+    def test_without_notices_requests_come_late(self) -> None:
+        score = self.score(notices=False)
+        self.assertGreater(score.late_requests, 0)
