Relate the busy time of emulated engines to the whole run

The busy fraction of a run that lasted longer than its arrivals exceeded 1: work after the last arrival counted, its time did not. The test failed before.

--- a/pistachiolever/emulator/fleet.py
+++ b/pistachiolever/emulator/fleet.py
@@ -58,6 +58,7 @@
     domain_by_address: dict[str, str] = field(factory=dict)
     routers_by_domain: dict[str, list[FleetView]] = field(factory=dict)
     collector: ScoreCollector = field(init=False)
+    ended_at: float = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Start without results."""
@@ -68,7 +69,7 @@
         run(self._run_load, backend_options={"loop_factory": EmulatedLoop})
         busy = [engine.busy_seconds for engine in self.engine_by_address.values()]
         score = self.collector.score(
-            self.counters, sum(busy) / len(busy) / self.shape.seconds
+            self.counters, sum(busy) / len(busy) / self.ended_at
         )
         return evolve(
             score,
@@ -99,6 +100,7 @@
                 for arrival in arrivals:
                     await sleep_until(arrival.at)
                     callers.start_soon(self._run_caller, arrival, rng)
+            self.ended_at = max(self.shape.seconds, current_time())
             background.cancel_scope.cancel()
 
     async def _run_caller(self, arrival: Arrival, rng: Random) -> None:
--- a/tests/emulator/test_fleet.py
+++ b/tests/emulator/test_fleet.py
@@ -126,3 +126,13 @@
     def test_without_notices_requests_come_late(self) -> None:
         score = self.score(notices=False)
         self.assertGreater(score.late_requests, 0)
+
+
+class BusyTest(CaseTest):
+    """The busy fraction of the engines is a fraction of the whole run."""
+
+    # Work after the last arrival counted, its time did not: engines seemed over-busy.
+    def test_run_that_lasts_longer_than_its_arrivals(self) -> None:
+        shape = read_shape((SHAPES / "bengal-calm.json").read_bytes())
+        shape = evolve(shape, seconds=1.0, rate_factor=6.0, episodes=[])
+        self.assertLessEqual(run_trial(Trial(shape, 1)).busy, 1.0)
