--- a/pistachiolever/admission/agent.py
+++ b/pistachiolever/admission/agent.py
@@ -14,17 +14,19 @@
 from pistachiolever.admission.controller import AdmissionController
 from pistachiolever.admission.core import AdmissionCore, Capacity
 from pistachiolever.admission.models import (
-    Bid,
+    BidCall,
     BidReply,
     EngineReport,
     Progress,
     ProgressReply,
 )
+from pistachiolever.admission.settings import AgentSettings
 from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.peers import PeerApi
 from pistachiolever.events.const import EventCode
 from pistachiolever.events.logger import EventLogger
 from pistachiolever.metrics.instruments import GRANT_WAIT, GRANTS, Instruments
+from pistachiolever.usage.reporter import UsageReporter
 
 
 class EngineProbe(Protocol):
@@ -63,6 +65,11 @@
         gauge("pistachiolever_reading_share", lambda: core.throttle.fraction)
         gauge("pistachiolever_token_seconds", lambda: core.throttle.seconds_per_token)
 
+    def make_reporter(self, settings: AgentSettings) -> UsageReporter:
+        """Return what decides the agent's reports to the registry."""
+        core = self.controller.core
+        return UsageReporter(settings.address, core.service, core.load)
+
     async def run(self) -> None:
         """Run the background tasks until cancelled."""
         async with create_task_group() as group:
@@ -72,12 +79,14 @@
     def api(self, secret: str = "") -> PeerApi:
         """Return the API that routers call."""
         api = PeerApi(secret)
-        api.add(BID_PATH, Bid, self._handle_bid)
+        api.add(BID_PATH, BidCall, self._handle_bid)
         api.add(PROGRESS_PATH, Progress, self._handle_progress)
         return api
 
-    async def _handle_bid(self, bid: Bid) -> BidReply:
+    async def _handle_bid(self, call: BidCall) -> BidReply:
         """Reply to a bid once it is granted or refused."""
+        bid, service = call.bid, self.controller.core.service
+        self.controller.handle_progress(call.progress)
         started_at = self.controller.now()
         reply = await self.controller.acquire(bid)
         outcome = "granted" if reply.granted else reply.reason
@@ -104,20 +113,16 @@
             share=round(self.controller.core.throttle.fraction, 3),
             pace=round(self.controller.core.throttle.seconds_per_token, 4),
             needed=round(self.controller.core.throttle.target_seconds_per_token, 4),
-            service=round(reply.service),
-            elsewhere=round(bid.elsewhere),
+            service=round(service.local(bid.account_id, self.controller.now())),
+            elsewhere=round(service.elsewhere(bid.account_id, self.controller.now())),
             fair=round(bid.share) if bid.share is not None else None,
         )
         return reply
 
     async def _handle_progress(self, progress: Progress) -> ProgressReply:
         """Apply a router's progress message; return the load after it."""
-        load = self.controller.handle_progress(progress.started, progress.ended)
-        if not progress.wants_uses:
-            return ProgressReply(load)
-        return ProgressReply(
-            load, self.controller.core.service.usage(self.controller.now())
-        )
+        self.controller.handle_progress(progress)
+        return ProgressReply(self.controller.load())
 
     async def _watch_engine(self) -> None:
         """Poll the engine's reports and reconcile the granted runs with them."""
--- a/pistachiolever/admission/const.py
+++ b/pistachiolever/admission/const.py
@@ -34,12 +34,10 @@
 REPORT_INTERVAL_SECONDS: Final = 0.1
 # A report on the same VM takes milliseconds; this is five intervals.
 REPORT_TIMEOUT_SECONDS: Final = 0.5
-# Time between two progress messages of a router to an agent.
-PROGRESS_INTERVAL_SECONDS: Final = 0.1
-# Six intervals without a reply: the agent counts as unresponsive.
+# Starts and ends of requests are collected for this long before they are reported.
+PROGRESS_BATCH_SECONDS: Final = 0.01
+# Many times the round trip: an agent without a reply counts as unresponsive.
 PROGRESS_TIMEOUT_SECONDS: Final = 0.6
-# Time between two requests of a router for the accounts' usage at an agent.
-USAGE_INTERVAL_SECONDS: Final = 0.25
 BID_PATH: Final = "/admission/bid"
 PROGRESS_PATH: Final = "/admission/progress"
 # A running response is assumed to have at least this many tokens (a few events) left.
--- a/pistachiolever/admission/controller.py
+++ b/pistachiolever/admission/controller.py
@@ -11,10 +11,10 @@
     AdmissionAction,
     Bid,
     BidReply,
-    EndedRun,
     EngineReport,
     Granted,
     Load,
+    Progress,
 )
 
 
@@ -33,11 +33,13 @@
     core: AdmissionCore
     now: Callable[[], float]
     pending_by_bid: dict[str, PendingBid] = field(factory=dict)
+    _has_bids: Event = field(factory=Event)
 
     async def acquire(self, bid: Bid) -> BidReply:
         """Wait until the bid is granted or refused; cancelling withdraws it."""
         pending = PendingBid()
         self.pending_by_bid[bid.bid_id] = pending
+        self._has_bids.set()
         self._resolve(self.core.submit(bid, self.now()))
         received = False
         try:
@@ -50,14 +52,17 @@
                 self._resolve(self.core.withdraw(bid.bid_id, self.now()))
         return self._make_reply(bid, pending.outcome)
 
-    def handle_progress(self, started: list[str], ended: list[EndedRun]) -> Load:
-        """Apply starts and ends of granted requests; return the load after them."""
+    def handle_progress(self, progress: Progress) -> None:
+        """Apply starts and ends of granted requests."""
         now = self.now()
-        for bid_id in started:
+        for bid_id in progress.started:
             self._resolve(self.core.handle_start(bid_id, now))
-        for run in ended:
+        for run in progress.ended:
             self._resolve(self.core.handle_end(run.bid_id, run.output_tokens, now))
-        return self.core.load(now)
+
+    def load(self) -> Load:
+        """Return the current load of the endpoint."""
+        return self.core.load(self.now())
 
     def handle_report(self, report: EngineReport) -> None:
         """Apply a report of the engine."""
@@ -68,11 +73,14 @@
         self._resolve(self.core.handle_restart(self.now()))
 
     async def run(self) -> None:
-        """Review the queue periodically, until cancelled.
+        """Review the queue periodically while it has bids, until cancelled.
 
         Time alone can make a queued request grantable or late.
         """
         while True:
+            if not self.pending_by_bid:
+                self._has_bids = Event()
+                await self._has_bids.wait()
             await sleep(REVIEW_INTERVAL_SECONDS)
             if self.core.queued_by_id:
                 self._resolve(self.core.review(self.now()))
@@ -87,15 +95,9 @@
 
     def _make_reply(self, bid: Bid, outcome: AdmissionAction | None) -> BidReply:
         """Return the reply to a bid."""
-        now = self.now()
-        load = self.core.load(now)
-        service = self.core.service.local(bid.account_id, now)
+        load = self.load()
         if isinstance(outcome, Granted):
-            return BidReply(
-                True, load, cached_tokens=outcome.cached_tokens, service=service
-            )
+            return BidReply(True, load, cached_tokens=outcome.cached_tokens)
         if outcome is None:
-            return BidReply(False, load, "withdrawn", service=service)
-        return BidReply(
-            False, load, outcome.reason, outcome.retry_after_seconds, service=service
-        )
+            return BidReply(False, load, "withdrawn")
+        return BidReply(False, load, outcome.reason, outcome.retry_after_seconds)
--- a/pistachiolever/admission/core.py
+++ b/pistachiolever/admission/core.py
@@ -150,7 +150,7 @@
         self.event_tokens = bid.event_tokens
         self.capacity.memory_tokens = bid.memory_tokens
         self.cache.capacity_tokens = bid.memory_tokens
-        self.service.set_elsewhere(bid.account_id, bid.elsewhere, now)
+        self.service.set_total(bid.account_id, bid.total, now)
         prefill_tokens = bid.prompt_tokens - self.cache.cached_tokens(
             bid.model, bid.parts
         )
--- a/pistachiolever/admission/models.py
+++ b/pistachiolever/admission/models.py
@@ -16,13 +16,14 @@
     """A request for a grant at one endpoint; times are seconds from now.
 
     `bid_id` is unique for each bid, `request_id` is the id that the engine sees, `kind`
-    groups requests of the same route. `elsewhere` is the recent service of the account
-    at other endpoints, as its router knows it; `share` is its max-min fair share of the
-    recent service at all endpoints, None if unknown or not limiting (both in weighted
-    tokens). `priority` 0 is the highest. `asks_again` is true if there was an earlier
-    bid for the request, so that its demand is not counted again. `slots`,
-    `memory_tokens` and `event_tokens` are the endpoint's configured capacity and the
-    maximum number of tokens in one event of its streams.
+    groups requests of the same route. `total` is the recent service of the account at
+    all endpoints, as its router knows it from the registry and from its own grants at
+    other endpoints; `share` is its max-min fair share of the recent service at all
+    endpoints, None if unknown or not limiting (both in weighted tokens). `priority` 0
+    is the highest. `asks_again` is true if there was an earlier bid for the request, so
+    that its demand is not counted again. `slots`, `memory_tokens` and `event_tokens`
+    are the endpoint's configured capacity and the maximum number of tokens in one event
+    of its streams.
     """
 
     bid_id: str
@@ -36,7 +37,7 @@
     output_tokens: int = 0
     model: str = ""
     parts: list[PromptPart] = field(factory=list)
-    elsewhere: float = 0.0
+    total: float = 0.0
     share: float | None = None
     asks_again: bool = False
     slots: int = 1
@@ -63,17 +64,13 @@
 
 @frozen
 class BidReply:
-    """A grant, or the reason of a refusal and the seconds until a retry makes sense.
-
-    `service` is the account's recent service at this endpoint in weighted tokens.
-    """
+    """A grant, or the reason of a refusal and the seconds until a retry makes sense."""
 
     granted: bool
     load: Load
     reason: str = ""
     retry_after_seconds: float = 0.0
     cached_tokens: int = 0
-    service: float = 0.0
 
 
 @frozen
@@ -84,31 +81,27 @@
     output_tokens: int
 
 
-@frozen
-class AccountUsage:
-    """Recent demand and service of an account at one endpoint, in weighted tokens."""
-
-    account_id: str
-    asked: float
-    got: float
-
-
 @frozen
 class Progress:
-    """Starts and ends of a router's granted requests; may ask for accounts' usage."""
+    """Starts and ends of a router's granted requests."""
 
-    router_id: str
-    wants_uses: bool = False
     started: list[str] = field(factory=list)
     ended: list[EndedRun] = field(factory=list)
 
 
 @frozen
 class ProgressReply:
-    """The load of the endpoint after a progress message, and the usage if requested."""
+    """The load of the endpoint after a progress message."""
 
     load: Load
-    uses: list[AccountUsage] | None = None
+
+
+@frozen
+class BidCall:
+    """A router's bid, with the starts and ends that it has not reported yet."""
+
+    bid: Bid
+    progress: Progress = Progress()
 
 
 @frozen
--- a/pistachiolever/admission/recent_service.py
+++ b/pistachiolever/admission/recent_service.py
@@ -7,7 +7,7 @@
 from attrs import define, field
 
 from pistachiolever.admission.const import SERVICE_DECAY_SECONDS
-from pistachiolever.admission.models import AccountUsage, Bid
+from pistachiolever.admission.models import Bid
 
 K = TypeVar("K", bound=Hashable)
 
@@ -47,7 +47,8 @@
     """Recent demand and service of accounts in weighted tokens.
 
     `local` is service at this endpoint, `elsewhere` at all others, as reported by
-    routers.
+    routers. `reported` is the part of `local` that was reported to the registry, so
+    that the routers' sums include it. `changed_accounts` are not reported yet.
     """
 
     local_by_account: dict[str, DecayingSum] = field(factory=dict)
@@ -56,33 +57,49 @@
     demand_by_account: dict[str, DecayingSum] = field(factory=dict)
     demand_by_size: dict[SizeKey, DecayingSum] = field(factory=dict)
     elsewhere_by_account: dict[str, DecayingSum] = field(factory=dict)
+    reported_by_account: dict[str, DecayingSum] = field(factory=dict)
+    changed_accounts: set[str] = field(factory=set)
 
     def record_demand(self, bid: Bid, amount: float, now: float) -> None:
         """Add a request to the demand of its account."""
+        self.changed_accounts.add(bid.account_id)
         _add(self.demand_by_account, bid.account_id, amount, now)
         _add(self.demand_by_size, size_key(bid), amount, now)
 
     def charge(self, bid: Bid, amount: float, now: float) -> None:
         """Charge an account for service; a negative amount is a refund."""
+        self.changed_accounts.add(bid.account_id)
         _add(self.local_by_account, bid.account_id, amount, now)
         _add(self.local_by_kind, (bid.account_id, bid.kind), amount, now)
         _add(self.local_by_size, size_key(bid), amount, now)
 
-    def set_elsewhere(self, account_id: str, amount: float, now: float) -> None:
-        """Set an account's service at other endpoints to what a router reported."""
-        self.elsewhere_by_account[account_id] = DecayingSum(amount, now)
-
-    def usage(self, now: float) -> list[AccountUsage]:
-        """Return demand and service here of each account with recent demand."""
-        return [
-            AccountUsage(
-                account_id,
-                round(demand.value_at(now)),
-                round(self.local(account_id, now)),
-            )
-            for account_id, demand in self.demand_by_account.items()
-            if demand.value_at(now) >= 1.0
-        ]
+    def set_total(self, account_id: str, total: float, now: float) -> None:
+        """Apply an account's service at all endpoints, as a router knows it."""
+        reported = _read(self.reported_by_account, account_id, now)
+        elsewhere = max(0.0, total - reported)
+        self.elsewhere_by_account[account_id] = DecayingSum(elsewhere, now)
+
+    def elsewhere(self, account_id: str, now: float) -> float:
+        """Return an account's service at all other endpoints."""
+        return _read(self.elsewhere_by_account, account_id, now)
+
+    # Reports to the registry.
+
+    def pop_changed(self, everything: bool) -> set[str]:
+        """Return the accounts to report: the changed ones, or all of them."""
+        changed, self.changed_accounts = self.changed_accounts, set()
+        if everything:
+            changed |= self.demand_by_account.keys() | self.local_by_account.keys()
+        return changed
+
+    def usage(self, account_id: str, now: float) -> tuple[int, int]:
+        """Return an account's demand and service here."""
+        asked = _read(self.demand_by_account, account_id, now)
+        return (round(asked), round(self.local(account_id, now)))
+
+    def record_reported(self, account_id: str, amount: float, now: float) -> None:
+        """Record that the registry knows of an account's service here."""
+        self.reported_by_account[account_id] = DecayingSum(amount, now)
 
     def local(self, account_id: str, now: float) -> float:
         """Return an account's service at this endpoint."""
@@ -94,8 +111,7 @@
 
     def total(self, account_id: str, now: float) -> float:
         """Return an account's service at all endpoints."""
-        elsewhere = _read(self.elsewhere_by_account, account_id, now)
-        return self.local(account_id, now) + elsewhere
+        return self.local(account_id, now) + self.elsewhere(account_id, now)
 
     def size_service_ratio(self, bid: Bid, now: float) -> float:
         """Return the service of the bid's kind and size relative to its fair part.
--- a/pistachiolever/emulator/fleet.py
+++ b/pistachiolever/emulator/fleet.py
@@ -8,6 +8,7 @@
 
 from pistachiolever.admission.agent import AgentProcess
 from pistachiolever.admission.policy import AdmissionPolicy
+from pistachiolever.admission.settings import AgentSettings
 from pistachiolever.discovery.models import Announcement, EndpointState
 from pistachiolever.edge.peers import PeerApi
 from pistachiolever.emulator.bound import min_busy_fraction
@@ -36,6 +37,8 @@
     WeightedService,
 )
 from pistachiolever.routing.table import RouteTable
+from pistachiolever.usage.aggregate import UsageAggregate
+from pistachiolever.usage.const import PUBLISH_SECONDS, REPORT_SECONDS
 
 
 def _discard_line(line: str) -> None:
@@ -57,6 +60,7 @@
     used_at_by_part: dict[str, float] = field(factory=dict)
     domain_by_address: dict[str, str] = field(factory=dict)
     routers_by_domain: dict[str, list[FleetView]] = field(factory=dict)
+    aggregate: UsageAggregate = field(factory=lambda: UsageAggregate("member", "1"))
     collector: ScoreCollector = field(init=False)
     ended_at: float = field(init=False)
 
@@ -89,6 +93,7 @@
         arrivals = LoadGenerator(self.shape, Random(self.seed)).arrivals()
         rng = Random(self.seed + 1)
         async with create_task_group() as background:
+            background.start_soon(self._publish_usage)
             for number in range(len(self.engine_by_address)):
                 self._start_engine(number, background)
             if self.shape.release is not None:
@@ -141,6 +146,35 @@
         """Start the tasks of an engine and its agent."""
         background.start_soon(self.engine_by_address[f"engine{number}"].run)
         background.start_soon(self.agent_by_address[f"agent{number}"].run)
+        background.start_soon(self._report_usage, f"agent{number}")
+
+    async def _report_usage(self, address: str) -> None:
+        """Report an agent's usage and load to the only member of the registry."""
+        settings = AgentSettings(address, self.domain_by_address[address], address)
+        reporter = self.agent_by_address[address].make_reporter(settings)
+        while True:
+            await sleep(REPORT_SECONDS)
+            report = reporter.next_report(current_time())
+            if report is not None:
+                await sleep(self.shape.far_seconds)
+                self.aggregate.handle_report(report, current_time())
+                reporter.handle_reply(report, self.aggregate.life, current_time())
+
+    async def _publish_usage(self) -> None:
+        """Publish the sums to all routers.
+
+        Of two members, the second publishes what the first has told it, so this is
+        done in two steps.
+        """
+        known = -1
+        while True:
+            await sleep(2 * PUBLISH_SECONDS)
+            self.aggregate.publish(current_time())
+            update = self.aggregate.update_since(known, current_time())
+            known = update.number
+            for routers in self.routers_by_domain.values():
+                for router in routers:
+                    router.apply_usage(update)
 
     async def _release(self, release: Release, background: TaskGroup) -> None:
         """Replace engines one after the other."""
--- a/pistachiolever/gateway/admission_clients.py
+++ b/pistachiolever/gateway/admission_clients.py
@@ -4,21 +4,20 @@
 from random import Random
 from typing import Protocol
 
-from anyio import sleep
+from anyio import Event, sleep
 from attrs import define, evolve, field
 
 from pistachiolever.admission.const import (
     BID_PATH,
-    PROGRESS_INTERVAL_SECONDS,
+    PROGRESS_BATCH_SECONDS,
     PROGRESS_PATH,
     PROGRESS_TIMEOUT_SECONDS,
-    USAGE_INTERVAL_SECONDS,
 )
 from pistachiolever.admission.controller import AdmissionController
 from pistachiolever.admission.core import AdmissionCore, Capacity
 from pistachiolever.admission.models import (
-    AccountUsage,
     Bid,
+    BidCall,
     BidReply,
     EndedRun,
     Load,
@@ -33,6 +32,7 @@
 from pistachiolever.gateway.const import (
     AGENT_RETRY_SECONDS,
     BID_TIMEOUT_MARGIN_SECONDS,
+    MAX_AGENT_RETRY_SECONDS,
     MAX_UNREPORTED_RUNS,
 )
 
@@ -43,6 +43,9 @@
     def load(self) -> Load:
         """Return the last known load of the endpoint."""
 
+    def update_load(self, load: Load, measured_at: float) -> None:
+        """Apply a load that was measured at a time of this process's clock."""
+
     async def acquire(self, bid: Bid) -> BidReply:
         """Wait for the reply to a bid; cancelling withdraws it."""
 
@@ -80,7 +83,10 @@
 
     def load(self) -> Load:
         """Return the load by this router alone."""
-        return self.controller.core.load(self.controller.now())
+        return self.controller.load()
+
+    def update_load(self, load: Load, measured_at: float) -> None:
+        """Ignore a load told by others: this process sees only its own requests."""
 
     async def acquire(self, bid: Bid) -> BidReply:
         """Wait for a grant within this router's part of the endpoint's capacity."""
@@ -93,11 +99,13 @@
 
     def report_start(self, bid_id: str) -> None:
         """Report the first chunk of a granted request."""
-        self.controller.handle_progress([bid_id], [])
+        self.controller.handle_progress(Progress([bid_id]))
 
     def report_end(self, bid_id: str, output_tokens: int) -> None:
         """Report the end of a granted request."""
-        self.controller.handle_progress([], [EndedRun(bid_id, output_tokens)])
+        self.controller.handle_progress(
+            Progress(ended=[EndedRun(bid_id, output_tokens)])
+        )
 
 
 @define
@@ -105,36 +113,41 @@
     """Requests grants from the agent beside the endpoint.
 
     While the agent is unresponsive, bids go to the local fallback. Starts and ends of
-    requests that the agent granted are sent to it in batches; `local_ids` are the bids
-    that went to the fallback and were not refused.
+    requests that the agent granted are sent to it in batches or with the next bid;
+    `local_ids` are the bids that went to the fallback and were not refused. Nothing is
+    sent while there are no requests.
     """
 
-    router_id: str
     address: str
     client: PeerClient
     fallback: LocalAdmission
     events: EventLogger
     now: Callable[[], float]
-    update_usage: Callable[[list[AccountUsage]], None]
-    usage_updated_at: float = float("-inf")
     last_load: Load = Load()
-    unresponsive_until: float = 0.0
+    measured_at: float = float("-inf")
+    retry_seconds: float = AGENT_RETRY_SECONDS
     unresponsive: bool = False
     started_ids: list[str] = field(factory=list)
     ended_runs: list[EndedRun] = field(factory=list)
     local_ids: set[str] = field(factory=set)
     task: BackgroundTask = field(factory=BackgroundTask)
+    _wake: Event = field(factory=Event)
 
     def load(self) -> Load:
         """Return the last load from the agent, or the local one without it."""
         return self.fallback.load() if self.unresponsive else self.last_load
 
+    def update_load(self, load: Load, measured_at: float) -> None:
+        """Apply a load of the endpoint, unless a newer one is known."""
+        if measured_at > self.measured_at:
+            self.last_load, self.measured_at = load, measured_at
+
     async def acquire(self, bid: Bid) -> BidReply:
         """Wait for the agent's reply, or for the fallback's without it."""
         if not self.unresponsive:
             reply = await self._request_grant(bid)
             if reply is not None:
-                self.last_load = reply.load
+                self.update_load(reply.load, self.now())
                 return reply
         self.local_ids.add(bid.bid_id)
         granted = False
@@ -149,10 +162,11 @@
     async def _request_grant(self, bid: Bid) -> BidReply | None:
         """Return the agent's reply; None if the call fails."""
         seconds = bid.target_seconds + BID_TIMEOUT_MARGIN_SECONDS
+        progress = self._take_progress()
         decided = False
         try:
             reply = await self.client.call(
-                self.address, BID_PATH, bid, BidReply, seconds
+                self.address, BID_PATH, BidCall(bid, progress), BidReply, seconds
             )
             decided = True
             return reply
@@ -162,7 +176,8 @@
         finally:
             if not decided:
                 # The agent may have granted the bid and the reply got lost.
-                self.ended_runs.append(EndedRun(bid.bid_id, 0))
+                self._put_back(progress)
+                self.report_end(bid.bid_id, 0)
 
     def report_start(self, bid_id: str) -> None:
         """Report the first chunk of a granted request."""
@@ -170,6 +185,7 @@
             self.fallback.report_start(bid_id)
             return
         self.started_ids.append(bid_id)
+        self._wake.set()
 
     def report_end(self, bid_id: str, output_tokens: int) -> None:
         """Report the end of a granted request."""
@@ -178,39 +194,46 @@
             self.fallback.report_end(bid_id, output_tokens)
             return
         self.ended_runs.append(EndedRun(bid_id, output_tokens))
+        self._wake.set()
 
     async def run(self) -> None:
-        """Send progress messages until the client is closed."""
-        await self.task.run(self._report_periodically)
+        """Report starts and ends until the client is closed."""
+        await self.task.run(self._report)
 
     def close(self) -> None:
         """End the background task."""
         self.task.close()
 
-    async def _report_periodically(self) -> None:
-        """Send progress messages.
+    async def _report(self) -> None:
+        """Send progress messages when there is something to report.
 
-        Starts and ends are sent within a tenth of the interval; without any, a message
-        per interval still fetches the load.
+        An unresponsive agent is called until it replies, with exponential backoff.
         """
-        waited = 0.0
         while True:
-            await sleep(PROGRESS_INTERVAL_SECONDS / 10)
-            waited += PROGRESS_INTERVAL_SECONDS / 10
-            has_updates = bool(self.started_ids or self.ended_runs)
-            if not has_updates and waited < PROGRESS_INTERVAL_SECONDS:
-                continue
-            if self.unresponsive and self.now() < self.unresponsive_until:
-                continue
-            waited = 0.0
-            await self._report_progress()
+            if self.unresponsive:
+                await sleep(self.retry_seconds)
+                self.retry_seconds = min(
+                    2 * self.retry_seconds, MAX_AGENT_RETRY_SECONDS
+                )
+            else:
+                await self._wait_for_news()
+            if self.unresponsive or self._has_news():
+                await self._report_progress()
+
+    async def _wait_for_news(self) -> None:
+        """Wait for starts and ends, and collect those that come within the batch."""
+        if not self._has_news():
+            self._wake = Event()
+            await self._wake.wait()
+        await sleep(PROGRESS_BATCH_SECONDS)
+
+    def _has_news(self) -> bool:
+        """Return whether there are starts or ends to report."""
+        return bool(self.started_ids or self.ended_runs)
 
     async def _report_progress(self) -> None:
-        """Send pending starts and ends; update load and usage from the reply."""
-        started, self.started_ids = self.started_ids, []
-        ended, self.ended_runs = self.ended_runs, []
-        wants_uses = self.now() - self.usage_updated_at >= USAGE_INTERVAL_SECONDS
-        progress = Progress(self.router_id, wants_uses, started, ended)
+        """Send pending starts and ends; update the load from the reply."""
+        progress = self._take_progress()
         try:
             reply = await self.client.call(
                 self.address,
@@ -220,25 +243,36 @@
                 PROGRESS_TIMEOUT_SECONDS,
             )
         except PeerError as error:
-            # The agent learns of dropped entries from its engine's report.
-            self.started_ids = (started + self.started_ids)[-MAX_UNREPORTED_RUNS:]
-            self.ended_runs = (ended + self.ended_runs)[-MAX_UNREPORTED_RUNS:]
+            self._put_back(progress)
             self._record_unresponsive(str(error))
             return
-        self.last_load = reply.load
-        if reply.uses is not None:
-            self.usage_updated_at = self.now()
-            self.update_usage(reply.uses)
+        self.update_load(reply.load, self.now())
         if self.unresponsive:
             self.unresponsive = False
+            self.retry_seconds = AGENT_RETRY_SECONDS
             self.events.record(EventCode.AGENT_FOUND, agent=self.address)
 
+    def _take_progress(self) -> Progress:
+        """Return the pending starts and ends, which are then no longer pending."""
+        progress = Progress(self.started_ids, self.ended_runs)
+        self.started_ids, self.ended_runs = [], []
+        return progress
+
+    def _put_back(self, progress: Progress) -> None:
+        """Report starts and ends again that the agent may not have received.
+
+        It ignores those that it knows, and learns of dropped ones from its engine.
+        """
+        self.started_ids = (progress.started + self.started_ids)[-MAX_UNREPORTED_RUNS:]
+        self.ended_runs = (progress.ended + self.ended_runs)[-MAX_UNREPORTED_RUNS:]
+
     def _record_unresponsive(self, error: str) -> None:
-        """Use the fallback for AGENT_RETRY_SECONDS; log the first failure."""
-        self.unresponsive_until = self.now() + AGENT_RETRY_SECONDS
-        if not self.unresponsive:
-            self.unresponsive = True
-            self.events.record(EventCode.AGENT_LOST, agent=self.address, error=error)
+        """Use the fallback until the agent replies; log the first failure."""
+        if self.unresponsive:
+            return
+        self.unresponsive = True
+        self._wake.set()
+        self.events.record(EventCode.AGENT_LOST, agent=self.address, error=error)
 
 
 def make_local_admission(
--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -56,8 +56,10 @@
 DEFAULT_RETRY_AFTER_SECONDS: Final = 1.0
 # Retry-After before a configuration is known; a new router gets one within this time.
 STARTUP_RETRY_AFTER_SECONDS: Final = 0.5
-# Time without calls to an agent after it failed to reply.
+# Time without calls to an agent after it failed to reply, and the limit of its
+# doubling.
 AGENT_RETRY_SECONDS: Final = 0.5
+MAX_AGENT_RETRY_SECONDS: Final = 2.0
 # Starts, and ends, of requests that are kept for an unresponsive agent.
 MAX_UNREPORTED_RUNS: Final = 1000
 # An agent replies within the target; after this additional time it is unresponsive.
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -1,6 +1,5 @@
 """A router's view of the fleet: the configuration in force and the endpoints."""
 
-from collections import deque
 from collections.abc import Callable
 from random import Random
 from typing import Protocol
@@ -32,10 +31,11 @@
 from pistachiolever.gateway.policy import PlacementPolicy
 from pistachiolever.gateway.settings import GatewaySettings
 from pistachiolever.metrics.instruments import HELD_BACK, Instruments
-from pistachiolever.registry.const import ROUTER_TIMEOUT_SECONDS
 from pistachiolever.routing.errors import InvalidConfigurationError
 from pistachiolever.routing.models import ProxyConfiguration
 from pistachiolever.routing.table import RouteTable
+from pistachiolever.usage.aggregate import unpack_measured
+from pistachiolever.usage.models import UsageUpdate
 
 
 class ConfigurationDecoder(Protocol):
@@ -91,6 +91,7 @@
     table: RouteTable | None = None
     directory: EndpointDirectory = field(factory=EndpointDirectory)
     handle_by_id: dict[str, EndpointHandle] = field(factory=dict)
+    handle_by_agent: dict[str, EndpointHandle] = field(factory=dict)
     pool: ConnectionPool = field(init=False)
     placement: Placement = field(init=False)
     budget: RetryBudget = field(init=False)
@@ -98,7 +99,7 @@
     shares: FairShares = field(factory=FairShares)
     new_admission_clients: Mailbox[AdmissionClient] = field(factory=Mailbox)
     gone_addresses: Mailbox[str] = field(factory=Mailbox)
-    router_counts: deque[tuple[float, int]] = field(factory=deque)
+    shares_stale: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Create the connection pool, the placement and the retry budget."""
@@ -160,16 +161,21 @@
         self._sync_handles()
 
     def update_router_count(self, count: int) -> None:
-        """Apply the number of routers that one registry member sees.
+        """Apply the number of routers, which share the retry budget."""
+        self.budget.router_count = max(1, count)
 
-        The highest recent number counts: with more routers each one has a smaller part
-        of the retry budget.
-        """
+    def apply_usage(self, update: UsageUpdate) -> None:
+        """Apply what has changed in the accounts' usage and the endpoints' loads."""
         now = self.now()
-        self.router_counts.append((now, count))
-        while self.router_counts[0][0] < now - ROUTER_TIMEOUT_SECONDS:
-            self.router_counts.popleft()
-        self.budget.router_count = max(1, max(n for _, n in self.router_counts))
+        if self.shares_stale:
+            self.shares_stale = False
+            self.events.record(EventCode.USAGE_FOUND)
+        self.shares.update(update.uses, now)
+        for address, numbers in update.loads.items():
+            handle = self.handle_by_agent.get(address)
+            if handle is not None:
+                measured = unpack_measured(numbers, now)
+                handle.admission.update_load(measured.load, measured.at)
 
     def _sync_handles(self) -> None:
         """Keep one handle for the current incarnation of each endpoint."""
@@ -181,12 +187,16 @@
             announcement = active_by_id.get(endpoint_id)
             if announcement is None or announcement.born_ms != handle.endpoint.born_ms:
                 del self.handle_by_id[endpoint_id]
+                self.handle_by_agent.pop(handle.endpoint.agent, None)
                 handle.close()
                 self.gone_addresses.put(handle.endpoint.address)
         for endpoint_id, announcement in active_by_id.items():
             known = self.handle_by_id.get(endpoint_id)
             if known is None:
-                self.handle_by_id[endpoint_id] = self._make_handle(announcement)
+                handle = self._make_handle(announcement)
+                self.handle_by_id[endpoint_id] = handle
+                if announcement.agent:
+                    self.handle_by_agent[announcement.agent] = handle
             else:
                 known.endpoint = announcement
 
@@ -199,15 +209,7 @@
         if not announcement.agent:
             return EndpointHandle(announcement, local, local)
         admission = RemoteAdmission(
-            self.settings.node_id,
-            announcement.agent,
-            self.client,
-            local,
-            self.events,
-            self.now,
-            lambda usages: self.shares.update(
-                announcement.endpoint_id, usages, self.now()
-            ),
+            announcement.agent, self.client, local, self.events, self.now
         )
         self.new_admission_clients.put(admission)
         return EndpointHandle(announcement, admission, local)
@@ -356,9 +358,17 @@
         """
         if self.table is None:
             return None
+        now = self.now()
+        if not self.shares_stale and self.shares.is_stale(now):
+            self.shares_stale = True
+            self.events.record(
+                EventCode.USAGE_STALE, seconds=round(now - self.shares.heard_at, 2)
+            )
         tokens_per_second = self.table.configuration.tokens_per_second
         return self.shares.share(
-            tokens_per_second * self._unpaused_fraction(), self.now()
+            tokens_per_second * self._unpaused_fraction(),
+            self.budget.router_count,
+            now,
         )
 
     def _unpaused_fraction(self) -> float:
--- a/pistachiolever/gateway/models.py
+++ b/pistachiolever/gateway/models.py
@@ -2,6 +2,7 @@
 
 from attrs import define, field, frozen
 
+from pistachiolever.admission.const import OUTPUT_TOKEN_WEIGHT
 from pistachiolever.admission.models import PromptPart
 from pistachiolever.http1.models import RequestHead
 from pistachiolever.routing.models import ProxyRoute, ProxyService
@@ -84,6 +85,12 @@
             return min(self.metadata.length_hint, maximum or self.metadata.length_hint)
         return maximum // 2
 
+    @property
+    def cost(self) -> float:
+        """Return the weighted tokens that the account is charged."""
+        prompt_tokens = self.metadata.prompt_tokens
+        return prompt_tokens + OUTPUT_TOKEN_WEIGHT * self.output_tokens
+
     def remaining_seconds(self, now: float) -> float:
         """Return the seconds until the deadline."""
         return self.deadline_at - now
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -19,6 +19,7 @@
     RETRY_AFTER_FRACTION,
 )
 from pistachiolever.gateway.event_stream import EventSplitter
+from pistachiolever.gateway.fair_shares import OwnGrant
 from pistachiolever.gateway.fleet import EndpointHandle, FleetView
 from pistachiolever.gateway.header_format import HeaderFormat
 from pistachiolever.gateway.models import ProxyRequest
@@ -65,6 +66,10 @@
         """Process the request; return once its response is complete or broken off."""
         request = self.request
         self.fleet.budget.record_request(request.service.service_id, self.fleet.now())
+        if request.service.engine:
+            self.fleet.shares.own.record_demand(
+                request.account_id, request.cost, self.fleet.now()
+            )
         while True:
             if request.remaining_seconds(self.fleet.now()) < MIN_ATTEMPT_SECONDS:
                 await self._fail("deadline")
@@ -144,11 +149,9 @@
         share = self.fleet.fair_share()
         if share is None or not self.request.service.engine:
             return False
-        # No endpoint has an empty id, so this is the service at all of them.
-        service = self.fleet.shares.elsewhere(
-            self.request.account_id, "", self.fleet.now()
+        return (
+            self.fleet.shares.total(self.request.account_id, self.fleet.now()) > share
         )
-        return service > share
 
     def _rank_endpoints(self, avoid: set[str]) -> list[RankedEndpoint]:
         """Return the endpoints for the request, the best first."""
@@ -198,9 +201,10 @@
             handle.bidding_tokens -= tokens
         if reply is None:
             return None
-        fleet.shares.record_service(
-            request.account_id, endpoint_id, reply.service, fleet.now()
-        )
+        if reply.granted and request.service.engine:
+            fleet.shares.own.record_grant(
+                OwnGrant(fleet.now(), request.account_id, endpoint_id, request.cost)
+            )
         fleet.events.record(
             EventCode.REQUEST_GRANTED if reply.granted else EventCode.BID_REFUSED,
             request.request_id,
@@ -233,7 +237,7 @@
             request.output_tokens if engine else 0,
             request.metadata.model,
             request.metadata.parts if engine else [],
-            self.fleet.shares.elsewhere(request.account_id, endpoint_id, now),
+            self.fleet.shares.total(request.account_id, now, endpoint_id),
             self.fleet.fair_share(),
             request.bid_count > 1,
             engine.slots if engine else handle.endpoint.slots,
--- a/pistachiolever/platform/main.py
+++ b/pistachiolever/platform/main.py
@@ -40,7 +40,9 @@
 from pistachiolever.platform.names import HEADER_FORMAT, METRICS_PATH, SETTINGS_VARIABLE
 from pistachiolever.platform.settings import PlatformSettings, read_settings
 from pistachiolever.registry.const import LEADER_TRANSFER_SECONDS
+from pistachiolever.registry.member_choice import MemberChoice
 from pistachiolever.registry.process import RegistryProcess
+from pistachiolever.registry.usage_reporting import UsageReporting
 from pistachiolever.registry.watcher import RegistryWatcher
 from pistachiolever.settings.errors import InvalidDocumentError
 
@@ -65,6 +67,10 @@
         """Return the event log of the process."""
         return self.output.logger
 
+    def choose_members(self, node_id: str, failure_domain: str) -> MemberChoice:
+        """Return the choice among the members of the registry for a process."""
+        return MemberChoice(node_id, failure_domain, lambda: self.settings.seeds)
+
     async def serve_metrics(self) -> None:
         """Serve the metrics of the process."""
         delay = LoopDelay()
@@ -119,14 +125,8 @@
         current_time,
         context.instruments,
     )
-    watcher = RegistryWatcher(
-        settings.node_id,
-        True,
-        lambda: context.settings.seeds,
-        client,
-        fleet,
-        context.events,
-    )
+    choice = context.choose_members(settings.node_id, settings.failure_domain)
+    watcher = RegistryWatcher(choice, client, fleet, context.events)
     process = GatewayProcess(settings, HEADER_FORMAT, fleet, watcher)
     async with create_task_group() as group:
         group.start_soon(process.run)
@@ -137,12 +137,21 @@
 
 async def run_agent(context: RoleContext) -> None:
     """Run the agent of an engine until the stop event is set."""
+    settings = context.settings.agent()
     client = PeerClient()
     probe = EngineClient(context.settings.engine_address, client)
     process = AgentProcess(probe, context.events, SystemRandom(), context.instruments)
+    reporting = UsageReporting(
+        process.make_reporter(settings),
+        context.choose_members(settings.node_id, settings.failure_domain),
+        client,
+        context.events,
+        current_time,
+    )
     server = HttpServer(context.settings.peer_address, process.api().handle)
     async with create_task_group() as group:
         group.start_soon(process.run)
+        group.start_soon(reporting.run)
         group.start_soon(server.serve)
         await context.stop.wait()
         group.cancel_scope.cancel()
--- a/pistachiolever/platform/settings.py
+++ b/pistachiolever/platform/settings.py
@@ -6,6 +6,7 @@
 
 from attrs import frozen
 
+from pistachiolever.admission.settings import AgentSettings
 from pistachiolever.gateway.const import DEFAULT_DRAIN_SECONDS
 from pistachiolever.gateway.settings import GatewaySettings
 from pistachiolever.platform.names import METRICS_PORT, READY_PATH
@@ -88,8 +89,13 @@
             self.seeds,
             str(self.fields["dataDir"]),
             bool(self.fields.get("bootstrap", False)),
+            str(self.fields["zone"]),
         )
 
+    def agent(self) -> AgentSettings:
+        """Return the settings of an agent."""
+        return AgentSettings(self.node, str(self.fields["zone"]), self.peer_address)
+
 
 def read_settings(path: Path) -> PlatformSettings:
     """Return the settings in a file; raise InvalidDocumentError."""
--- a/pistachiolever/raft/core.py
+++ b/pistachiolever/raft/core.py
@@ -174,6 +174,10 @@
         """
         return self.is_leader and now - self._quorum_contact_time() < LEASE_SECONDS
 
+    def last_quorum_contact(self) -> float:
+        """Return when this member last heard from a quorum, or from its leader."""
+        return self._quorum_contact_time() if self.is_leader else self.last_contact_at
+
     # Inputs.
 
     def _propose(self, message: Propose) -> None:
--- a/pistachiolever/registry/const.py
+++ b/pistachiolever/registry/const.py
@@ -7,7 +7,10 @@
 STORE_PATH: Final = "/registry/store"
 READ_PATH: Final = "/registry/read"
 ANNOUNCE_PATH: Final = "/registry/announce"
+SYNC_PATH: Final = "/registry/sync"
 WATCH_PATH: Final = "/registry/watch"
+REPORT_PATH: Final = "/registry/report"
+DIGEST_PATH: Final = "/registry/digest"
 
 # An operator's client stops waiting for a member after one second.
 OPERATOR_TIMEOUT_SECONDS: Final = 0.85
@@ -31,8 +34,20 @@
 ANNOUNCE_BATCH_SECONDS: Final = 0.25
 # An endpoint waits one second for its acknowledgement.
 REPLICATE_TIMEOUT_SECONDS: Final = 0.45
-# A router that has not sent a watch request for this long is not counted.
-ROUTER_TIMEOUT_SECONDS: Final = 3.0
+# A restarted member waits this long for the directories of the others before it tells
+# watchers what it knows.
+SYNC_SECONDS: Final = 0.6
+# An announcement without changes is sent to the other members at most this often; they
+# would forget the endpoint after six times as long.
+UNCHANGED_ANNOUNCE_SECONDS: Final = 5.0
+# A watcher watches this many members, so that none alone can delay an update.
+WATCHED_MEMBERS: Final = 2
+# Time until a member that did not reply is tried again, and the limit of its doubling.
+MEMBER_RETRY_SECONDS: Final = 1.0
+MAX_MEMBER_RETRY_SECONDS: Final = 8.0
+# A member without contact with a quorum for this long tells so: what it knows may be
+# out of date. Twice an election takes less.
+QUORUM_CONTACT_SECONDS: Final = 1.5
 EXPIRY_CHECK_SECONDS: Final = 1.0
 # How long a stopping member waits for another one to become leader.
 LEADER_TRANSFER_SECONDS: Final = 0.4
--- a/pistachiolever/registry/endpoint_replicator.py
+++ b/pistachiolever/registry/endpoint_replicator.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from anyio import create_task_group, sleep
+from anyio.abc import TaskGroup
 from attrs import define, field
 
 from pistachiolever.discovery.directory import EndpointDirectory
@@ -16,9 +17,33 @@
     ANNOUNCE_PATH,
     EXPIRY_CHECK_SECONDS,
     REPLICATE_TIMEOUT_SECONDS,
+    SYNC_PATH,
+    SYNC_SECONDS,
+    UNCHANGED_ANNOUNCE_SECONDS,
 )
 from pistachiolever.registry.errors import UnavailableError
-from pistachiolever.registry.models import Accepted, AnnounceBatch
+from pistachiolever.registry.models import AnnounceBatch, AnnounceReply, SyncRequest
+
+
+@define
+class PeerQueue:
+    """Announcements that another member has not accepted yet, by endpoint."""
+
+    unsent_by_id: dict[str, Announcement] = field(factory=dict)
+    is_sending: bool = False
+
+    def add(self, announcements: list[Announcement]) -> None:
+        """Queue announcements, unless newer ones of the same endpoints are queued."""
+        for announcement in announcements:
+            known = self.unsent_by_id.get(announcement.endpoint_id)
+            if known is None or known.sort_key < announcement.sort_key:
+                self.unsent_by_id[announcement.endpoint_id] = announcement
+
+    def pop_all(self) -> list[Announcement]:
+        """Remove and return the queued announcements."""
+        announcements = list(self.unsent_by_id.values())
+        self.unsent_by_id.clear()
+        return announcements
 
 
 @define
@@ -35,7 +60,8 @@
     peers: Callable[[], list[str]]
     on_change: Callable[[], None]
     directory: EndpointDirectory = field(factory=EndpointDirectory)
-    unsent_by_id: dict[str, Announcement] = field(factory=dict)
+    queue_by_peer: dict[str, PeerQueue] = field(factory=dict)
+    sent_at_by_id: dict[str, float] = field(factory=dict)
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -49,7 +75,6 @@
         Raise UnavailableError if a draining announcement cannot be replicated.
         """
         changed = self.directory.merge(announcement, self.now())
-        self.unsent_by_id[announcement.endpoint_id] = announcement
         if changed:
             self._record(announcement, "announced")
             self.on_change()
@@ -57,6 +82,8 @@
             # Draining is acknowledged only once enough members know of it to inform
             # the routers. This also holds for a repeated announcement.
             await self._replicate(announcement)
+        elif changed or self._is_refresh_due(announcement):
+            self._queue_for_all([announcement])
 
     async def deregister(self, endpoint_id: str, born_ms: int | None) -> None:
         """Mark an endpoint gone; raise UnavailableError if this is not replicated.
@@ -68,67 +95,151 @@
             raise UnavailableError(f"the start time of {endpoint_id} is not known here")
         announcement = self.directory.mark_gone(endpoint_id, born_ms, self.now())
         self._record(announcement, "left")
-        self.unsent_by_id[announcement.endpoint_id] = announcement
         self.on_change()
         await self._replicate(announcement)
 
-    def merge_batch(self, batch: AnnounceBatch) -> None:
-        """Merge announcements received from another member."""
-        now = self.now()
-        changes = [
-            announcement
+    def merge_batch(self, batch: AnnounceBatch) -> AnnounceReply:
+        """Merge announcements of another member; return newer ones that it lacks."""
+        self._merge_all(batch.announcements)
+        known = [
+            record.announcement
             for announcement in batch.announcements
-            if self.directory.merge(announcement, now)
+            if (record := self.directory.record_by_id.get(announcement.endpoint_id))
+            and record.announcement.sort_key > announcement.sort_key
         ]
+        return AnnounceReply(known)
+
+    def everything(self) -> AnnounceBatch:
+        """Return the whole directory, with the ends of incarnations."""
+        return AnnounceBatch(self.directory.changed_since(-1))
+
+    async def sync(self) -> None:
+        """Merge the directories of the other members, within SYNC_SECONDS.
+
+        Without them a restarted member would take a late announcement of an endpoint
+        that has left for a new one.
+        """
+
+        async def fetch(address: str) -> None:
+            """Merge the directory of one member, if it responds."""
+            try:
+                batch = await self.client.call(
+                    address, SYNC_PATH, SyncRequest(), AnnounceBatch, SYNC_SECONDS
+                )
+            except PeerError as error:
+                self.events.record(
+                    EventCode.MEMBER_LOST, member=address, error=str(error)
+                )
+                return
+            self._merge_all(batch.announcements)
+
+        async with create_task_group() as group:
+            for address in self.peers():
+                group.start_soon(fetch, address)
+
+    def _merge_all(self, announcements: list[Announcement]) -> None:
+        """Merge announcements that another member knows."""
+        now = self.now()
+        changes = [a for a in announcements if self.directory.merge(a, now)]
         for announcement in changes:
             self._record(announcement, "told")
         if changes:
             self.on_change()
 
-    async def _replicate(self, announcement: Announcement) -> None:
-        """Send an announcement now; raise if fewer than half of the peers accept it."""
+    def _is_refresh_due(self, announcement: Announcement) -> bool:
+        """Return whether the other members should hear that an endpoint is alive."""
+        record = self.directory.record_by_id.get(announcement.endpoint_id)
+        if record is None or record.announcement != announcement:
+            return False
+        sent_at = self.sent_at_by_id.get(announcement.endpoint_id, float("-inf"))
+        return self.now() - sent_at >= UNCHANGED_ANNOUNCE_SECONDS
+
+    def _queue_for_all(self, announcements: list[Announcement]) -> None:
+        """Queue announcements for the next batch to each other member."""
+        for announcement in announcements:
+            self.sent_at_by_id[announcement.endpoint_id] = self.now()
+        for queue in self._queues().values():
+            queue.add(announcements)
+
+    def _queues(self) -> dict[str, PeerQueue]:
+        """Return the queues of the current peers; a new one gets the directory."""
         peers = self.peers()
-        accepted = await self._send_to_all(peers, AnnounceBatch([announcement]))
-        if peers and accepted * 2 < len(peers):
+        for address in self.queue_by_peer.keys() - set(peers):
+            del self.queue_by_peer[address]
+        for address in peers:
+            if address not in self.queue_by_peer:
+                queue = self.queue_by_peer[address] = PeerQueue()
+                queue.add(self.directory.changed_since(-1))
+        return self.queue_by_peer
+
+    async def _replicate(self, announcement: Announcement) -> None:
+        """Send an announcement now; raise if fewer than half of the peers accept it.
+
+        The others get it with their next batches.
+        """
+        peers = dict(self._queues())
+        accepted: list[str] = []
+
+        async def send(address: str, queue: PeerQueue) -> None:
+            """Send to one member."""
+            if await self._send(address, queue, [announcement]):
+                accepted.append(address)
+
+        async with create_task_group() as group:
+            for address, queue in peers.items():
+                group.start_soon(send, address, queue)
+        if peers and len(accepted) * 2 < len(peers):
             raise UnavailableError(
-                f"only {accepted} of {len(peers)} other members accepted the update of "
-                f"endpoint {announcement.endpoint_id}"
+                f"only {len(accepted)} of {len(peers)} other members accepted the "
+                f"update of endpoint {announcement.endpoint_id}"
             )
 
     async def _send_batches(self) -> None:
-        """Send announcements to the other members at regular intervals."""
-        while True:
-            await sleep(ANNOUNCE_BATCH_SECONDS)
-            if not self.unsent_by_id:
-                continue
-            batch = AnnounceBatch(list(self.unsent_by_id.values()))
-            self.unsent_by_id.clear()
-            await self._send_to_all(self.peers(), batch)
-
-    async def _send_to_all(self, addresses: list[str], batch: AnnounceBatch) -> int:
-        """Send announcements to members; return how many accepted them."""
-        accepted: list[str] = []
+        """Send queued announcements to the other members at regular intervals."""
+        async with create_task_group() as group:
+            while True:
+                await sleep(ANNOUNCE_BATCH_SECONDS)
+                self._start_batches(group)
 
-        async def send(address: str) -> None:
-            """Send to one member; after a failure it only gets later announcements."""
-            try:
-                await self.client.call(
-                    address, ANNOUNCE_PATH, batch, Accepted, REPLICATE_TIMEOUT_SECONDS
-                )
-            except PeerError:
-                return
-            accepted.append(address)
+    def _start_batches(self, group: TaskGroup) -> None:
+        """Start sending to each member that is not still receiving a batch."""
+        for address, queue in self._queues().items():
+            if queue.unsent_by_id and not queue.is_sending:
+                queue.is_sending = True
+                group.start_soon(self._send_batch, address, queue)
 
-        async with create_task_group() as group:
-            for address in addresses:
-                group.start_soon(send, address)
-        return len(accepted)
+    async def _send_batch(self, address: str, queue: PeerQueue) -> None:
+        """Send what is queued for one member."""
+        try:
+            await self._send(address, queue, queue.pop_all())
+        finally:
+            queue.is_sending = False
+
+    async def _send(
+        self, address: str, queue: PeerQueue, announcements: list[Announcement]
+    ) -> bool:
+        """Send announcements to one member; queue them again if it does not reply."""
+        try:
+            reply = await self.client.call(
+                address,
+                ANNOUNCE_PATH,
+                AnnounceBatch(announcements),
+                AnnounceReply,
+                REPLICATE_TIMEOUT_SECONDS,
+            )
+        except PeerError:
+            # Raft and the watchers report members that do not respond.
+            queue.add(announcements)
+            return False
+        self._merge_all(reply.newer)
+        return True
 
     async def _expire(self) -> None:
         """Remove endpoints that timed out."""
         while True:
             await sleep(EXPIRY_CHECK_SECONDS)
             for endpoint_id in self.directory.expire(self.now()):
+                self.sent_at_by_id.pop(endpoint_id, None)
                 self.events.record(EventCode.ENDPOINT_DROPPED, endpoint=endpoint_id)
 
     def _record(self, announcement: Announcement, what: str) -> None:
--- a/pistachiolever/registry/models.py
+++ b/pistachiolever/registry/models.py
@@ -3,6 +3,7 @@
 from attrs import field, frozen
 
 from pistachiolever.discovery.models import Announcement
+from pistachiolever.usage.models import UsageUpdate
 
 
 @frozen
@@ -54,40 +55,77 @@
     announcements: list[Announcement]
 
 
+@frozen
+class AnnounceReply:
+    """Newer announcements of the same endpoints that the receiver knows."""
+
+    newer: list[Announcement] = field(factory=list)
+
+
+@frozen
+class SyncRequest:
+    """Asks for the whole endpoint directory, after a restart."""
+
+
 @frozen
 class Accepted:
     """Empty reply to a call that was accepted."""
 
 
+@frozen
+class MemberInfo:
+    """Address of a voter and its failure domain, empty if not known yet."""
+
+    address: str
+    domain: str = ""
+
+
+@frozen
+class ReportReply:
+    """Reply to an agent's report: the member's incarnation and the voters.
+
+    `behind` is true if the member has had no contact with a quorum recently.
+    """
+
+    life: str
+    members: list[MemberInfo] = field(factory=list)
+    behind: bool = False
+
+
 @frozen
 class WatchRequest:
     """What a watcher has already received, so that only updates are sent.
 
     `version` is the newest configuration version that the watcher has from any member.
-    `life` is the answering member's incarnation, `change` its change number and
-    `members` the addresses of the voters, all as of its last reply.
+    `life` is the answering member's incarnation, `change` the number of its directory,
+    `usage` that of its sums and `members` the voters, all as of its last reply. Only a
+    watcher that `wants_usage` gets the sums.
     """
 
     watcher_id: str
-    is_router: bool
     version: int
+    wants_usage: bool = False
     life: str = ""
     change: int = 0
-    members: list[str] = field(factory=list)
+    usage: int = 0
+    members: list[MemberInfo] = field(factory=list)
 
 
 @frozen
 class WatchReply:
     """Updates for a watcher; `document` is empty if it has the newest version.
 
-    `life`, `change` and `members` are as in the request; `routers` is the number of
-    routers that watch the answering member.
+    `life`, `change` and `members` are as in the request, `behind` as in ReportReply;
+    `routers` is the number of routers in the fleet. `usage` is what has changed in the
+    sums, None if the watcher does not want it.
     """
 
     life: str
     change: int
-    members: list[str]
+    members: list[MemberInfo]
     routers: int
     version: int = -1
     document: str = ""
     announcements: list[Announcement] = field(factory=list)
+    usage: UsageUpdate | None = None
+    behind: bool = False
--- a/pistachiolever/registry/process.py
+++ b/pistachiolever/registry/process.py
@@ -4,7 +4,7 @@
 from random import Random
 from typing import Protocol
 
-from anyio import Event, create_task_group, current_time, move_on_after, sleep
+from anyio import create_task_group, current_time, move_on_after, sleep
 from attrs import define, field
 
 from pistachiolever.control.commands import ConfigurationStored, StoreConfiguration
@@ -27,6 +27,7 @@
 from pistachiolever.raft.models import Join, RaftEnvelope, Received, RoleChanged
 from pistachiolever.registry.const import (
     ANNOUNCE_PATH,
+    DIGEST_PATH,
     FOUNDER_INCARNATION,
     JOIN_PATH,
     JOIN_SECONDS,
@@ -38,9 +39,9 @@
     RAFT_CALL_SECONDS,
     RAFT_PATH,
     READ_PATH,
-    ROUTER_TIMEOUT_SECONDS,
+    REPORT_PATH,
     STORE_PATH,
-    WATCH_HOLD_SECONDS,
+    SYNC_PATH,
     WATCH_PATH,
 )
 from pistachiolever.registry.endpoint_replicator import EndpointReplicator
@@ -48,16 +49,22 @@
 from pistachiolever.registry.models import (
     Accepted,
     AnnounceBatch,
+    AnnounceReply,
     JoinReply,
     JoinRequest,
     ReadReply,
     ReadRequest,
+    ReportReply,
     StoreReply,
     StoreRequest,
-    WatchReply,
+    SyncRequest,
     WatchRequest,
 )
 from pistachiolever.registry.settings import RegistrySettings
+from pistachiolever.registry.usage_exchange import UsageExchange
+from pistachiolever.registry.watch_service import WatchService
+from pistachiolever.usage.aggregate import UsageAggregate
+from pistachiolever.usage.models import AgentReport, DigestReply, MemberDigest
 
 
 class DocumentValidator(Protocol):
@@ -108,12 +115,11 @@
     core: RaftCore = field(init=False)
     consensus: ConsensusNode = field(init=False)
     endpoints: EndpointReplicator = field(init=False)
+    watches: WatchService = field(init=False)
+    usage: UsageExchange = field(init=False)
     sender_by_member: dict[str, RaftSender] = field(factory=dict)
     new_senders: Mailbox[RaftSender] = field(factory=Mailbox)
-    last_watch_by_router: dict[str, float] = field(factory=dict)
     known_addresses: list[str] = field(factory=list)
-    changed: Event = field(factory=Event)
-    caught_up: bool = False
     recorded_version: int = -1
 
     def __attrs_post_init__(self) -> None:
@@ -138,7 +144,20 @@
             self.events,
             self.now,
             self._other_addresses,
-            self._notify_watchers,
+            lambda: self.watches.notify(),
+        )
+        aggregate = UsageAggregate(
+            self.settings.address, self.incarnation, self.settings.failure_domain
+        )
+        self.watches = WatchService(
+            self.core, self.state, self.endpoints.directory, aggregate, self.now
+        )
+        self.usage = UsageExchange(
+            aggregate,
+            self.client,
+            self.now,
+            self._other_addresses,
+            self.watches.notify,
         )
         self.known_addresses = list(self.settings.seeds)
         gauge = self.instruments.gauge
@@ -149,7 +168,7 @@
         gauge(
             "pistachiolever_endpoints", lambda: len(self.endpoints.directory.active())
         )
-        gauge("pistachiolever_routers", self._router_count)
+        gauge("pistachiolever_routers", lambda: aggregate.router_count(self.now()))
         gauge("pistachiolever_leads", lambda: self.core.is_leader)
         gauge("pistachiolever_members", lambda: len(self.core.members))
         gauge("pistachiolever_term", lambda: self.core.term)
@@ -186,10 +205,18 @@
             group.start_soon(self.consensus.run)
             group.start_soon(self._join_when_needed)
             group.start_soon(self.endpoints.run)
+            group.start_soon(self.usage.run)
+            group.start_soon(self._sync_endpoints)
             while senders := await self.new_senders.get_all():
                 for sender in senders:
                     group.start_soon(sender.run)
 
+    async def _sync_endpoints(self) -> None:
+        """Fill the directory after the start, then serve watchers."""
+        await self.endpoints.sync()
+        self.watches.synced = True
+        self.watches.notify()
+
     async def transfer_leadership(self) -> None:
         """Let another member become leader before this one stops."""
         self.consensus.transfer_leadership()
@@ -205,7 +232,10 @@
         api.add(STORE_PATH, StoreRequest, self._handle_store)
         api.add(READ_PATH, ReadRequest, self._handle_read)
         api.add(ANNOUNCE_PATH, AnnounceBatch, self._handle_announcements)
-        api.add(WATCH_PATH, WatchRequest, self._handle_watch)
+        api.add(SYNC_PATH, SyncRequest, self._handle_sync)
+        api.add(WATCH_PATH, WatchRequest, self.watches.handle_watch)
+        api.add(REPORT_PATH, AgentReport, self._handle_report)
+        api.add(DIGEST_PATH, MemberDigest, self._handle_digest)
         return api
 
     # Calls of operators.
@@ -352,8 +382,7 @@
                 index=self.core.applied_index,
                 term=self.core.term,
             )
-        self._update_caught_up()
-        self._notify_watchers()
+        self.watches.handle_applied()
 
     def members_changed(self, members: list[str]) -> None:
         """Record the new voters, stop sending to replaced ones, notify the watchers."""
@@ -361,7 +390,7 @@
         for member in [m for m in self.sender_by_member if m not in members]:
             if address_of(member) in {address_of(m) for m in members}:
                 self.sender_by_member.pop(member).outbox.close()
-        self._notify_watchers()
+        self.watches.notify()
 
     def role_changed(self, action: RoleChanged) -> None:
         """Record the current leader."""
@@ -376,21 +405,6 @@
         """Record a failed write to disk."""
         self.events.record(EventCode.DISK_FAILED, error=str(error))
 
-    def _update_caught_up(self) -> None:
-        """Check whether an entry of the current term has been applied.
-
-        Until then the configuration here may be older than the newest committed one,
-        so it is not sent to watchers.
-        """
-        core = self.core
-        if not self.caught_up and core.log.term_at(core.applied_index) == core.term:
-            self.caught_up = True
-
-    def _notify_watchers(self) -> None:
-        """Wake the watch requests that wait for updates."""
-        changed, self.changed = self.changed, Event()
-        changed.set()
-
     # Calls of other members and of watchers.
 
     async def _handle_raft(self, envelopes: list[RaftEnvelope]) -> Accepted:
@@ -418,54 +432,20 @@
         except NotLeaderError as error:
             raise CallRefusedError(409) from error
 
-    async def _handle_announcements(self, batch: AnnounceBatch) -> Accepted:
+    async def _handle_announcements(self, batch: AnnounceBatch) -> AnnounceReply:
         """Merge announcements received by another member."""
-        self.endpoints.merge_batch(batch)
-        return Accepted()
+        return self.endpoints.merge_batch(batch)
 
-    async def _handle_watch(self, request: WatchRequest) -> WatchReply:
-        """Reply when there are updates, or after WATCH_HOLD_SECONDS."""
-        if request.is_router:
-            self.last_watch_by_router[request.watcher_id] = self.now()
-        with move_on_after(WATCH_HOLD_SECONDS):
-            while not self._has_updates(request):
-                await self.changed.wait()
-        if request.is_router:
-            self.last_watch_by_router[request.watcher_id] = self.now()
-        return self._make_watch_reply(request)
-
-    def _has_updates(self, request: WatchRequest) -> bool:
-        """Return whether there are updates for a watcher."""
-        return (
-            request.life != self.incarnation
-            or self.endpoints.directory.change_number > request.change
-            or (self.caught_up and self.state.configuration.version > request.version)
-            or self._member_addresses() != request.members
-        )
+    async def _handle_sync(self, _request: SyncRequest) -> AnnounceBatch:
+        """Return the endpoint directory to a member that has restarted."""
+        return self.endpoints.everything()
 
-    def _make_watch_reply(self, request: WatchRequest) -> WatchReply:
-        """Return the updates for a watcher."""
-        current = self.state.configuration
-        is_newer = self.caught_up and current.version > request.version
-        known = request.change if request.life == self.incarnation else -1
-        return WatchReply(
-            self.incarnation,
-            self.endpoints.directory.change_number,
-            self._member_addresses(),
-            self._router_count(),
-            current.version if is_newer else -1,
-            current.document if is_newer else "",
-            self.endpoints.directory.changed_since(known),
-        )
+    async def _handle_report(self, report: AgentReport) -> ReportReply:
+        """Apply an agent's report of usage and load."""
+        self.usage.aggregate.handle_report(report, self.now())
+        watches = self.watches
+        return ReportReply(self.incarnation, watches.members(), watches.is_behind())
 
-    def _member_addresses(self) -> list[str]:
-        """Return the addresses of the voters, which watchers should watch."""
-        return [address_of(member) for member in self.core.members]
-
-    def _router_count(self) -> int:
-        """Return the number of routers with a recent watch request."""
-        limit = self.now() - ROUTER_TIMEOUT_SECONDS
-        for router, at in list(self.last_watch_by_router.items()):
-            if at < limit:
-                del self.last_watch_by_router[router]
-        return len(self.last_watch_by_router)
+    async def _handle_digest(self, digest: MemberDigest) -> DigestReply:
+        """Apply another member's digest of usage and loads."""
+        return self.usage.handle_digest(digest)
--- a/pistachiolever/registry/settings.py
+++ b/pistachiolever/registry/settings.py
@@ -16,3 +16,4 @@
     seeds: list[str]
     data_folder: str
     founder: bool = False
+    failure_domain: str = ""
--- /dev/null
+++ b/pistachiolever/registry/watch_service.py
@@ -0,0 +1,101 @@
+"""Serves watchers: holds their requests until there are updates."""
+
+from collections.abc import Callable
+
+from anyio import Event, move_on_after
+from attrs import define, field
+
+from pistachiolever.control.state import ControlState
+from pistachiolever.discovery.directory import EndpointDirectory
+from pistachiolever.raft.core import RaftCore
+from pistachiolever.raft.membership import address_of
+from pistachiolever.registry.const import QUORUM_CONTACT_SECONDS, WATCH_HOLD_SECONDS
+from pistachiolever.registry.models import MemberInfo, WatchReply, WatchRequest
+from pistachiolever.usage.aggregate import UsageAggregate
+
+
+@define
+class WatchService:
+    """What one member tells its watchers.
+
+    `caught_up` is true once an entry of the current term was applied since the start,
+    `synced` once the directory was filled. Before that, and while the member is out of
+    touch with a quorum, what it knows may be older than what was acknowledged.
+    """
+
+    core: RaftCore
+    state: ControlState
+    directory: EndpointDirectory
+    aggregate: UsageAggregate
+    now: Callable[[], float]
+    caught_up: bool = False
+    synced: bool = False
+    changed: Event = field(factory=Event)
+
+    def notify(self) -> None:
+        """Wake the requests that wait for updates."""
+        changed, self.changed = self.changed, Event()
+        changed.set()
+
+    def handle_applied(self) -> None:
+        """Check whether the configuration is current; wake the waiting requests."""
+        core = self.core
+        if not self.caught_up and core.log.term_at(core.applied_index) == core.term:
+            self.caught_up = True
+        self.notify()
+
+    def members(self) -> list[MemberInfo]:
+        """Return the voters, of which watchers should watch some."""
+        addresses = [address_of(member) for member in self.core.members]
+        return [MemberInfo(a, self.aggregate.domain_of(a)) for a in addresses]
+
+    def is_behind(self) -> bool:
+        """Return whether this member may miss what was committed recently."""
+        silent_seconds = self.now() - self.core.last_quorum_contact()
+        return silent_seconds > QUORUM_CONTACT_SECONDS
+
+    async def handle_watch(self, request: WatchRequest) -> WatchReply:
+        """Reply when there are updates, or after WATCH_HOLD_SECONDS."""
+        self.aggregate.record_router(request.watcher_id, self.now())
+        with move_on_after(WATCH_HOLD_SECONDS):
+            while not self._has_updates(request):
+                await self.changed.wait()
+        return self._make_reply(request)
+
+    def _has_updates(self, request: WatchRequest) -> bool:
+        """Return whether there are updates for a watcher."""
+        if not self.synced:
+            return False
+        return (
+            request.life != self.aggregate.life
+            or self.directory.change_number > request.change
+            or self._has_newer_configuration(request)
+            or (request.wants_usage and self.aggregate.number > request.usage)
+            or self.members() != request.members
+        )
+
+    def _has_newer_configuration(self, request: WatchRequest) -> bool:
+        """Return whether there is a configuration that may be sent to a watcher."""
+        if self.state.configuration.version <= request.version:
+            return False
+        return self.caught_up and not self.is_behind()
+
+    def _make_reply(self, request: WatchRequest) -> WatchReply:
+        """Return the updates for a watcher."""
+        current, now = self.state.configuration, self.now()
+        is_newer = self._has_newer_configuration(request)
+        knows = request.life == self.aggregate.life
+        usage = None
+        if request.wants_usage:
+            usage = self.aggregate.update_since(request.usage if knows else -1, now)
+        return WatchReply(
+            self.aggregate.life,
+            self.directory.change_number,
+            self.members(),
+            self.aggregate.router_count(now),
+            current.version if is_newer else -1,
+            current.document if is_newer else "",
+            self.directory.changed_since(request.change if knows else -1),
+            usage,
+            self.is_behind(),
+        )
--- a/pistachiolever/registry/watcher.py
+++ b/pistachiolever/registry/watcher.py
@@ -1,9 +1,9 @@
-"""Watches the registry with one long-polling task for each known member."""
+"""Watches the registry by long polls of the preferred members."""
 
 from collections.abc import Callable
 from typing import Protocol
 
-from anyio import CancelScope, create_task_group, sleep
+from anyio import CancelScope, create_task_group, current_time, sleep
 from anyio.abc import TaskGroup
 from attrs import define, evolve, field
 
@@ -16,8 +16,11 @@
     WATCH_CALL_SECONDS,
     WATCH_PATH,
     WATCH_RETRY_SECONDS,
+    WATCHED_MEMBERS,
 )
+from pistachiolever.registry.member_choice import MemberChoice
 from pistachiolever.registry.models import WatchReply, WatchRequest
+from pistachiolever.usage.models import UsageUpdate
 
 
 class RegistryListener(Protocol):
@@ -29,24 +32,28 @@
     def apply_announcements(self, announcements: list[Announcement]) -> None:
         """Merge announcements of endpoints."""
 
+    def apply_usage(self, update: UsageUpdate) -> None:
+        """Apply what has changed in the accounts' usage and the endpoints' loads."""
+
     def update_router_count(self, count: int) -> None:
         """Update the number of routers that share the endpoints."""
 
 
 @define
 class RegistryWatcher:
-    """Watches all members at once, so that none alone can delay an update."""
+    """Watches WATCHED_MEMBERS members, so that none alone can delay an update.
+
+    The first one also tells the sums of usage and the loads.
+    """
 
-    watcher_id: str
-    is_router: bool
-    seeds: Callable[[], list[str]]
+    choice: MemberChoice
     client: PeerClient
     listener: RegistryListener
     events: EventLogger
+    now: Callable[[], float] = current_time
     version: int = -1
-    members: list[str] = field(factory=list)
+    primary: str = ""
     scope_by_address: dict[str, CancelScope] = field(factory=dict)
-    unreachable: set[str] = field(factory=set)
     _group: TaskGroup | None = None
 
     async def run(self) -> None:
@@ -58,50 +65,53 @@
                 await sleep(WATCH_RETRY_SECONDS)
 
     def is_connected(self) -> bool:
-        """Return whether at least one member responds."""
-        return any(address not in self.unreachable for address in self.scope_by_address)
+        """Return whether at least one watched member responds."""
+        failed = self.choice.failures_by_address
+        return any(address not in failed for address in self.scope_by_address)
 
     def _update_watches(self) -> None:
-        """Start and stop tasks so that exactly the known members are watched.
-
-        The seeds are added if no member is known or none responds.
-        """
-        wanted = set(self.members)
-        if not wanted or wanted <= self.unreachable:
-            wanted |= set(self.seeds())
-        for address in wanted - self.scope_by_address.keys():
-            assert self._group is not None
-            self._group.start_soon(self._watch, address)
-        for address in self.scope_by_address.keys() - wanted:
+        """Start and stop tasks so that exactly the preferred members are watched."""
+        wanted = self.choice.choose(WATCHED_MEMBERS, self.now())
+        self.primary = wanted[0] if wanted else ""
+        for address in wanted:
+            if address not in self.scope_by_address:
+                assert self._group is not None
+                self._group.start_soon(self._watch, address)
+        for address in self.scope_by_address.keys() - set(wanted):
             self.scope_by_address[address].cancel()
 
     async def _watch(self, address: str) -> None:
         """Watch one member."""
         if address in self.scope_by_address:
             return
-        request = WatchRequest(self.watcher_id, self.is_router, self.version)
+        request = WatchRequest(self.choice.process_id, self.version)
         with CancelScope() as scope:
             self.scope_by_address[address] = scope
             while True:
-                request = evolve(request, version=self.version)
+                request = evolve(
+                    request,
+                    version=self.version,
+                    wants_usage=address == self.primary,
+                )
                 try:
                     reply = await self.client.call(
                         address, WATCH_PATH, request, WatchReply, WATCH_CALL_SECONDS
                     )
                 except PeerError as error:
-                    self._record_unreachable(address, error)
+                    self._record_failure(address, error)
                     await sleep(WATCH_RETRY_SECONDS)
                     continue
-                self._record_reachable(address)
+                if self.choice.record_reply(address, reply.behind):
+                    self.events.record(EventCode.MEMBER_FOUND, member=address)
                 self._apply(reply)
                 request = evolve(
                     request,
                     life=reply.life,
                     change=reply.change,
+                    usage=reply.usage.number if reply.usage else -1,
                     members=reply.members,
                 )
         del self.scope_by_address[address]
-        self.unreachable.discard(address)
 
     def _apply(self, reply: WatchReply) -> None:
         """Pass the updates in a reply to the listener."""
@@ -111,17 +121,12 @@
             self.version = reply.version
             self.listener.apply_configuration(reply.version, reply.document)
         if reply.members:
-            self.members = reply.members
+            self.choice.update_members(reply.members)
+        if reply.usage is not None:
+            self.listener.apply_usage(reply.usage)
         self.listener.update_router_count(reply.routers)
 
-    def _record_unreachable(self, address: str, error: PeerError) -> None:
-        """Record that a member stopped answering."""
-        if address not in self.unreachable:
-            self.unreachable.add(address)
+    def _record_failure(self, address: str, error: PeerError) -> None:
+        """Record that a member did not reply; log the first time."""
+        if self.choice.record_failure(address, self.now()):
             self.events.record(EventCode.MEMBER_LOST, member=address, error=str(error))
-
-    def _record_reachable(self, address: str) -> None:
-        """Record that a member responds again."""
-        if address in self.unreachable:
-            self.unreachable.discard(address)
-            self.events.record(EventCode.MEMBER_FOUND, member=address)
--- /dev/null
+++ b/pistachiolever/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Accounts' usage and endpoints' loads over the whole fleet, summed by the registry."""
--- a/tests/admission/test_controller.py
+++ b/tests/admission/test_controller.py
@@ -14,7 +14,7 @@
 
 from pistachiolever.admission.controller import AdmissionController
 from pistachiolever.admission.core import AdmissionCore, Capacity
-from pistachiolever.admission.models import EndedRun
+from pistachiolever.admission.models import EndedRun, Progress
 from tests.admission.test_core import BID
 from tests.support.cases import CaseTest
 
@@ -55,7 +55,9 @@
                     reply = await controller.acquire(bid)
                 if reply is not None and reply.granted:
                     await sleep(rng.random() * 0.01)
-                    controller.handle_progress([], [EndedRun(bid.bid_id, 5)])
+                    controller.handle_progress(
+                        Progress(ended=[EndedRun(bid.bid_id, 5)])
+                    )
 
             async with create_task_group() as group:
                 for number in range(200):
--- a/tests/admission/test_core.py
+++ b/tests/admission/test_core.py
@@ -197,8 +197,8 @@
 
     def setUp(self) -> None:
         """Set the service and share that routers report for two accounts."""
-        self.hot: dict[str, Any] = {"elsewhere": 30_000.0, "share": 10_000.0}
-        self.small: dict[str, Any] = {"elsewhere": 0.0, "share": 10_000.0}
+        self.hot: dict[str, Any] = {"total": 30_000.0, "share": 10_000.0}
+        self.small: dict[str, Any] = {"total": 0.0, "share": 10_000.0}
 
     def test_shares_are_not_enforced_while_capacity_suffices(self) -> None:
         core = make_core()
@@ -238,8 +238,8 @@
         """Also if the account below its larger share has received more service."""
         core = self.busy_core()
         core.submit(bid("long", "other", prompt_tokens=6_000), 1.0)
-        core.submit(bid("hot", "hot", elsewhere=3_000.0, share=2_000.0), 1.0)
-        large = bid("large", "large", elsewhere=5_000.0, share=20_000.0)
+        core.submit(bid("hot", "hot", total=3_000.0, share=2_000.0), 1.0)
+        large = bid("large", "large", total=5_000.0, share=20_000.0)
         core.submit(large, 1.01)
         self.assertEqual(granted(core.handle_start("long", 1.2))[:1], ["large"])
 
@@ -253,7 +253,7 @@
     def test_underserved_prompt_size_is_not_over_the_share(self) -> None:
         """Guards against small prompts using up the whole share of their account."""
         core = make_core()
-        fields: dict[str, Any] = {"elsewhere": 0.0, "share": 16_000.0}
+        fields: dict[str, Any] = {"total": 0.0, "share": 16_000.0}
         now = 1.0
         for number in range(10):
             name = f"small{number}"
--- a/tests/gateway/test_admission_clients.py
+++ b/tests/gateway/test_admission_clients.py
@@ -40,9 +40,7 @@
     fleet = make_fleet([evolve(ENDPOINT, agent="a:1")], [100.0])
     fallback = fleet.handle_by_id["e0"].local_admission
     events = make_discarding_logger("r")
-    return RemoteAdmission(
-        "r", "a:1", client, fallback, events, current_time, lambda usages: None
-    )
+    return RemoteAdmission("a:1", client, fallback, events, current_time)
 
 
 class CancelledBidTest(CaseTest):
--- a/tests/gateway/test_drain.py
+++ b/tests/gateway/test_drain.py
@@ -19,6 +19,7 @@
 from pistachiolever.gateway.header_format import HeaderFormat
 from pistachiolever.gateway.process import GatewayProcess
 from pistachiolever.gateway.settings import GatewaySettings
+from pistachiolever.registry.member_choice import MemberChoice
 from pistachiolever.registry.watcher import RegistryWatcher
 from pistachiolever.routing.table import RouteTable
 from tests.gateway.test_relay import (
@@ -89,7 +90,9 @@
             current_time,
         )
         fleet.table = RouteTable(CONFIGURATION)
-        watcher = RegistryWatcher("r", True, list, PeerClient(), fleet, events)
+        watcher = RegistryWatcher(
+            MemberChoice("r", "north", list), PeerClient(), fleet, events
+        )
         process = GatewayProcess(settings, HeaderFormat(), fleet, watcher)
         ready = b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
         answers: list[bytes] = []
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -25,6 +25,7 @@
 from pistachiolever.gateway.header_format import HeaderFormat
 from pistachiolever.gateway.process import GatewayProcess
 from pistachiolever.gateway.settings import GatewaySettings
+from pistachiolever.registry.member_choice import MemberChoice
 from pistachiolever.registry.watcher import RegistryWatcher
 from pistachiolever.routing.models import (
     ProxyAccount,
@@ -316,7 +317,9 @@
         settings, lambda _: CONFIGURATION, PeerClient(), events, Random(1), current_time
     )
     fleet.table = RouteTable(CONFIGURATION)
-    watcher = RegistryWatcher("r", True, list, PeerClient(), fleet, events)
+    watcher = RegistryWatcher(
+        MemberChoice("r", "north", list), PeerClient(), fleet, events
+    )
     process = GatewayProcess(settings, HeaderFormat(), fleet, watcher)
     endpoints = [Endpoint(script) for script in scripts]
     results: list[Result] = []
--- a/tests/registry/test_endpoint_replicator.py
+++ b/tests/registry/test_endpoint_replicator.py
@@ -9,7 +9,7 @@
 from pistachiolever.edge.peers import PeerClient
 from pistachiolever.registry.endpoint_replicator import EndpointReplicator
 from pistachiolever.registry.errors import UnavailableError
-from pistachiolever.registry.models import Accepted, AnnounceBatch
+from pistachiolever.registry.models import AnnounceBatch, AnnounceReply
 from tests.registry.test_process import make_discarding_logger
 from tests.support.cases import CaseTest
 
@@ -26,7 +26,7 @@
         """Keep the announcements of a batch."""
         batch: AnnounceBatch = args[2]
         self.sent.extend(batch.announcements)
-        return Accepted()
+        return AnnounceReply([])
 
 
 def make_replicator(client: PeerClient) -> EndpointReplicator:
--- a/tests/registry/test_process.py
+++ b/tests/registry/test_process.py
@@ -17,10 +17,12 @@
 from pistachiolever.http1.models import HttpLimits
 from pistachiolever.http1.server import HttpServer
 from pistachiolever.registry.errors import UnavailableError
+from pistachiolever.registry.member_choice import MemberChoice
 from pistachiolever.registry.process import RegistryProcess
 from pistachiolever.registry.settings import RegistrySettings
 from pistachiolever.registry.watcher import RegistryWatcher
 from pistachiolever.routing.errors import InvalidConfigurationError
+from pistachiolever.usage.models import UsageUpdate
 from tests.http1.test_server import free_address
 from tests.support.cases import CaseTest
 
@@ -254,6 +256,7 @@
     state_by_id: dict[str, EndpointState] = field(factory=dict)
     born_by_id: dict[str, int] = field(factory=dict)
     router_count: int = 0
+    usage_number: int = -1
 
     def apply_configuration(self, version: int, document: str) -> None:
         """Store a version."""
@@ -265,6 +268,10 @@
             self.state_by_id[announcement.endpoint_id] = announcement.state
             self.born_by_id[announcement.endpoint_id] = announcement.born_ms
 
+    def apply_usage(self, update: UsageUpdate) -> None:
+        """Store the number of the newest state of the sums."""
+        self.usage_number = update.number
+
     def update_router_count(self, count: int) -> None:
         """Store the number of routers."""
         self.router_count = count
@@ -287,9 +294,7 @@
             await fleet.start_founders()
             listener = Listener()
             watcher = RegistryWatcher(
-                "router",
-                True,
-                lambda: fleet.seeds[:1],
+                MemberChoice("router", "north", lambda: fleet.seeds[:1]),
                 PeerClient(),
                 listener,
                 make_discarding_logger("router"),
--- /dev/null
+++ b/tests/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the fleet-wide sums of usage and loads."""
