--- a/pistachiolever/admission/controller.py
+++ b/pistachiolever/admission/controller.py
@@ -36,7 +36,12 @@
     _has_bids: Event = field(factory=Event)
 
     async def acquire(self, bid: Bid) -> BidReply:
-        """Wait until the bid is granted or refused; cancelling withdraws it."""
+        """Wait until the bid is granted or refused; cancelling withdraws it.
+
+        A bid that came before is refused: its first copy is the one that counts.
+        """
+        if bid.bid_id in self.pending_by_bid or bid.bid_id in self.core.run_by_id:
+            return BidReply(False, self.load(), "repeated")
         pending = PendingBid()
         self.pending_by_bid[bid.bid_id] = pending
         self._has_bids.set()
--- a/pistachiolever/admission/core.py
+++ b/pistachiolever/admission/core.py
@@ -143,7 +143,9 @@
     # Events.
 
     def submit(self, bid: Bid, now: float) -> list[AdmissionAction]:
-        """Queue a bid, or refuse it if the queue is full."""
+        """Queue a bid, or refuse it if the queue is full or knows its id already."""
+        if bid.bid_id in self.queued_by_id or bid.bid_id in self.run_by_id:
+            return []
         if len(self.queued_by_id) >= MAX_QUEUED_REQUESTS:
             return [Refused(bid.bid_id, "queue-full", self._retry_after(1.0))]
         self.capacity.slots = bid.slots
--- a/pistachiolever/gateway/models.py
+++ b/pistachiolever/gateway/models.py
@@ -45,7 +45,8 @@
     """A caller's request; times are absolute seconds of the process's clock.
 
     `target_at` is when the first chunk is due, `deadline_at` when the response must be
-    complete.
+    complete. `bid_id` is the id of the latest bid for the request. It does not contain
+    the request id, which callers may use twice.
     """
 
     metadata: RequestMetadata
@@ -60,6 +61,7 @@
     deadline_at: float
     attempt_count: int = 0
     bid_count: int = 0
+    bid_id: str = ""
     tried_endpoint_ids: set[str] = field(factory=set)
     may_have_run: bool = False
 
@@ -68,11 +70,6 @@
         """Return the id of the request at engines and in logs."""
         return self.metadata.request_id
 
-    @property
-    def bid_id(self) -> str:
-        """Return the id of the latest bid for the request."""
-        return f"{self.request_id}/{self.bid_count}"
-
     @property
     def output_tokens(self) -> int:
         """Return the expected output in tokens.
--- a/tests/admission/test_controller.py
+++ b/tests/admission/test_controller.py
@@ -71,3 +71,24 @@
                 self.assertEqual(controller.core.queued_by_id, {})
                 self.assertEqual(controller.core.reserved_tokens, 0)
                 self.assertEqual(controller.pending_by_bid, {})
+
+
+class RepeatedBidTest(CaseTest):
+    """A message that arrives twice must not corrupt the state."""
+
+    # Two requests with one id made bids with one id. The second replaced the first, and
+    # from its end on every look at the load raised KeyError.
+    def test_repeated_bid_is_refused(self) -> None:
+        async def submit() -> list[bool]:
+            now = [0.0]
+            controller = AdmissionController(
+                AdmissionCore(Capacity(4), Random(1)), lambda: now[0]
+            )
+            first = await controller.acquire(BID)
+            second = await controller.acquire(BID)
+            controller.handle_progress(Progress(ended=[EndedRun(BID.bid_id, 5)]))
+            controller.load()
+            third = await controller.acquire(BID)
+            return [first.granted, second.granted, third.granted]
+
+        self.assertEqual(run(submit), [True, False, True])
