Bound responses without end, and give up slow ones only for another endpoint

Cause: only the deadline ended interim responses without end, events without an end and bodies in tiny chunks; a byte now and then kept a stalled stream alive, and a slow sound stream was cut although the retry budget allowed no other attempt. A second copy of an answer on a connection in use again ended the request as unknown.

--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -2,16 +2,21 @@
 
 from typing import Protocol
 
-from anyio import move_on_after
+from anyio import CancelScope, create_task_group, move_on_after, sleep
 from attrs import define, field, frozen
 
 from pistachiolever.core.verdict import Verdict
 from pistachiolever.gateway.const import (
     MAX_BUFFERED_RESPONSE_BYTES,
+    MAX_CHUNKS,
+    MAX_EVENT_BYTES,
+    MAX_FOREIGN_RESPONSES,
+    MAX_RESPONSE_BYTES,
     MIN_RESPONSE_TIMEOUT_SECONDS,
     MIN_STREAM_TIMEOUT_SECONDS,
     PREFILL_TIMEOUT_FACTOR,
     RESPONSE_TIMEOUT_TARGET_FRACTION,
+    STALL_CHECK_SECONDS,
 )
 from pistachiolever.gateway.event_stream import EventBoundary, EventSplitter
 from pistachiolever.gateway.fleet import EndpointHandle, FleetView
@@ -19,7 +24,7 @@
 from pistachiolever.gateway.models import ProxyRequest
 from pistachiolever.http1.client import ClientConnection
 from pistachiolever.http1.errors import PeerClosedError
-from pistachiolever.http1.models import Framing, Header, ResponseHead
+from pistachiolever.http1.models import Framing, Header, RequestHead, ResponseHead
 from pistachiolever.routing.models import RequestKind
 
 
@@ -55,7 +60,8 @@
     """The result of an attempt: answered, or what is known of its execution.
 
     `sent` is false if nothing was sent to the endpoint. `endpoint_at_fault` is false if
-    the failure must not lower the endpoint's health.
+    the failure must not lower the endpoint's health. `is_local` is true if this process
+    has no descriptor for another connection.
     """
 
     verdict: Verdict
@@ -65,6 +71,7 @@
     status: int = 0
     response: BufferedResponse | None = None
     endpoint_at_fault: bool = True
+    is_local: bool = False
 
 
 class UnusableResponseError(Exception):
@@ -91,6 +98,9 @@
     first_chunk_at: float | None = None
     framing: Framing | None = None
     boundary: EventBoundary = field(factory=EventBoundary)
+    first_due_at: float = 0.0
+    progressed_at: float | None = None
+    data_event_count: int = 0
 
     async def run(self) -> AttemptResult:
         """Send the request and forward the response.
@@ -104,6 +114,10 @@
                 address, min(1.0, remaining)
             )
         except PeerClosedError as error:
+            if error.is_local:
+                return AttemptResult(
+                    Verdict.NOT_RUN, sent=False, reason="no-descriptor", is_local=True
+                )
             self.fleet.record_unreachable(self.handle, error.detail)
             return AttemptResult(Verdict.NOT_RUN, sent=False, reason="unreached")
         try:
@@ -145,14 +159,15 @@
             request.remaining_seconds(self.fleet.now()),
             self.splitter.last_id,
         )
-        with move_on_after(self._response_timeout_seconds()) as timeout:
-            response = await connection.exchange(head, request.body)
-        if timeout.cancelled_caught:
+        is_reused = connection.requests > 0
+        self.first_due_at = self.fleet.now() + self._response_timeout_seconds()
+        response = await self._await_response(connection, head, is_reused)
+        if response is None:
             return self._unknown_outcome("silent")
+        if not self._is_own(response, is_reused):
+            return self._unknown_outcome("an answer to another request")
         self.framing = response.framing
         metadata = self.header_format.parse_response(response)
-        if metadata.request_id and metadata.request_id != request.request_id:
-            return self._unknown_outcome("an answer to another request")
         # Status 421 comes from another endpoint, which has taken over the address.
         if response.status != 421:
             self.fleet.record_notices(self.handle, request.request_id, metadata)
@@ -174,20 +189,74 @@
             return await self._forward_stream(connection, response)
         return await self._forward_buffered(connection, response)
 
+    async def _await_response(
+        self, connection: ClientConnection, head: RequestHead, is_reused: bool
+    ) -> ResponseHead | None:
+        """Send the request and return the head of its response.
+
+        None once the response is overdue and another endpoint can take over.
+        """
+        response: ResponseHead | None = None
+        failure: PeerClosedError | None = None
+        async with create_task_group() as group:
+            group.start_soon(self._watch_silence, group.cancel_scope)
+            # Caught here because the task group would wrap it in an exception group.
+            try:
+                response = await connection.exchange(head, self.request.body)
+                for _ in range(MAX_FOREIGN_RESPONSES if is_reused else 0):
+                    if self._is_own(response, is_reused):
+                        break
+                    # A late copy of an earlier response; the own one follows.
+                    response = await connection.skip_response(
+                        MAX_BUFFERED_RESPONSE_BYTES
+                    )
+            except PeerClosedError as error:
+                failure = error
+            group.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        return response
+
+    async def _watch_silence(self, scope: CancelScope) -> None:
+        """Cancel a scope once the response is overdue and may be had elsewhere."""
+        while not self._is_stalled():
+            pause = self.first_due_at - self.fleet.now()
+            await sleep(max(STALL_CHECK_SECONDS, pause))
+        scope.cancel()
+
+    def _is_own(self, response: ResponseHead, is_reused: bool) -> bool:
+        """Return whether a response answers this request.
+
+        Without a request id it can only be trusted on a new connection.
+        """
+        request_id = self.header_format.parse_response(response).request_id
+        if not request_id:
+            return not is_reused
+        return request_id == self.request.request_id
+
+    def _may_move(self) -> bool:
+        """Return whether another endpoint could take over if this one is silent.
+
+        Otherwise the only response that the caller can get may still come from here.
+        """
+        request, fleet = self.request, self.fleet
+        if not request.route.retryable:
+            return False
+        if request.attempt_count >= request.route.attempts:
+            return False
+        service_id = request.service.service_id
+        if fleet.budget.remaining(service_id, fleet.now()) < 1.0:
+            return False
+        return fleet.has_usable(service_id, request.tried_endpoint_ids)
+
     def _response_timeout_seconds(self) -> float:
         """Return how long to wait for the head of the response.
 
         An endpoint sends nothing during prefill, so the timeout covers several times
-        the prefill time that was expected at the grant. An attempt that can't be
-        retried may last until the deadline.
+        the prefill time that was expected at the grant.
         """
         request = self.request
         remaining = request.remaining_seconds(self.fleet.now())
-        if (
-            not request.route.retryable
-            or request.attempt_count >= request.route.attempts
-        ):
-            return remaining
         target = request.route.target_seconds
         timeout_seconds = max(
             MIN_RESPONSE_TIMEOUT_SECONDS
@@ -239,6 +308,8 @@
         while (chunk := await connection.read_chunk()) is not None:
             chunks.append(chunk)
             size += len(chunk)
+            if len(chunks) > MAX_CHUNKS:
+                return self._unknown_outcome("a response has too many chunks")
             if size > MAX_BUFFERED_RESPONSE_BYTES:
                 return await self._forward_unbuffered(connection, response, chunks)
         await self._release_connection(response)
@@ -256,7 +327,11 @@
         await self.sink.start(response.status, headers)
         for buffered in chunks:
             await self.sink.send(buffered)
+        size = 0
         while (chunk := await connection.read_chunk()) is not None:
+            size += len(chunk)
+            if size > MAX_RESPONSE_BYTES:
+                return self._unknown_outcome("a response is too long")
             await self.sink.send(chunk)
         await self.sink.finish()
         await self._release_connection(response)
@@ -266,21 +341,12 @@
         self, connection: ClientConnection, response: ResponseHead
     ) -> AttemptResult:
         """Forward an event stream, in whole events if it is resumable."""
-        resumable = self.request.route.resumable
-        while True:
-            data: bytes | None = None
-            with move_on_after(self._stream_timeout_seconds()) as timeout:
-                data = await connection.read_chunk()
-            if timeout.cancelled_caught:
-                return self._unknown_outcome("silent within a stream")
-            if data is None:
-                break
-            self.boundary.feed(data)
-            events = self.splitter.feed(data) if resumable else data
-            if self.splitter.gap_found:
-                return self._unknown_outcome("an event is missing")
+        while (data := await self._read_stream(connection)) is not None:
+            events = self._accept_stream(data)
             if events:
                 await self._send_events(response, events)
+            elif self.request.route.resumable and self._is_stalled():
+                return self._unknown_outcome("no event within a stream")
         if self.boundary.unfinished_bytes:
             return self._unknown_outcome("the stream ended within an event")
         if response.framing is Framing.CLOSE and not self.boundary.received_bytes:
@@ -291,25 +357,71 @@
         await self._release_connection(response)
         return AttemptResult(Verdict.RAN, answered=True, status=response.status)
 
+    async def _read_stream(self, connection: ClientConnection) -> bytes | None:
+        """Return the next data of a stream, None at its end.
+
+        Raise UnusableResponseError if there is none and the stream is to be resumed.
+        """
+        while True:
+            with move_on_after(self._stream_timeout_seconds()) as timeout:
+                return await connection.read_chunk()
+            if timeout.cancelled_caught and self._is_stalled():
+                raise UnusableResponseError(
+                    self._unknown_outcome("silent within a stream")
+                )
+
+    def _accept_stream(self, data: bytes) -> bytes:
+        """Track received data; return what can be forwarded now.
+
+        Raise UnusableResponseError if it can't be a part of the stream.
+        """
+        self.boundary.feed(data)
+        reason = ""
+        if self.boundary.unfinished_bytes > MAX_EVENT_BYTES:
+            reason = "an event is too long"
+        elif self.boundary.unfinished_chunks > MAX_CHUNKS:
+            reason = "an event has too many chunks"
+        elif self.boundary.received_bytes > MAX_RESPONSE_BYTES:
+            reason = "a response is too long"
+        events = data
+        if not reason and self.request.route.resumable:
+            events = self.splitter.feed(data)
+            if self.splitter.gap_found:
+                reason = "an event is missing"
+        if reason:
+            raise UnusableResponseError(self._unknown_outcome(reason))
+        if self.splitter.data_event_count > self.data_event_count:
+            self.data_event_count = self.splitter.data_event_count
+            self.progressed_at = self.fleet.now()
+        return events
+
     def _stream_timeout_seconds(self) -> float:
-        """Return how long a stream may pause before it is resumed elsewhere.
+        """Return how long to wait for more of a stream before checking on it."""
+        now = self.fleet.now()
+        remaining = self.request.remaining_seconds(now)
+        if not self.request.route.resumable:
+            return remaining
+        return min(remaining, max(STALL_CHECK_SECONDS, self._stalled_at() - now))
 
-        That is three times the route's target for pauses, but no less than the minimum.
-        A stream that can't be resumed, or has no attempts left, may pause until the
-        deadline. Before the first chunk the response timeout applies.
+    def _is_stalled(self) -> bool:
+        """Return whether the response is overdue and another endpoint can take over."""
+        return self.fleet.now() >= self._stalled_at() and self._may_move()
+
+    def _stalled_at(self) -> float:
+        """Return when the response will be overdue.
+
+        Only events with data count, however many other bytes come meanwhile.
         """
-        request = self.request
-        remaining = request.remaining_seconds(self.fleet.now())
         if self.first_chunk_at is None:
-            return self._response_timeout_seconds()
-        if (
-            not request.route.resumable
-            or request.attempt_count >= request.route.attempts
-        ):
-            return remaining
-        return min(
-            remaining, max(MIN_STREAM_TIMEOUT_SECONDS, 3 * request.route.gap_seconds)
-        )
+            return self.first_due_at
+        return (self.progressed_at or self.first_chunk_at) + self._max_pause()
+
+    def _max_pause(self) -> float:
+        """Return the longest pause of a stream, in seconds.
+
+        That is three times the route's target for pauses, but no less than the minimum.
+        """
+        return max(MIN_STREAM_TIMEOUT_SECONDS, 3 * self.request.route.gap_seconds)
 
     async def _send_events(self, response: ResponseHead, events: bytes) -> None:
         """Send events, preceded by the head if it was not sent yet."""
--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -33,6 +33,8 @@
 PREFILL_TIMEOUT_FACTOR: Final = 3.0
 # Shortest pause between events after which a resumable stream is resumed elsewhere.
 MIN_STREAM_TIMEOUT_SECONDS: Final = 1.2
+# Time between two checks of a stream that pauses for longer and can't be resumed.
+STALL_CHECK_SECONDS: Final = 0.2
 # With less time left until its deadline, a request is not sent any more.
 MIN_ATTEMPT_SECONDS: Final = 0.03
 # Incarnations whose notices are remembered.
@@ -74,3 +76,27 @@
 GRACE_MARGIN_SECONDS: Final = 0.3
 # A router without any endpoint reports ready only after this time from its start.
 ENDPOINT_DISCOVERY_SECONDS: Final = 1.5
+# An event, or what an endpoint sends in place of one, is broken off at this size.
+MAX_EVENT_BYTES: Final = 1024 * 1024
+# Many small chunks cost far more time than their bytes suggest: so many are the limit
+# for one event, and for a response of a plain service.
+MAX_CHUNKS: Final = 8192
+# A whole response is broken off at this size.
+MAX_RESPONSE_BYTES: Final = 64 * 1024 * 1024
+# Responses to other requests that are skipped before the own one.
+MAX_FOREIGN_RESPONSES: Final = 2
+# Parts of the descriptors for callers and for endpoints; peers, readiness checks,
+# metrics and files use the rest.
+CALLER_CONNECTION_FRACTION: Final = 0.6
+ENDPOINT_CONNECTION_FRACTION: Final = 0.3
+DEFAULT_MAX_DESCRIPTORS: Final = 4_000
+# A draining router serves a new request if its expected duration, times this factor,
+# fits into the time left.
+DRAIN_DURATION_FACTOR: Final = 1.5
+# Expected duration of a response of a plain service, and time of an output token.
+PLAIN_RESPONSE_SECONDS: Final = 0.5
+OUTPUT_TOKEN_SECONDS: Final = 0.05
+# Time for the last requests on accepted connections before the process ends.
+LAST_REQUESTS_SECONDS: Final = 0.2
+# Hexadecimal digits that tell the bids of one life of a router from all others.
+BID_PREFIX_DIGITS: Final = 16
--- a/pistachiolever/gateway/event_stream.py
+++ b/pistachiolever/gateway/event_stream.py
@@ -15,12 +15,14 @@
 class EventBoundary:
     """Tracks whether a stream ends between two events, without keeping its events.
 
-    `unfinished_bytes` is the size of the event that has not ended yet.
+    `unfinished_bytes` is the size of the event that has not ended yet, and
+    `unfinished_chunks` the number of chunks that it came in.
     """
 
     received_bytes: int = 0
     event_count: int = 0
     unfinished_bytes: int = 0
+    unfinished_chunks: int = 0
     _tail: bytes = b""
 
     def feed(self, data: bytes) -> None:
@@ -35,9 +37,11 @@
             rest = joined[ends[-1] :]
             self.event_count += len(ends)
             self.unfinished_bytes = len(rest)
+            self.unfinished_chunks = 0
         else:
             rest = joined
             self.unfinished_bytes += len(data)
+        self.unfinished_chunks += 1
         self._tail = rest[-EVENT_END_OVERLAP_BYTES:]
 
 
@@ -45,13 +49,15 @@
 class EventSplitter:
     """Buffers incomplete events; tracks the id of the last complete one.
 
-    Events up to `skip_through` were sent before and are dropped. `gap_found` is set
+    Events up to `skip_through` were sent before and are dropped. `data_event_count`
+    leaves out comments and retry times. `gap_found` is set
     when an event id does not follow its predecessor, `resumable` is cleared by an event
     with data but without an id.
     """
 
     last_id: int = 0
     event_count: int = 0
+    data_event_count: int = 0
     buffer: bytes = b""
     skip_through: int = 0
     gap_found: bool = False
@@ -79,8 +85,10 @@
         if event_id is None:
             self.event_count += 1
             if has_data(event):
+                self.data_event_count += 1
                 self.resumable = False
             return True
+        self.data_event_count += 1
         if event_id <= self.skip_through:
             return False
         if self.last_id and event_id != self.last_id + 1:
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 
 from pistachiolever.admission.models import Load
+from pistachiolever.core.ids import new_id
 from pistachiolever.core.mailbox import Mailbox
 from pistachiolever.core.pause import pause_seconds
 from pistachiolever.discovery.directory import EndpointDirectory
@@ -22,7 +23,11 @@
     make_local_admission,
 )
 from pistachiolever.gateway.budget import RetryBudget
-from pistachiolever.gateway.const import MAX_IDLE_ENDPOINT_CONNECTIONS
+from pistachiolever.gateway.const import (
+    BID_PREFIX_DIGITS,
+    ENDPOINT_CONNECTION_FRACTION,
+    MAX_IDLE_ENDPOINT_CONNECTIONS,
+)
 from pistachiolever.gateway.fair_shares import FairShares
 from pistachiolever.gateway.health import EndpointHealth
 from pistachiolever.gateway.models import ResponseMetadata
@@ -100,10 +105,16 @@
     new_admission_clients: Mailbox[AdmissionClient] = field(factory=Mailbox)
     gone_addresses: Mailbox[str] = field(factory=Mailbox)
     shares_stale: bool = False
+    incarnation: str = field(init=False)
+    bid_count: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Create the connection pool, the placement and the retry budget."""
-        self.pool = ConnectionPool(max_idle=MAX_IDLE_ENDPOINT_CONNECTIONS)
+        self.incarnation = new_id(self.rng)[:BID_PREFIX_DIGITS]
+        self.pool = ConnectionPool(
+            max_idle=MAX_IDLE_ENDPOINT_CONNECTIONS,
+            max_open=int(ENDPOINT_CONNECTION_FRACTION * self.settings.max_descriptors),
+        )
         self.placement = Placement(self.settings.failure_domain, self.policy)
         self.budget = RetryBudget(
             self.settings.retry_ratio,
@@ -322,6 +333,15 @@
             for handle in self._usable(service_id, avoid)
         ]
 
+    def has_usable(self, service_id: str, avoid: set[str]) -> bool:
+        """Return whether another endpoint of a service may get a request now."""
+        now = self.now()
+        return any(
+            self.notices.restriction(handle.endpoint, now)
+            in (Restriction.NONE, Restriction.LEAVING)
+            for handle in self._ready(service_id, avoid)
+        )
+
     def _usable(self, service_id: str, avoid: set[str]) -> list[EndpointHandle]:
         """Return the endpoints that their notices allow to use.
 
@@ -384,6 +404,11 @@
         ]
         return 1.0 - len(paused) / max(1, len(engines))
 
+    def next_bid_id(self) -> str:
+        """Return an id for a bid that no other bid in the fleet has."""
+        self.bid_count += 1
+        return f"{self.incarnation}/{self.bid_count}"
+
     def record_unreachable(self, handle: EndpointHandle, error: str) -> None:
         """Eject an endpoint that accepts no connection."""
         handle.health.record_unreachable(self.now())
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -225,6 +225,7 @@
         engine = request.service.engine
         handle = self.fleet.handle_by_id[endpoint_id]
         request.bid_count += 1
+        request.bid_id = self.fleet.next_bid_id()
         return Bid(
             request.bid_id,
             request.request_id,
@@ -356,6 +357,8 @@
     def _may_retry(self, result: AttemptResult) -> bool:
         """Return whether to try another endpoint; uses up the retry budget."""
         request, now = self.request, self.fleet.now()
+        if result.is_local:
+            return False
         if not result.sent:
             return True
         if self.sink.started and not self._may_resume():
--- /dev/null
+++ b/tests/gateway/test_endless.py
@@ -0,0 +1,121 @@
+"""Bytes without end, which are no response: memory and time stay bounded.
+
+The endpoint sends until the router closes the connection. The table holds each place in
+which bytes can go on for ever, and what the caller and the verdict must say.
+"""
+
+from collections.abc import Iterator
+from time import monotonic
+
+from anyio.abc import SocketStream
+from attrs import define
+
+from pistachiolever.gateway.const import MAX_EVENT_BYTES, MAX_RESPONSE_BYTES
+from tests.gateway.test_relay import Endpoint, Script, id_of, respond, send_requests
+from tests.support.cases import CaseTest
+
+BLOCK = 16_384
+# The timeout of the routes for streams.
+DEADLINE_MS = 4000
+# More than any limit, so that a reader without one would go on for seconds.
+ENDLESS_BYTES = 4 * MAX_RESPONSE_BYTES
+HEAD = b"HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Request-Id: %s\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+@define
+class EndlessPart:
+    """What an endpoint sends: a beginning, then one block again and again."""
+
+    begin: bytes
+    block: bytes
+
+    def blocks(self, request_id: bytes) -> Iterator[bytes]:
+        """Return the beginning and the blocks."""
+        yield self.begin.replace(b"%s", request_id)
+        repeats = ENDLESS_BYTES // len(self.block)
+        joined = self.block * max(1, BLOCK // len(self.block))
+        for _ in range(repeats * len(self.block) // len(joined)):
+            yield joined
+
+
+PARTS = {
+    "status line": EndlessPart(b"HTTP/1.1 200 ", b"O"),
+    "header name": EndlessPart(HEAD, b"x"),
+    "header value": EndlessPart(HEAD + b"X: ", b"x"),
+    "headers": EndlessPart(HEAD, b"X: 1\r\n"),
+    "interim responses": EndlessPart(b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+    "no HTTP": EndlessPart(b"", b"\0"),
+    "empty lines": EndlessPart(b"", b"\r\n"),
+    "chunk size": EndlessPart(CHUNKED, b"0"),
+    "chunk extension": EndlessPart(CHUNKED + b"1;", b"x"),
+    "trailers": EndlessPart(CHUNKED + b"0\r\n", b"X: 1\r\n"),
+    "event without an end": EndlessPart(CHUNKED, b"10\r\nxxxxxxxxxxxxxxxx\r\n"),
+    "event in small chunks": EndlessPart(CHUNKED, b"1\r\nx\r\n"),
+    "unframed event": EndlessPart(HEAD + b"\r\n", b"x"),
+    "comments": EndlessPart(CHUNKED, b"2000\r\n:" + 8188 * b"x" + b"\n\n\r\n"),
+}
+# A stream that began can only be broken off.
+STARTED = {
+    "event without an end",
+    "event in small chunks",
+    "unframed event",
+    "comments",
+}
+
+
+def endless(part: EndlessPart, sent: list[int]) -> Script:
+    """Return a script that sends until the connection is closed; `sent` counts."""
+
+    async def script(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
+        for block in part.blocks(id_of(head)):
+            sent[0] += len(block)
+            await stream.send(block)
+
+    return script
+
+
+class EndlessTest(CaseTest):
+    """An endpoint that sends without end."""
+
+    def check(self, path: bytes, name: str, statuses: set[int]) -> None:
+        """Send a request and check status, bytes taken and time."""
+        sent = [0]
+        started_at = monotonic()
+        (result,) = send_requests(
+            path, endless(PARTS[name], sent), deadline_ms=DEADLINE_MS
+        )
+        self.assertIn(result.status, statuses)
+        # The caller never sees a complete answer.
+        self.assertFalse(result.status == 200 and result.raw.endswith(b"0\r\n\r\n"))
+        self.assertLess(sent[0], ENDLESS_BYTES)
+        # The limits end it, not the deadline.
+        self.assertLess(monotonic() - started_at, 0.75 * DEADLINE_MS / 1000)
+
+    def test_plain_service(self) -> None:
+        for name in sorted(set(PARTS) - STARTED) + ["event in small chunks"]:
+            with self.subTest(name):
+                self.check(b"/book/1", name, {502, 504})
+
+    def test_stream(self) -> None:
+        for name in PARTS:
+            with self.subTest(name):
+                statuses = {502, 504} | ({200} if name in STARTED else set())
+                self.check(b"/talk/1", name, statuses)
+
+    def test_resumable_stream_is_served_by_another_endpoint(self) -> None:
+        for name in sorted(set(PARTS) - STARTED):
+            with self.subTest(name):
+                (result,) = send_requests(
+                    b"/read/1", endless(PARTS[name], [0]), respond
+                )
+                self.assertEqual((result.status, result.body), (200, b"good"))
+
+    def test_event_limit_bounds_what_a_caller_gets(self) -> None:
+        sent = [0]
+        (result,) = send_requests(
+            b"/talk/1",
+            endless(PARTS["event without an end"], sent),
+            deadline_ms=DEADLINE_MS,
+        )
+        self.assertLess(len(result.body), 4 * MAX_EVENT_BYTES)
