Survive exhausted descriptors, and answer callers until the end of a drain

Cause: an error of accept ended the process (EMFILE after a freeze); a draining router closed its listener after 2.6 s, so that callers found none while all routers drained; connections accepted just before were closed unread.

Change: the server has a limit of connections below the descriptors, closes the newest idle connection for a new one or lets clients wait, and goes on after errors of accept; pools of outward connections have a limit, too. The listener stays open until the process ends and takes what the kernel has established; what can't be finished is refused as not run, with a Retry-After. Ports of tests lie outside of the range of outgoing connections: one was taken between its choice and its use (seen once, OSError 98).

--- a/pistachiolever/edge/peers.py
+++ b/pistachiolever/edge/peers.py
@@ -21,6 +21,8 @@
 
 # Idle connections kept per peer; further concurrent calls open new connections.
 MAX_IDLE_CONNECTIONS: Final = 16
+# Connections to all peers; a process has a few descriptors beside them.
+MAX_OPEN_CONNECTIONS: Final = 800
 # Shorter than the server's idle timeout, so that the server never closes first.
 MAX_IDLE_SECONDS: Final = 10.0
 JSON_HEADER: Final[Header] = (b"content-type", JSON_CONTENT_TYPE.encode())
@@ -28,10 +30,15 @@
 
 @define
 class ConnectionPool:
-    """Idle connections by address; `max_idle` is the limit per address."""
+    """Idle connections by address; `max_idle` is the limit per address.
+
+    At `max_open` connections in all, idle ones are closed for new ones.
+    """
 
     idle_by_address: dict[str, list[ClientConnection]] = field(factory=dict)
     max_idle: int = MAX_IDLE_CONNECTIONS
+    max_open: int = MAX_OPEN_CONNECTIONS
+    open_count: int = 0
 
     async def acquire(self, address: str, connect_seconds: float) -> ClientConnection:
         """Return an idle connection that is still usable, or a new one."""
@@ -41,7 +48,18 @@
             if connection.is_reusable(current_time()):
                 return connection
             await connection.close()
-        return await open_connection(address, connect_seconds)
+        if self.open_count >= self.max_open and not await self._close_oldest_idle():
+            detail = f"{self.open_count} connections are open"
+            raise PeerClosedError(detail, sent=False, is_local=True)
+        self.open_count += 1
+        opened = False
+        try:
+            connection = await open_connection(address, connect_seconds)
+            opened = True
+        finally:
+            self.open_count -= not opened
+        connection.on_close = self._count_closed
+        return connection
 
     async def release(
         self,
@@ -60,6 +78,19 @@
         for connection in self.idle_by_address.pop(address, []):
             await connection.close()
 
+    def _count_closed(self) -> None:
+        """Count that a connection was closed."""
+        self.open_count -= 1
+
+    async def _close_oldest_idle(self) -> bool:
+        """Close the longest idle connection; return whether there is one."""
+        lists = [idle for idle in self.idle_by_address.values() if idle]
+        if not lists:
+            return False
+        oldest = min(lists, key=lambda idle: idle[0].idle_since)
+        await oldest.pop(0).close()
+        return True
+
 
 @define
 class PeerClient:
--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -6,9 +6,14 @@
 from pistachiolever.events.const import EventCode
 from pistachiolever.gateway.const import (
     BALANCER_REMOVAL_SECONDS,
+    CALLER_CONNECTION_FRACTION,
+    DRAIN_DURATION_FACTOR,
     DRAIN_POLL_SECONDS,
     ENDPOINT_DISCOVERY_SECONDS,
     GRACE_MARGIN_SECONDS,
+    LAST_REQUESTS_SECONDS,
+    OUTPUT_TOKEN_SECONDS,
+    PLAIN_RESPONSE_SECONDS,
     STARTUP_RETRY_AFTER_SECONDS,
 )
 from pistachiolever.gateway.fleet import FleetView
@@ -20,7 +25,7 @@
 from pistachiolever.http1.server import Exchange, HttpServer
 from pistachiolever.metrics.instruments import REQUESTS
 from pistachiolever.registry.watcher import RegistryWatcher
-from pistachiolever.routing.models import ProxyAccount, ProxyRoute
+from pistachiolever.routing.models import ProxyAccount, ProxyRoute, RequestKind
 from pistachiolever.routing.table import RouteTable, host_name
 
 
@@ -43,6 +48,8 @@
     fleet: FleetView
     watcher: RegistryWatcher
     draining: bool = False
+    drain_ends_at: float = 0.0
+    balancer_leaves_at: float = 0.0
     started_at: float = field(init=False)
     public_server: HttpServer = field(init=False)
     readiness_server: HttpServer = field(init=False)
@@ -52,7 +59,11 @@
         """Create the servers and register the gauges."""
         self.started_at = self.fleet.now()
         self.public_server = HttpServer(
-            self.settings.front_address, self._handle_request, self._limits
+            self.settings.front_address,
+            self._handle_request,
+            self._limits,
+            int(CALLER_CONNECTION_FRACTION * self.settings.max_descriptors),
+            self._record_limit,
         )
         self.readiness_server = HttpServer(
             self.settings.ready_address, self._handle_readiness
@@ -61,6 +72,8 @@
         gauge("pistachiolever_configuration_version", self._version)
         gauge("pistachiolever_endpoints", lambda: len(self.fleet.handle_by_id))
         gauge("pistachiolever_busy_connections", self.public_server.busy_count)
+        gauge("pistachiolever_connections", lambda: len(self.public_server.connections))
+        gauge("pistachiolever_endpoint_connections", lambda: self.fleet.pool.open_count)
         gauge("pistachiolever_routers", lambda: self.fleet.budget.router_count)
         gauge("pistachiolever_registry_in_touch", self.watcher.is_connected)
 
@@ -73,32 +86,67 @@
             group.start_soon(self.public_server.serve)
 
     async def drain(self) -> None:
-        """Report not ready, finish running requests, return within the grace period."""
+        """Report not ready, finish running requests, return within the grace period.
+
+        The listener stays open until the end: while all routers drain, the balancer
+        still sends callers here, and they need an answer.
+        """
         started_at = self.fleet.now()
-        self.draining = True
-        self.public_server.draining = True
+        server, self.draining = self.public_server, True
         drain_seconds = self.settings.grace_seconds - GRACE_MARGIN_SECONDS
+        self.drain_ends_at = started_at + drain_seconds
+        self.balancer_leaves_at = started_at + BALANCER_REMOVAL_SECONDS
+        server.draining = True
         self.fleet.events.record(
             EventCode.PROCESS_DRAINING, busy=self.public_server.busy_count()
         )
-        with move_on_after(drain_seconds):
+        with move_on_after(max(0.0, drain_seconds - 2 * LAST_REQUESTS_SECONDS)):
             # The balancer sends new connections until two more checks have failed.
-            await sleep(min(BALANCER_REMOVAL_SECONDS, drain_seconds))
-            self.public_server.stop_accepting()
-            while self.public_server.connections:
+            await sleep(BALANCER_REMOVAL_SECONDS)
+            server.close_idle()
+            while server.busy_count():
                 await sleep(DRAIN_POLL_SECONDS)
-                self.public_server.close_idle()
+                server.close_idle()
+        server.stop_listening()
+        with move_on_after(LAST_REQUESTS_SECONDS):
+            # Requests on connections accepted just now are answered, too.
+            await sleep(LAST_REQUESTS_SECONDS / 2)
+            server.close_after_requests()
+            while server.connections:
+                await sleep(DRAIN_POLL_SECONDS / 5)
         self.fleet.events.record(
             EventCode.PROCESS_STOPPED,
             seconds=round(self.fleet.now() - started_at, 2),
-            cut=self.public_server.busy_count(),
+            cut=server.busy_count(),
         )
 
+    def _can_finish(self, request: ProxyRequest) -> bool:
+        """Return whether a request can be served before this process ends.
+
+        Until the balancer has left, callers have no other router to go to.
+        """
+        now = self.fleet.now()
+        if not self.draining or now < self.balancer_leaves_at:
+            return True
+        seconds = PLAIN_RESPONSE_SECONDS
+        if request.route.kind is RequestKind.STREAM:
+            seconds = request.route.timeout_seconds
+            if request.output_tokens:
+                seconds = request.output_tokens * OUTPUT_TOKEN_SECONDS
+                seconds += request.route.target_seconds
+        return now + DRAIN_DURATION_FACTOR * seconds < self.drain_ends_at
+
     def _limits(self) -> HttpLimits:
         """Return the HTTP limits of the configuration in force."""
         table = self.fleet.table
         return table.configuration.limits if table else HttpLimits()
 
+    def _record_limit(self, reason: str, connections: int) -> None:
+        """Record that callers wait to be accepted."""
+        self.fleet.events.record(
+            EventCode.CONNECTIONS_LIMITED, reason=reason, connections=connections
+        )
+
     # Readiness.
 
     def is_ready(self) -> bool:
@@ -129,6 +177,8 @@
         body = await exchange.read_body()
         try:
             request = self._resolve_request(exchange, metadata, body, arrived_at)
+            if not self._can_finish(request):
+                raise NotAllowedError(503, "draining")
         except NotAllowedError as error:
             self.fleet.events.record(
                 EventCode.REQUEST_REFUSED,
@@ -139,7 +189,9 @@
             )
             headers: list[Header] = []
             if error.status == 503:
-                headers.append((b"retry-after", b"%.1f" % STARTUP_RETRY_AFTER_SECONDS))
+                # Spread, since callers would otherwise return at the same moment.
+                seconds = STARTUP_RETRY_AFTER_SECONDS * (0.5 + self.fleet.rng.random())
+                headers.append((b"retry-after", b"%.2f" % seconds))
             await exchange.respond(error.status, headers, b"")
             return
         processor = RequestProcessor(self.fleet, self.header_format, request, exchange)
--- a/pistachiolever/gateway/settings.py
+++ b/pistachiolever/gateway/settings.py
@@ -2,7 +2,10 @@
 
 from attrs import frozen
 
-from pistachiolever.gateway.const import DEFAULT_DRAIN_SECONDS
+from pistachiolever.gateway.const import (
+    DEFAULT_DRAIN_SECONDS,
+    DEFAULT_MAX_DESCRIPTORS,
+)
 
 
 @frozen
@@ -11,7 +14,8 @@
 
     `retry_ratio`, `retry_window_seconds` and `retry_slack` limit retries over all
     routers; `grace_seconds` is the time from the stop signal until the process must
-    have ended. A leaving endpoint serves on for `drain_seconds`.
+    have ended. A leaving endpoint serves on for `drain_seconds`. The process may
+    have `max_descriptors` sockets open.
     """
 
     node_id: str
@@ -24,3 +28,4 @@
     retry_window_seconds: float
     retry_slack: float
     drain_seconds: float = DEFAULT_DRAIN_SECONDS
+    max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
--- a/pistachiolever/http1/client.py
+++ b/pistachiolever/http1/client.py
@@ -1,5 +1,8 @@
 """A client connection, which sends requests one at a time and can be reused."""
 
+from collections.abc import Callable
+from errno import EMFILE, ENFILE
+
 from anyio import (
     BrokenResourceError,
     ClosedResourceError,
@@ -26,7 +29,12 @@
     Response,
 )
 
-from pistachiolever.http1.const import CONNECT_SECONDS, MAX_HEAD_BYTES, READ_BYTES
+from pistachiolever.http1.const import (
+    CONNECT_SECONDS,
+    MAX_HEAD_BYTES,
+    MAX_INTERIM_RESPONSES,
+    READ_BYTES,
+)
 from pistachiolever.http1.errors import PeerClosedError
 from pistachiolever.http1.models import RequestHead, ResponseHead, framing_of
 from pistachiolever.http1.sockets import has_input, tune_socket
@@ -41,7 +49,7 @@
     """A connection to one address, for one request at a time.
 
     `broken` is set while a request has not been sent completely; the connection cannot
-    be reused then.
+    be reused then. `on_close` is called once.
     """
 
     address: str
@@ -51,6 +59,7 @@
     keep_alive_seconds: float = 0.0
     requests: int = 0
     broken: bool = False
+    on_close: Callable[[], None] | None = None
     _method: bytes = b""
 
     def __attrs_post_init__(self) -> None:
@@ -120,7 +129,7 @@
 
     async def _read_head(self) -> ResponseHead:
         """Return the head of the response, skipping informational responses."""
-        while True:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, InformationalResponse):
                 continue
@@ -129,6 +138,25 @@
                 framing = framing_of(self._method, status, headers)
                 return ResponseHead(status, headers, framing)
             raise PeerClosedError("closed before an answer")
+        raise PeerClosedError(f"over {MAX_INTERIM_RESPONSES} interim responses")
+
+    async def skip_response(self, max_bytes: int) -> ResponseHead:
+        """Skip a response that belongs to no request; return the head of the next one.
+
+        Raise PeerClosedError if it does not end within `max_bytes`, or is the last one.
+        """
+        await self.read_all(max_bytes)
+        leftover, _ = self.protocol.trailing_data
+        self.protocol = Connection(CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        # The request was sent before; the new state machine only has to expect its
+        # response.
+        self.protocol.send(
+            Request(method=self._method, target=b"/", headers=[(b"host", b"sent")])
+        )
+        self.protocol.send(EndOfMessage())
+        if leftover:
+            self.protocol.receive_data(leftover)
+        return await self._read_head()
 
     async def read_chunk(self) -> bytes | None:
         """Return the next chunk of the body, or None at its end."""
@@ -187,7 +215,10 @@
         return not has_input(self.stream)
 
     async def close(self) -> None:
-        """Close the socket."""
+        """Close the socket; a second call does nothing."""
+        on_close, self.on_close = self.on_close, None
+        if on_close is not None:
+            on_close()
         await self.stream.aclose()
 
 
@@ -201,6 +232,7 @@
             stream = await connect_tcp(host, int(port))
     except (OSError, TimeoutError, ValueError) as error:
         detail = f"cannot connect to {address}: {type(error).__name__}"
-        raise PeerClosedError(detail, False) from error
+        is_local = getattr(error, "errno", 0) in (EMFILE, ENFILE)
+        raise PeerClosedError(detail, False, is_local) from error
     tune_socket(stream)
     return ClientConnection(address, stream)
--- a/pistachiolever/http1/const.py
+++ b/pistachiolever/http1/const.py
@@ -25,3 +25,18 @@
 LINGER_SECONDS: Final = 0.3
 # Connections waiting to be accepted.
 LISTEN_BACKLOG: Final = 1024
+# Time for a whole request body; a request that is received more slowly is rejected.
+BODY_SECONDS: Final = 30.0
+# Bytes of a request on the wire beyond its body: chunk sizes, extensions, trailers.
+MAX_FRAMING_BYTES: Final = 1024 * 1024
+# Interim responses (1xx) before a response; a peer that sends more is broken.
+MAX_INTERIM_RESPONSES: Final = 16
+# Connections that a server keeps open unless it is told otherwise.
+DEFAULT_MAX_CONNECTIONS: Final = 2_000
+# Pause after the system refused another connection, for instance for lack of
+# descriptors.
+ACCEPT_RETRY_SECONDS: Final = 0.05
+# A limit that is reached is reported at most this often.
+LIMIT_REPORT_SECONDS: Final = 1.0
+# A new connection is not closed for another one before its request had time to arrive.
+FIRST_REQUEST_SECONDS: Final = 0.5
--- a/pistachiolever/http1/errors.py
+++ b/pistachiolever/http1/errors.py
@@ -14,11 +14,13 @@
 class PeerClosedError(Exception):
     """The peer closed or reset the connection, or violated the protocol.
 
-    `sent` is false only if no byte of the request can have been sent.
+    `sent` is false only if no byte of the request can have been sent; `is_local` is
+    true if this process had no descriptor left, which says nothing of the peer.
     """
 
-    def __init__(self, detail: str, sent: bool = True) -> None:
-        """Store the detail and whether the request may have been sent."""
+    def __init__(self, detail: str, sent: bool = True, is_local: bool = False) -> None:
+        """Store the detail, whether the request may have been sent, and the cause."""
         super().__init__(detail)
         self.detail = detail
         self.sent = sent
+        self.is_local = is_local
--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -1,6 +1,7 @@
 """An HTTP/1.1 server that passes the requests of each connection to a handler."""
 
 from collections.abc import Awaitable, Callable
+from socket import socket
 
 from absl import logging
 from anyio import (
@@ -14,8 +15,17 @@
     current_time,
     fail_after,
     move_on_after,
+    sleep,
+    sleep_forever,
+    wait_readable,
+)
+from anyio.abc import (
+    Listener,
+    SocketAttribute,
+    SocketListener,
+    SocketStream,
+    TaskGroup,
 )
-from anyio.abc import SocketStream
 from attrs import define, field
 from h11 import (
     DONE,
@@ -37,8 +47,14 @@
 )
 
 from pistachiolever.http1.const import (
+    ACCEPT_RETRY_SECONDS,
+    BODY_SECONDS,
+    DEFAULT_MAX_CONNECTIONS,
+    FIRST_REQUEST_SECONDS,
+    LIMIT_REPORT_SECONDS,
     LINGER_SECONDS,
     LISTEN_BACKLOG,
+    MAX_FRAMING_BYTES,
     MAX_UNPROCESSED_BYTES,
     READ_BYTES,
 )
@@ -71,7 +87,9 @@
     protocol: Connection = field(init=False)
     disconnected: bool = False
     busy: bool = False
-    last_used: float = field(factory=current_time)
+    request_bytes: int = 0
+    served_count: int = 0
+    opened_at: float = field(factory=current_time)
     _unprocessed_bytes: int = 0
     _input_arrived: Event = field(factory=Event)
     _reading_resumed: Event = field(factory=Event)
@@ -95,10 +113,18 @@
                 with CancelScope(shield=True):
                     await self.stream.aclose()
 
-    def close_if_idle(self) -> None:
-        """Close the connection unless a request is being served."""
-        if not self.busy and self._idle_scope is not None:
-            self._idle_scope.cancel()
+    def close_if_idle(self) -> bool:
+        """Close the connection unless it is in use; return whether it is closed now."""
+        scope = self._idle_scope
+        if self.busy or scope is None or scope.cancel_called:
+            return False
+        scope.cancel()
+        return True
+
+    def is_settled(self) -> bool:
+        """Return whether the first request was served, or had time to arrive."""
+        age = current_time() - self.opened_at
+        return self.served_count > 0 or age > FIRST_REQUEST_SECONDS
 
     # Input.
 
@@ -116,6 +142,7 @@
                 self._handle_disconnect()
                 return
             self._unprocessed_bytes += len(data)
+            self.request_bytes += len(data)
             self._input_arrived.set()
             if self._unprocessed_bytes > MAX_UNPROCESSED_BYTES:
                 self._reading_resumed = Event()
@@ -164,7 +191,8 @@
                 await self._handle(exchange)
             self._request_scope = None
             self.busy = False
-            self.last_used = current_time()
+            self.served_count += 1
+            self.request_bytes = 0
             if self.disconnected or scope.cancel_called or not self._start_next_cycle():
                 return
             if self.closing():
@@ -283,6 +311,14 @@
 
     async def read_body(self) -> bytes:
         """Return the whole body; raise BadRequestError if it is too large."""
+        try:
+            with fail_after(BODY_SECONDS):
+                return await self._read_body()
+        except TimeoutError as error:
+            raise BadRequestError(408, "the body came too slowly") from error
+
+    async def _read_body(self) -> bytes:
+        """Return the whole body, however long it takes."""
         connection = self.connection
         max_bytes = connection.limits().max_body_bytes
         if connection.protocol.they_are_waiting_for_100_continue:
@@ -300,6 +336,8 @@
             size += len(event.data)
             if size > max_bytes:
                 raise BadRequestError(413, f"a body of over {max_bytes} bytes")
+            if connection.request_bytes > max_bytes + MAX_FRAMING_BYTES:
+                raise BadRequestError(413, "too many bytes beside the body")
 
     async def start(self, status: int, headers: list[Header]) -> None:
         """Send the head of the response."""
@@ -355,45 +393,112 @@
             await self.connection.stream.send(data)
 
 
+def ignore_limit(reason: str, connections: int) -> None:
+    """Ignore that a limit of connections was reached."""
+
+
 @define(eq=False)
 class HttpServer:
     """Listens on one address.
 
     While `draining`, responses ask the client to close the connection. While `closing`,
-    connections are closed after the current request.
+    connections are closed after the current request. At `max_connections` the newest
+    idle connection is closed for a new one; if none is idle, clients wait to be
+    accepted. `report_limit` is called when a limit is reached, at most once in
+    LIMIT_REPORT_SECONDS.
     """
 
     address: str
     handler: Handler
     limits: Callable[[], HttpLimits] = HttpLimits
+    max_connections: int = DEFAULT_MAX_CONNECTIONS
+    report_limit: Callable[[str, int], None] = ignore_limit
     draining: bool = False
     closing: bool = False
-    connections: set[ServerConnection] = field(factory=set)
+    connections: dict[ServerConnection, None] = field(factory=dict)
     _accepting: CancelScope = field(factory=CancelScope)
+    _room: Event = field(factory=Event)
+    _limit_reported_at: float = float("-inf")
 
     async def serve(self) -> None:
         """Accept connections until cancelled."""
         host, _, port = self.address.rpartition(":")
-        listener = await create_tcp_listener(
+        multi_listener = await create_tcp_listener(
             local_host=host, local_port=int(port), backlog=LISTEN_BACKLOG
         )
-        async with create_task_group() as group:
+        # Open connections outlive the listener. Its socket must be closed, or the
+        # kernel would accept connections that nobody serves.
+        async with create_task_group() as group, multi_listener:
             with self._accepting:
-                # Open connections outlive the listener. Its socket must be closed, or
-                # the kernel would accept connections that nobody serves.
-                async with listener:
-                    await listener.serve(self._accept, task_group=group)
-
-    def stop_accepting(self) -> None:
-        """Accept no more connections, and no more requests on open connections."""
+                for listener in multi_listener.listeners:
+                    group.start_soon(self._accept_all, listener, group)
+                await sleep_forever()
+            for listener in multi_listener.listeners:
+                await self._close_listener(listener, group)
+
+    def stop_listening(self) -> None:
+        """Accept the connections that are pending, then no more."""
         self.draining = True
-        self.closing = True
         self._accepting.cancel()
+
+    def close_after_requests(self) -> None:
+        """Take no more requests on open connections."""
+        self.closing = True
         self.close_idle()
 
-    async def _accept(self, stream: SocketStream) -> None:
-        """Serve one connection."""
-        tune_socket(stream)
+    async def _accept_all(
+        self, listener: Listener[SocketStream], group: TaskGroup
+    ) -> None:
+        """Accept connections until the listener is closed."""
+        assert isinstance(listener, SocketListener)
+        while True:
+            try:
+                if len(self.connections) >= self.max_connections:
+                    await self._make_room(listener)
+                stream = await listener.accept()
+            except ClosedResourceError:
+                return
+            except OSError as error:
+                # The peer has gone, or a resource is exhausted; both pass.
+                self._report_limit(str(error))
+                self._close_newest_idle()
+                await sleep(ACCEPT_RETRY_SECONDS)
+                continue
+            group.start_soon(self._serve_connection, self._add(stream))
+
+    async def _make_room(self, listener: SocketListener) -> None:
+        """Wait for a client, then for a connection that can be closed or ends."""
+        await wait_readable(listener.extra(SocketAttribute.raw_socket))
+        while len(self.connections) >= self.max_connections:
+            self._report_limit("connections")
+            self._room = Event()
+            self._close_newest_idle()
+            with move_on_after(FIRST_REQUEST_SECONDS):
+                await self._room.wait()
+
+    async def _close_listener(
+        self, listener: Listener[SocketStream], group: TaskGroup
+    ) -> None:
+        """Close a listener and serve the connections already established by the kernel.
+
+        Closing alone would reset them, with the requests that they carry.
+        """
+        raw_listener = listener.extra(SocketAttribute.raw_socket)
+        accepted: list[socket] = []
+        # No other task runs meanwhile, so the listener is closed before others come.
+        while len(self.connections) + len(accepted) < self.max_connections:
+            try:
+                accepted.append(raw_listener.accept()[0])
+            except OSError:
+                # There are none left, or no descriptor for another one.
+                break
+        await listener.aclose()
+        for connected in accepted:
+            stream = await SocketStream.from_socket(connected)
+            group.start_soon(self._serve_connection, self._add(stream))
+
+    def _add(self, stream: SocketStream) -> ServerConnection:
+        """Return a new connection, which counts from now on."""
         connection = ServerConnection(
             stream,
             self.handler,
@@ -401,19 +506,42 @@
             lambda: self.draining,
             lambda: self.closing,
         )
-        self.connections.add(connection)
+        self.connections[connection] = None
+        return connection
+
+    async def _serve_connection(self, connection: ServerConnection) -> None:
+        """Serve one connection."""
+        tune_socket(connection.stream)
         try:
             await connection.run()
         except Exception:  # noqa: BLE001
             # An error on one connection must not end the process.
             logging.exception("unexpected error on a connection to %s", self.address)
         finally:
-            self.connections.discard(connection)
+            self.connections.pop(connection, None)
+            self._room.set()
+
+    def _close_newest_idle(self) -> None:
+        """Close the newest connection that waits for another request.
+
+        A connection may wait for its first one for FIRST_REQUEST_SECONDS.
+        """
+        for connection in reversed(self.connections):
+            if connection.is_settled() and connection.close_if_idle():
+                return
+
+    def _report_limit(self, reason: str) -> None:
+        """Report that a limit was reached, unless one was reported just before."""
+        now = current_time()
+        if now - self._limit_reported_at >= LIMIT_REPORT_SECONDS:
+            self._limit_reported_at = now
+            self.report_limit(reason, len(self.connections))
 
     def close_idle(self) -> None:
-        """Close the connections on which no request is being served."""
+        """Close the connections that wait for another request."""
         for connection in list(self.connections):
-            connection.close_if_idle()
+            if self.closing or connection.is_settled():
+                connection.close_if_idle()
 
     def busy_count(self) -> int:
         """Return the number of requests being served."""
--- a/pistachiolever/metrics/instruments.py
+++ b/pistachiolever/metrics/instruments.py
@@ -114,6 +114,8 @@
     Instrument(
         "pistachiolever_busy_connections", "Connections with a request being served"
     ),
+    Instrument("pistachiolever_connections", "Open connections of callers"),
+    Instrument("pistachiolever_endpoint_connections", "Open connections to endpoints"),
     Instrument("pistachiolever_routers", "Routers that share the endpoints"),
     Instrument(
         "pistachiolever_registry_in_touch", "1 while a registry member responds"
--- a/pistachiolever/platform/main.py
+++ b/pistachiolever/platform/main.py
@@ -48,6 +48,9 @@
 
 # The settings file is polled because it may change without a signal.
 SETTINGS_POLL_SECONDS: Final = 1.0
+# Parts of the sockets for calls of other processes, and of operators and endpoints.
+PEER_CONNECTION_FRACTION: Final = 0.5
+CONTROL_CONNECTION_FRACTION: Final = 0.3
 # Configurations of operators can have hundreds of routes.
 CONTROL_LIMITS: Final = HttpLimits(max_body_bytes=16 * 1024 * 1024)
 
@@ -67,6 +70,16 @@
         """Return the event log of the process."""
         return self.output.logger
 
+    def max_connections(self, fraction: float) -> int:
+        """Return a part of the sockets that the process may have."""
+        return int(fraction * self.settings.max_sockets)
+
+    def record_limit(self, reason: str, connections: int) -> None:
+        """Record that callers wait to be accepted."""
+        self.events.record(
+            EventCode.CONNECTIONS_LIMITED, reason=reason, connections=connections
+        )
+
     def choose_members(self, node_id: str, failure_domain: str) -> MemberChoice:
         """Return the choice among the members of the registry for a process."""
         return MemberChoice(node_id, failure_domain, lambda: self.settings.seeds)
@@ -148,7 +161,12 @@
         context.events,
         current_time,
     )
-    server = HttpServer(context.settings.peer_address, process.api().handle)
+    server = HttpServer(
+        context.settings.peer_address,
+        process.api().handle,
+        max_connections=context.max_connections(PEER_CONNECTION_FRACTION),
+        report_limit=context.record_limit,
+    )
     async with create_task_group() as group:
         group.start_soon(process.run)
         group.start_soon(reporting.run)
@@ -171,10 +189,18 @@
     )
     api = ControlApi(process, context.settings.peer_port)
     peer_server = HttpServer(
-        settings.address, process.api().handle, lambda: CONTROL_LIMITS
+        settings.address,
+        process.api().handle,
+        lambda: CONTROL_LIMITS,
+        context.max_connections(PEER_CONNECTION_FRACTION),
+        context.record_limit,
     )
     control_server = HttpServer(
-        context.settings.control_address, api.handle, lambda: CONTROL_LIMITS
+        context.settings.control_address,
+        api.handle,
+        lambda: CONTROL_LIMITS,
+        context.max_connections(CONTROL_CONNECTION_FRACTION),
+        context.record_limit,
     )
     async with create_task_group() as group:
         group.start_soon(process.run)
--- a/pistachiolever/platform/settings.py
+++ b/pistachiolever/platform/settings.py
@@ -2,17 +2,25 @@
 
 from pathlib import Path
 from tomllib import TOMLDecodeError, loads
-from typing import Any
+from typing import Any, Final
 
 from attrs import frozen
 
 from pistachiolever.admission.settings import AgentSettings
-from pistachiolever.gateway.const import DEFAULT_DRAIN_SECONDS
+from pistachiolever.gateway.const import (
+    DEFAULT_DRAIN_SECONDS,
+    DEFAULT_MAX_DESCRIPTORS,
+)
 from pistachiolever.gateway.settings import GatewaySettings
 from pistachiolever.platform.names import METRICS_PORT, READY_PATH
 from pistachiolever.registry.settings import RegistrySettings
 from pistachiolever.settings.errors import InvalidDocumentError, Problem
 
+# Descriptors that the platform reserves for files.
+FILE_DESCRIPTORS: Final = 200
+# Sockets of a process, however few descriptors its settings name.
+MIN_SOCKETS: Final = 100
+
 
 @frozen
 class PlatformSettings:
@@ -65,6 +73,13 @@
         """Return the time between the stop signal and the end of the process."""
         return float(self.fields["bounds"]["graceS"])
 
+    @property
+    def max_sockets(self) -> int:
+        """Return the descriptors that the process has for sockets."""
+        limits = self.fields.get("limits", {})
+        descriptors = int(limits.get("maxFds", DEFAULT_MAX_DESCRIPTORS))
+        return max(MIN_SOCKETS, descriptors - FILE_DESCRIPTORS)
+
     def gateway(self) -> GatewaySettings:
         """Return the settings of a router."""
         listen, bounds = self.fields["listen"], self.fields["bounds"]
@@ -79,6 +94,7 @@
             float(bounds["budgetWindowS"]),
             float(bounds["budgetSlack"]),
             float(bounds.get("drainMs", DEFAULT_DRAIN_SECONDS * 1000)) / 1000,
+            self.max_sockets,
         )
 
     def registry(self) -> RegistrySettings:
--- a/tests/gateway/test_drain.py
+++ b/tests/gateway/test_drain.py
@@ -1,8 +1,10 @@
 """Graceful shutdown: readiness fails first, responses end, then the process stops."""
 
+from collections import Counter
 from random import Random
 
 from anyio import (
+    BrokenResourceError,
     connect_tcp,
     create_task_group,
     create_tcp_listener,
@@ -11,10 +13,12 @@
     run,
     sleep,
 )
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+from attrs import define, field
 
 from pistachiolever.discovery.models import Announcement, EndpointState
 from pistachiolever.edge.peers import PeerClient
+from pistachiolever.gateway.const import BALANCER_REMOVAL_SECONDS
 from pistachiolever.gateway.fleet import FleetView
 from pistachiolever.gateway.header_format import HeaderFormat
 from pistachiolever.gateway.process import GatewayProcess
@@ -27,8 +31,10 @@
     EVENTS,
     HEAD,
     Endpoint,
+    Script,
     chunk,
     id_of,
+    respond,
 )
 from tests.http1.test_server import free_address, read_all
 from tests.registry.test_process import make_discarding_logger
@@ -39,6 +45,10 @@
     b"GET /talk/1 HTTP/1.1\r\nHost: x\r\nX-Request-Id: id1\r\n"
     b"Authorization: Bearer key\r\n\r\n"
 )
+PLAIN_REQUEST = (
+    b"GET /read/1 HTTP/1.1\r\nHost: x\r\nX-Request-Id: id1\r\n"
+    b"Authorization: Bearer key\r\nConnection: close\r\n\r\n"
+)
 
 
 async def slow_stream(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
@@ -61,15 +71,18 @@
         return b""
 
 
-class DrainTest(CaseTest):
-    """The stop signal arrives during a stream."""
+@define
+class DrainingRouter:
+    """A router with one endpoint that can be told to drain."""
 
-    def test_stream_completes_before_shutdown(self) -> None:
-        run(self._drain)
+    script: Script
+    statuses: Counter[bytes] = field(factory=Counter)
+    settings: GatewaySettings = field(init=False)
+    process: GatewayProcess = field(init=False)
 
-    async def _drain(self) -> None:
-        """Stop a router that forwards a stream."""
-        settings = GatewaySettings(
+    async def start(self, group: TaskGroup) -> None:
+        """Start the router and its endpoint."""
+        self.settings = GatewaySettings(
             "r",
             "north",
             await free_address(),
@@ -82,7 +95,7 @@
         )
         events = make_discarding_logger("r")
         fleet = FleetView(
-            settings,
+            self.settings,
             lambda _: CONFIGURATION,
             PeerClient(),
             events,
@@ -93,48 +106,113 @@
         watcher = RegistryWatcher(
             MemberChoice("r", "north", list), PeerClient(), fleet, events
         )
-        process = GatewayProcess(settings, HeaderFormat(), fleet, watcher)
+        self.process = GatewayProcess(self.settings, HeaderFormat(), fleet, watcher)
+        group.start_soon(self.process.run)
+        listener = await create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(SocketAttribute.local_port)
+        group.start_soon(listener.serve, Endpoint(self.script).serve)
+        announcement = Announcement(
+            "e", 1, 1, EndpointState.READY, "s", f"127.0.0.1:{port}", "north", 64
+        )
+        fleet.apply_announcements([announcement])
+        await sleep(0.1)
+
+    async def send(self, request: bytes) -> bytes:
+        """Send a request on a connection of its own; return the raw answer."""
+        host, _, port = self.settings.front_address.rpartition(":")
+        async with await connect_tcp(host, int(port)) as caller:
+            await caller.send(request)
+            return await read_all(caller)
+
+    async def load(self, request: bytes) -> None:
+        """Send requests one after the other until the router takes none any more."""
+        while True:
+            try:
+                answer = await self.send(request)
+            except ConnectionRefusedError:
+                return
+            except OSError as error:
+                if isinstance(error.__cause__, ConnectionRefusedError):
+                    return
+                raise
+            except BrokenResourceError:
+                answer = b"- reset"
+            self.statuses[answer.split(b" ")[1] if answer else b"empty"] += 1
+
+    async def readiness(self) -> bytes:
+        """Return the status of a readiness check."""
         ready = b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
-        answers: list[bytes] = []
-
-        async def call() -> None:
-            """Request a stream and receive it to its end."""
-            host, _, port = settings.front_address.rpartition(":")
-            async with await connect_tcp(host, int(port)) as caller:
-                await caller.send(REQUEST)
-                answers.append(await read_all(caller))
-
-        with fail_after(20):
-            async with create_task_group() as group:
-                group.start_soon(process.run)
-                listener = await create_tcp_listener(local_host="127.0.0.1")
-                port = listener.extra(SocketAttribute.local_port)
-                endpoint = Endpoint(slow_stream)
-                group.start_soon(listener.serve, endpoint.serve)
-                fleet.apply_announcements(
-                    [
-                        Announcement(
-                            "e",
-                            1,
-                            1,
-                            EndpointState.READY,
-                            "s",
-                            f"127.0.0.1:{port}",
-                            "north",
-                            8,
-                        )
-                    ]
-                )
-                await sleep(0.1)
-                self.assertEqual(await status_of(settings.ready_address, ready), b"200")
-                group.start_soon(call)
-                await sleep(0.2)
-                group.start_soon(process.drain)
-                await sleep(0.1)
-                self.assertEqual(await status_of(settings.ready_address, ready), b"503")
-                while not answers:
-                    await sleep(0.05)
-                self.assertEqual(await status_of(settings.front_address, REQUEST), b"")
-                group.cancel_scope.cancel()
-        self.assertTrue(answers[0].endswith(b"0\r\n\r\n"))
-        self.assertEqual(answers[0].count(b"data: "), len(EVENTS))
+        return await status_of(self.settings.ready_address, ready)
+
+
+class DrainTest(CaseTest):
+    """The stop signal arrives during a stream."""
+
+    def test_stream_completes_before_shutdown(self) -> None:
+        async def test() -> None:
+            router = DrainingRouter(slow_stream)
+            answers: list[bytes] = []
+
+            async def call() -> None:
+                answers.append(await router.send(REQUEST))
+
+            with fail_after(20):
+                async with create_task_group() as group:
+                    await router.start(group)
+                    self.assertEqual(await router.readiness(), b"200")
+                    group.start_soon(call)
+                    await sleep(0.2)
+                    group.start_soon(router.process.drain)
+                    await sleep(0.1)
+                    self.assertEqual(await router.readiness(), b"503")
+                    while not answers:
+                        await sleep(0.05)
+                    await sleep(0.3)
+                    self.assertEqual(
+                        await status_of(router.settings.front_address, REQUEST), b""
+                    )
+                    group.cancel_scope.cancel()
+            self.assertTrue(answers[0].endswith(b"0\r\n\r\n"))
+            self.assertEqual(answers[0].count(b"data: "), len(EVENTS))
+
+        run(test)
+
+    # While all routers drained, none had a listener, and callers found no connection.
+    def test_callers_are_answered_until_the_end(self) -> None:
+        async def test() -> None:
+            router = DrainingRouter(slow_stream)
+            with fail_after(20):
+                async with create_task_group() as group:
+                    await router.start(group)
+                    # A stream keeps the router busy for longer than the balancer stays.
+                    group.start_soon(router.send, REQUEST)
+                    await sleep(0.2)
+                    group.start_soon(router.process.drain)
+                    await sleep(BALANCER_REMOVAL_SECONDS + 0.2)
+                    started_at = current_time()
+                    answer = await router.send(REQUEST)
+                    self.assertLess(current_time() - started_at, 0.5)
+                    self.assertEqual(answer.split(b" ")[1], b"503")
+                    self.assertIn(b"retry-after: ", answer)
+                    self.assertIn(b"connection: close", answer.lower())
+                    group.cancel_scope.cancel()
+
+        run(test)
+
+    # Requests on connections that had just been accepted were cut off at the end.
+    def test_planned_stop_under_load_answers_every_request(self) -> None:
+        async def test() -> None:
+            router = DrainingRouter(respond)
+            with fail_after(20):
+                async with create_task_group() as group:
+                    await router.start(group)
+                    async with create_task_group() as callers:
+                        for _ in range(20):
+                            callers.start_soon(router.load, PLAIN_REQUEST)
+                        await sleep(0.3)
+                        await router.process.drain()
+                        group.cancel_scope.cancel()
+            self.assertGreater(router.statuses[b"200"], 100)
+            self.assertEqual(set(router.statuses) - {b"200", b"503"}, set())
+
+        run(test)
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -1,5 +1,7 @@
 """Tests of the HTTP server: invalid requests, reused connections, disconnects."""
 
+from random import SystemRandom
+
 from anyio import (
     EndOfStream,
     connect_tcp,
@@ -9,7 +11,7 @@
     run,
     sleep,
 )
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import SocketStream
 from attrs import define, field
 
 from pistachiolever.http1.models import HttpLimits
@@ -19,20 +21,27 @@
 LIMITS = HttpLimits(2000, 1000, 0.3, 0.5)
 
 
+# Below the range from which the system takes the ports of outgoing connections, which
+# could use an address between its choice and the start of its server.
+PORTS = range(12_000, 32_000)
 _used_ports: set[int] = set()
 
 
 async def free_address() -> str:
-    """Return an unused address, a different one at each call.
-
-    Needed because the system may reuse a port as soon as it is closed.
-    """
+    """Return an unused address, a different one at each call."""
     while True:
-        async with await create_tcp_listener(local_host="127.0.0.1") as listener:
-            port = listener.extra(SocketAttribute.local_port)
-        if port not in _used_ports:
-            _used_ports.add(port)
-            return f"127.0.0.1:{port}"
+        port = SystemRandom().choice(PORTS)
+        if port in _used_ports:
+            continue
+        try:
+            listener = await create_tcp_listener(
+                local_host="127.0.0.1", local_port=port
+            )
+        except OSError:
+            continue
+        await listener.aclose()
+        _used_ports.add(port)
+        return f"127.0.0.1:{port}"
 
 
 @define
