--- a/pistachiolever/admission/controller.py
+++ b/pistachiolever/admission/controller.py
@@ -28,11 +28,15 @@
 
 @define
 class AdmissionController:
-    """Admission control of one endpoint: bids in, replies out."""
+    """Admission control of one endpoint: bids in, replies out.
+
+    `before_review` is called before each periodic review of the queue.
+    """
 
     core: AdmissionCore
     now: Callable[[], float]
     pending_by_bid: dict[str, PendingBid] = field(factory=dict)
+    before_review: Callable[[], None] | None = None
     _has_bids: Event = field(factory=Event)
 
     async def acquire(self, bid: Bid) -> BidReply:
@@ -87,6 +91,8 @@
                 self._has_bids = Event()
                 await self._has_bids.wait()
             await sleep(REVIEW_INTERVAL_SECONDS)
+            if self.before_review is not None:
+                self.before_review()
             if self.core.queued_by_id:
                 self._resolve(self.core.review(self.now()))
 
--- a/pistachiolever/emulator/fleet.py
+++ b/pistachiolever/emulator/fleet.py
@@ -166,11 +166,11 @@
         Of two members, the second publishes what the first has told it, so this is
         done in two steps.
         """
-        known = -1
+        known, rng = -1, Random(self.seed)
         while True:
             await sleep(2 * PUBLISH_SECONDS)
             self.aggregate.publish(current_time())
-            update = self.aggregate.update_since(known, current_time())
+            update = self.aggregate.update_since(known, current_time(), rng)
             known = update.number
             for routers in self.routers_by_domain.values():
                 for router in routers:
--- a/pistachiolever/gateway/admission_clients.py
+++ b/pistachiolever/gateway/admission_clients.py
@@ -1,6 +1,7 @@
 """Clients that obtain grants, from the agent beside an endpoint or locally."""
 
 from collections.abc import Callable
+from math import exp
 from random import Random
 from typing import Protocol
 
@@ -24,6 +25,7 @@
     Progress,
     ProgressReply,
 )
+from pistachiolever.admission.recent_service import RecentService
 from pistachiolever.core.task import BackgroundTask
 from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.peers import PeerClient
@@ -32,8 +34,11 @@
 from pistachiolever.gateway.const import (
     AGENT_RETRY_SECONDS,
     BID_TIMEOUT_MARGIN_SECONDS,
+    MAX_ABSENT_AGENT_RETRY_SECONDS,
     MAX_AGENT_RETRY_SECONDS,
+    MAX_OTHERS_SECONDS,
     MAX_UNREPORTED_RUNS,
+    OTHERS_DECAY_SECONDS,
 )
 
 
@@ -44,11 +49,17 @@
         """Return the last known load of the endpoint."""
 
     def update_load(self, load: Load, measured_at: float) -> None:
-        """Apply a load that was measured at a time of this process's clock."""
+        """Apply a load of the agent, measured at a time of this process's clock."""
+
+    def record_seen_load(self, load: Load, measured_at: float) -> None:
+        """Apply what the endpoint told of its load in a response."""
 
     async def acquire(self, bid: Bid) -> BidReply:
         """Wait for the reply to a bid; cancelling withdraws it."""
 
+    def is_local(self) -> bool:
+        """Return whether bids are decided in this process."""
+
     def report_start(self, bid_id: str) -> None:
         """Report the first chunk of a granted request."""
 
@@ -64,15 +75,25 @@
 
 @define
 class LocalAdmission:
-    """Grants requests in this process, considering only this router's own requests.
+    """Grants requests in this process, for an endpoint without an agent.
 
-    `fraction` returns the part of the endpoint's capacity that this router may use.
+    `fraction` returns the part of the endpoint's capacity that this router may use as
+    long as nothing is known of the others. `read_total` returns an account's service
+    over the whole fleet. `others` are the requests of other routers at the endpoint, as
+    it told of itself at `others_at`.
     """
 
     controller: AdmissionController
     fraction: Callable[[], float]
+    read_total: Callable[[str], float] | None = None
+    others: float = 0.0
+    others_at: float = float("-inf")
     task: BackgroundTask = field(factory=BackgroundTask)
 
+    def __attrs_post_init__(self) -> None:
+        """Let each review of the queue see the current estimate of the others."""
+        self.controller.before_review = self._update_others
+
     async def run(self) -> None:
         """Review the queue until the client is closed."""
         await self.task.run(self.controller.run)
@@ -81,22 +102,61 @@
         """End the background task."""
         self.task.close()
 
+    def is_local(self) -> bool:
+        """Return true."""
+        return True
+
     def load(self) -> Load:
-        """Return the load by this router alone."""
+        """Return the load by this router, and by the others as far as it is known."""
+        self._update_others()
         return self.controller.load()
 
     def update_load(self, load: Load, measured_at: float) -> None:
-        """Ignore a load told by others: this process sees only its own requests."""
+        """Ignore the load of an agent, which does not know of this router's grants."""
+
+    def record_seen_load(self, load: Load, measured_at: float) -> None:
+        """Apply what the endpoint told of its load."""
+        if measured_at < self.others_at:
+            return
+        own = len(self.controller.core.run_by_id)
+        self.others = max(0, load.running + load.waiting - own)
+        self.others_at = measured_at
 
     async def acquire(self, bid: Bid) -> BidReply:
-        """Wait for a grant within this router's part of the endpoint's capacity."""
+        """Wait for a grant within the capacity that the other routers leave."""
         fraction = self.fraction()
-        slots = max(1, round(bid.slots * fraction))
-        memory = int(bid.memory_tokens * fraction)
+        if self._knows_others():
+            fraction = max(fraction, 1.0 - self._others_now() / max(1, bid.slots))
+        slots = bid.slots if self._knows_others() else round(bid.slots * fraction)
+        total = self.read_total(bid.account_id) if self.read_total else bid.total
+        self._update_others()
         return await self.controller.acquire(
-            evolve(bid, slots=slots, memory_tokens=memory)
+            evolve(
+                bid,
+                slots=max(1, slots),
+                memory_tokens=int(bid.memory_tokens * fraction),
+                total=total,
+            )
         )
 
+    def _knows_others(self) -> bool:
+        """Return whether the endpoint has told of its load recently.
+
+        An endpoint that refuses what exceeds its capacity needs no estimate.
+        """
+        age = self.controller.now() - self.others_at
+        return self.read_total is not None and age < MAX_OTHERS_SECONDS
+
+    def _others_now(self) -> float:
+        """Return the estimated requests of the others."""
+        age = max(0.0, self.controller.now() - self.others_at)
+        return self.others * exp(-age / OTHERS_DECAY_SECONDS)
+
+    def _update_others(self) -> None:
+        """Let the decisions reckon with the requests of the others."""
+        others = round(self._others_now()) if self._knows_others() else 0
+        self.controller.core.untracked_running = others
+
     def report_start(self, bid_id: str) -> None:
         """Report the first chunk of a granted request."""
         self.controller.handle_progress(Progress([bid_id]))
@@ -120,23 +180,43 @@
 
     address: str
     client: PeerClient
-    fallback: LocalAdmission
+    make_fallback: Callable[[], LocalAdmission]
     events: EventLogger
     now: Callable[[], float]
     last_load: Load = Load()
     measured_at: float = float("-inf")
     retry_seconds: float = AGENT_RETRY_SECONDS
+    retry_at: float = 0.0
     unresponsive: bool = False
+    has_replied: bool = False
+    probe_requested: bool = False
+    _fallback: LocalAdmission | None = None
     started_ids: list[str] = field(factory=list)
     ended_runs: list[EndedRun] = field(factory=list)
     local_ids: set[str] = field(factory=set)
     task: BackgroundTask = field(factory=BackgroundTask)
     _wake: Event = field(factory=Event)
 
+    @property
+    def fallback(self) -> LocalAdmission:
+        """Return what decides while the agent is unresponsive."""
+        if self._fallback is None:
+            self._fallback = self.make_fallback()
+        return self._fallback
+
+    def is_local(self) -> bool:
+        """Return whether the agent is unresponsive, or there is none."""
+        return self.unresponsive
+
     def load(self) -> Load:
         """Return the last load from the agent, or the local one without it."""
         return self.fallback.load() if self.unresponsive else self.last_load
 
+    def record_seen_load(self, load: Load, measured_at: float) -> None:
+        """Apply what the endpoint told of its load, unless its agent knows better."""
+        if self.unresponsive:
+            self.fallback.record_seen_load(load, measured_at)
+
     def update_load(self, load: Load, measured_at: float) -> None:
         """Apply a load of the endpoint, unless a newer one is known."""
         if measured_at > self.measured_at:
@@ -147,8 +227,12 @@
         if not self.unresponsive:
             reply = await self._request_grant(bid)
             if reply is not None:
+                self.has_replied = True
                 self.update_load(reply.load, self.now())
                 return reply
+        elif self.now() >= self.retry_at:
+            self.probe_requested = True
+            self._wake.set()
         self.local_ids.add(bid.bid_id)
         granted = False
         try:
@@ -201,38 +285,40 @@
         await self.task.run(self._report)
 
     def close(self) -> None:
-        """End the background task."""
+        """End the background tasks."""
         self.task.close()
+        if self._fallback is not None:
+            self._fallback.close()
 
     async def _report(self) -> None:
         """Send progress messages when there is something to report.
 
-        An unresponsive agent is called until it replies, with exponential backoff.
+        An unresponsive agent is called only while there are bids for its endpoint, with
+        exponential backoff.
         """
         while True:
-            if self.unresponsive:
-                await sleep(self.retry_seconds)
-                self.retry_seconds = min(
-                    2 * self.retry_seconds, MAX_AGENT_RETRY_SECONDS
-                )
-            else:
-                await self._wait_for_news()
-            if self.unresponsive or self._has_news():
+            await self._wait_for_news()
+            if self.probe_requested or self._has_news():
                 await self._report_progress()
 
     async def _wait_for_news(self) -> None:
         """Wait for starts and ends, and collect those that come within the batch."""
-        if not self._has_news():
+        while not (self.probe_requested or (self._has_news() and not self._is_lost())):
             self._wake = Event()
             await self._wake.wait()
         await sleep(PROGRESS_BATCH_SECONDS)
 
+    def _is_lost(self) -> bool:
+        """Return whether the agent is not to be called now."""
+        return self.unresponsive and self.now() < self.retry_at
+
     def _has_news(self) -> bool:
         """Return whether there are starts or ends to report."""
         return bool(self.started_ids or self.ended_runs)
 
     async def _report_progress(self) -> None:
         """Send pending starts and ends; update the load from the reply."""
+        self.probe_requested = False
         progress = self._take_progress()
         try:
             reply = await self.client.call(
@@ -247,6 +333,7 @@
             self._record_unresponsive(str(error))
             return
         self.update_load(reply.load, self.now())
+        self.has_replied = True
         if self.unresponsive:
             self.unresponsive = False
             self.retry_seconds = AGENT_RETRY_SECONDS
@@ -268,17 +355,27 @@
 
     def _record_unresponsive(self, error: str) -> None:
         """Use the fallback until the agent replies; log the first failure."""
-        if self.unresponsive:
-            return
-        self.unresponsive = True
-        self._wake.set()
-        self.events.record(EventCode.AGENT_LOST, agent=self.address, error=error)
+        limit = MAX_AGENT_RETRY_SECONDS
+        if not self.has_replied:
+            # There may be no agent at all.
+            limit = MAX_ABSENT_AGENT_RETRY_SECONDS
+        self.retry_at = self.now() + self.retry_seconds
+        self.retry_seconds = min(2 * self.retry_seconds, limit)
+        if not self.unresponsive:
+            self.unresponsive = True
+            self.events.record(EventCode.AGENT_LOST, agent=self.address, error=error)
 
 
 def make_local_admission(
-    rng: Random, now: Callable[[], float], fraction: Callable[[], float]
+    rng: Random,
+    now: Callable[[], float],
+    fraction: Callable[[], float],
+    service: RecentService | None = None,
+    read_total: Callable[[str], float] | None = None,
 ) -> LocalAdmission:
-    """Return a local admission client with no capacity known yet."""
-    return LocalAdmission(
-        AdmissionController(AdmissionCore(Capacity(1), rng), now), fraction
-    )
+    """Return a local admission client with no capacity known yet.
+
+    For an engine, `service` is shared by all clients of this router.
+    """
+    core = AdmissionCore(Capacity(1), rng, service=service or RecentService())
+    return LocalAdmission(AdmissionController(core, now), fraction, read_total)
--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -18,8 +18,9 @@
     RESPONSE_TIMEOUT_TARGET_FRACTION,
     STALL_CHECK_SECONDS,
 )
+from pistachiolever.gateway.endpoint_handle import EndpointHandle
 from pistachiolever.gateway.event_stream import EventBoundary, EventSplitter
-from pistachiolever.gateway.fleet import EndpointHandle, FleetView
+from pistachiolever.gateway.fleet import FleetView
 from pistachiolever.gateway.header_format import HeaderFormat, keep_alive_seconds
 from pistachiolever.gateway.models import ProxyRequest
 from pistachiolever.http1.client import ClientConnection
@@ -171,6 +172,8 @@
         # Status 421 comes from another endpoint, which has taken over the address.
         if response.status != 421:
             self.fleet.record_notices(self.handle, request.request_id, metadata)
+            if metadata.load is not None:
+                self.fleet.record_seen_load(self.handle, metadata.load)
         if metadata.not_run or response.status == 421:
             await self._discard_body(connection, response)
             return AttemptResult(
--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -100,3 +100,17 @@
 LAST_REQUESTS_SECONDS: Final = 0.2
 # Hexadecimal digits that tell the bids of one life of a router from all others.
 BID_PREFIX_DIGITS: Final = 16
+# Endpoints that are considered for a request: the homes of its shared part, and as many
+# free and random ones. Together they are all endpoints of a small service.
+HOMES: Final = 3
+FREE_SAMPLES: Final = 8
+RANDOM_SAMPLES: Final = 4
+MAX_CACHED_HOMES: Final = 20_000
+# Endpoints at which a router remembers to have used a shared part.
+MAX_PART_ENDPOINTS: Final = 4
+# Without news of an engine's load by others, it decays with this time constant.
+OTHERS_DECAY_SECONDS: Final = 1.0
+# What an endpoint told of its load is used for so long.
+MAX_OTHERS_SECONDS: Final = 3.0
+# Longest time without a call to an agent that has never replied.
+MAX_ABSENT_AGENT_RETRY_SECONDS: Final = 30.0
--- a/pistachiolever/gateway/fair_shares.py
+++ b/pistachiolever/gateway/fair_shares.py
@@ -104,7 +104,11 @@
         if self.is_stale(now):
             return _read(self.own.got_by_account, account_id, now)
         unseen = self.own.unseen_elsewhere(account_id, endpoint_id, now)
-        return _read(self.got_by_account, account_id, now) + unseen
+        return self.told_total(account_id, now) + unseen
+
+    def told_total(self, account_id: str, now: float) -> float:
+        """Return an account's recent service as the registry told it last."""
+        return _read(self.got_by_account, account_id, now)
 
     def share(
         self, tokens_per_second: float, router_count: int, now: float
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -1,13 +1,14 @@
 """A router's view of the fleet: the configuration in force and the endpoints."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 from typing import Protocol
 
-from anyio import CancelScope, create_task_group
+from anyio import create_task_group
 from attrs import define, field
 
 from pistachiolever.admission.models import Load
+from pistachiolever.admission.recent_service import RecentService
 from pistachiolever.core.ids import new_id
 from pistachiolever.core.mailbox import Mailbox
 from pistachiolever.core.pause import pause_seconds
@@ -28,8 +29,9 @@
     ENDPOINT_CONNECTION_FRACTION,
     MAX_IDLE_ENDPOINT_CONNECTIONS,
 )
+from pistachiolever.gateway.endpoint_handle import EndpointHandle
+from pistachiolever.gateway.endpoint_index import ServiceIndex
 from pistachiolever.gateway.fair_shares import FairShares
-from pistachiolever.gateway.health import EndpointHealth
 from pistachiolever.gateway.models import ResponseMetadata
 from pistachiolever.gateway.notices import EndpointNotices, Restriction
 from pistachiolever.gateway.placement import Candidate, Placement
@@ -39,8 +41,8 @@
 from pistachiolever.routing.errors import InvalidConfigurationError
 from pistachiolever.routing.models import ProxyConfiguration
 from pistachiolever.routing.table import RouteTable
-from pistachiolever.usage.aggregate import unpack_measured
-from pistachiolever.usage.models import UsageUpdate
+from pistachiolever.usage.models import MeasuredLoad, UsageUpdate, unpack_measured
+from pistachiolever.usage.reporter import UsageReporter
 
 
 class ConfigurationDecoder(Protocol):
@@ -50,37 +52,6 @@
         """Return the configuration; raise InvalidConfigurationError."""
 
 
-@define(eq=False)
-class EndpointHandle:
-    """One incarnation of an endpoint: its announcement, admission client and health.
-
-    `bidding_tokens` are the prompt tokens of this router's undecided bids for it;
-    cancelling `bid_scopes` withdraws these bids.
-    """
-
-    endpoint: Announcement
-    admission: AdmissionClient
-    local_admission: LocalAdmission
-    health: EndpointHealth = field(factory=EndpointHealth)
-    bidding_tokens: float = 0.0
-    bid_scopes: set[CancelScope] = field(factory=set)
-
-    def withdraw_bids(self) -> None:
-        """Withdraw undecided bids, so that their requests are placed anew."""
-        for scope in list(self.bid_scopes):
-            scope.cancel()
-
-    def close(self) -> None:
-        """End the tasks of an endpoint that is gone; its bids are placed anew."""
-        self.withdraw_bids()
-        self.admission.close()
-        self.local_admission.close()
-
-    def load(self) -> Load:
-        """Return the last known load of the endpoint."""
-        return self.admission.load()
-
-
 @define
 class FleetView:
     """The configuration in force and the known endpoints, from registry updates."""
@@ -97,6 +68,7 @@
     directory: EndpointDirectory = field(factory=EndpointDirectory)
     handle_by_id: dict[str, EndpointHandle] = field(factory=dict)
     handle_by_agent: dict[str, EndpointHandle] = field(factory=dict)
+    index_by_service: dict[str, ServiceIndex] = field(factory=dict)
     pool: ConnectionPool = field(init=False)
     placement: Placement = field(init=False)
     budget: RetryBudget = field(init=False)
@@ -104,7 +76,9 @@
     shares: FairShares = field(factory=FairShares)
     new_admission_clients: Mailbox[AdmissionClient] = field(factory=Mailbox)
     gone_addresses: Mailbox[str] = field(factory=Mailbox)
+    reporter: UsageReporter = field(init=False)
     shares_stale: bool = False
+    applied_change: int = -1
     incarnation: str = field(init=False)
     bid_count: int = 0
 
@@ -122,6 +96,7 @@
             self.settings.retry_slack,
         )
         self.notices = EndpointNotices(self.settings.drain_seconds)
+        self.reporter = UsageReporter(self.settings.node_id, RecentService())
 
     async def run(self) -> None:
         """Run admission clients; close connections to endpoints that are gone."""
@@ -186,44 +161,99 @@
             handle = self.handle_by_agent.get(address)
             if handle is not None:
                 measured = unpack_measured(numbers, now)
-                handle.admission.update_load(measured.load, measured.at)
+                handle.update_load(measured.load, measured.at)
+                self.update_free(handle)
+        for address, numbers in update.seen_loads.items():
+            handle = self.handle_by_agent.get(address)
+            if handle is not None:
+                measured = unpack_measured(numbers, now)
+                handle.record_seen_load(measured.load, measured.at)
+                self.update_free(handle)
+
+    def record_seen_load(self, handle: EndpointHandle, load: Load) -> None:
+        """Apply the load that an endpoint told in a response.
+
+        What an endpoint without an agent tells is passed on to the other routers.
+        """
+        now = self.now()
+        handle.record_seen_load(load, now)
+        self.update_free(handle)
+        if handle.endpoint.agent and handle.is_without_agent():
+            measured = MeasuredLoad(load, now)
+            self.reporter.record_seen_load(handle.endpoint.agent, measured)
+
+    def update_free(self, handle: EndpointHandle) -> None:
+        """Remember whether an endpoint has a free slot."""
+        index = self.index_by_service.get(handle.endpoint.service_id)
+        if index is not None:
+            index.update_load(handle.endpoint.endpoint_id, handle.is_full())
 
     def _sync_handles(self) -> None:
         """Keep one handle for the current incarnation of each endpoint."""
-        active_by_id = {
-            announcement.endpoint_id: announcement
-            for announcement in self.directory.active()
-        }
-        for endpoint_id, handle in list(self.handle_by_id.items()):
-            announcement = active_by_id.get(endpoint_id)
-            if announcement is None or announcement.born_ms != handle.endpoint.born_ms:
+        for announcement in self.directory.changed_since(self.applied_change):
+            self._sync_handle(announcement)
+        self.applied_change = self.directory.change_number
+
+    def _sync_handle(self, announcement: Announcement) -> None:
+        """Apply the newest announcement of one endpoint."""
+        endpoint_id = announcement.endpoint_id
+        handle = self.handle_by_id.get(endpoint_id)
+        is_gone = announcement.state is EndpointState.GONE
+        if handle is not None:
+            known = handle.endpoint
+            self.index(known.service_id).discard(endpoint_id)
+            if is_gone or announcement.born_ms != known.born_ms:
                 del self.handle_by_id[endpoint_id]
-                self.handle_by_agent.pop(handle.endpoint.agent, None)
+                if self.handle_by_agent.get(known.agent) is handle:
+                    del self.handle_by_agent[known.agent]
                 handle.close()
-                self.gone_addresses.put(handle.endpoint.address)
-        for endpoint_id, announcement in active_by_id.items():
-            known = self.handle_by_id.get(endpoint_id)
-            if known is None:
-                handle = self._make_handle(announcement)
-                self.handle_by_id[endpoint_id] = handle
-                if announcement.agent:
-                    self.handle_by_agent[announcement.agent] = handle
-            else:
-                known.endpoint = announcement
-
-    def _make_handle(self, announcement: Announcement) -> EndpointHandle:
-        """Return a handle for an endpoint, or an incarnation, that is new."""
-        local = make_local_admission(
-            self.rng, self.now, lambda: self._endpoint_fraction(announcement)
-        )
-        self.new_admission_clients.put(local)
+                self.gone_addresses.put(known.address)
+                handle = None
+        if is_gone:
+            return
+        if handle is None:
+            handle = EndpointHandle(announcement, self._make_admission)
+            self.handle_by_id[endpoint_id] = handle
+        handle.endpoint = announcement
+        if announcement.agent:
+            self.handle_by_agent[announcement.agent] = handle
+        if announcement.state is EndpointState.READY:
+            self.index(announcement.service_id).add(endpoint_id)
+
+    def index(self, service_id: str) -> ServiceIndex:
+        """Return the index of a service."""
+        return self.index_by_service.setdefault(service_id, ServiceIndex())
+
+    def _make_admission(self, announcement: Announcement) -> AdmissionClient:
+        """Return the admission client of an endpoint, and start its task."""
+
+        def make_local() -> LocalAdmission:
+            """Return the client that decides without an agent."""
+            is_engine = bool(announcement.agent)
+            local = make_local_admission(
+                self.rng,
+                self.now,
+                lambda: self._endpoint_fraction(announcement),
+                self.reporter.service if is_engine else None,
+                self._read_total if is_engine else None,
+            )
+            self.new_admission_clients.put(local)
+            return local
+
         if not announcement.agent:
-            return EndpointHandle(announcement, local, local)
+            return make_local()
         admission = RemoteAdmission(
-            announcement.agent, self.client, local, self.events, self.now
+            announcement.agent, self.client, make_local, self.events, self.now
         )
         self.new_admission_clients.put(admission)
-        return EndpointHandle(announcement, admission, local)
+        return admission
+
+    def _read_total(self, account_id: str) -> float:
+        """Return an account's service in the whole fleet, as the registry tells it.
+
+        This router's own service is known to the clients that decide here.
+        """
+        return self.shares.told_total(account_id, self.now())
 
     def _endpoint_fraction(self, announcement: Announcement) -> float:
         """Return the fraction of an endpoint's capacity that this router may grant.
@@ -278,6 +308,8 @@
     def held_back(self, service_id: str) -> dict[str, list[str]]:
         """Return the restricted endpoints of a service, by kind of restriction."""
         ids: dict[str, list[str]] = {}
+        if not self.notices.by_incarnation:
+            return ids
         for handle in self._ready(service_id, set()):
             restriction = self.notices.restriction(handle.endpoint, self.now())
             if restriction is not Restriction.NONE:
@@ -291,6 +323,8 @@
 
         None unless pauses prevent requests to all of its endpoints that stay.
         """
+        if not self.notices.paused:
+            return None
         now = self.now()
         times = [
             self.notices.available_at(handle.endpoint)
@@ -320,36 +354,52 @@
 
     # Queries by requests.
 
-    def candidates(self, service_id: str, avoid: set[str]) -> list[Candidate]:
-        """Return the endpoints of a service that may get a request now."""
-        self._record_ended_pauses()
+    def candidates(
+        self,
+        service_id: str,
+        avoid: set[str],
+        part_id: str = "",
+        extra: Iterable[str] = (),
+    ) -> list[Candidate]:
+        """Return the endpoints of a service to consider for a request.
+
+        `part_id` is the last shared part of its prompt, `extra` are further endpoints.
+        """
+        chosen = self.index(service_id).choose(part_id, self.rng)
+        chosen.update(dict.fromkeys(extra))
+        handles = [
+            handle
+            for endpoint_id in chosen
+            if (handle := self.handle_by_id.get(endpoint_id)) is not None
+        ]
+        usable, _ = self._split_usable(self._accepting(handles, service_id, avoid))
         return [
             Candidate(
-                handle.endpoint,
-                handle.load(),
-                handle.health,
-                handle.bidding_tokens,
+                handle.endpoint, handle.load(), handle.health, handle.bidding_tokens
             )
-            for handle in self._usable(service_id, avoid)
+            for handle in usable or self.usable(service_id, avoid)
         ]
 
-    def has_usable(self, service_id: str, avoid: set[str]) -> bool:
-        """Return whether another endpoint of a service may get a request now."""
-        now = self.now()
-        return any(
-            self.notices.restriction(handle.endpoint, now)
-            in (Restriction.NONE, Restriction.LEAVING)
-            for handle in self._ready(service_id, avoid)
-        )
-
-    def _usable(self, service_id: str, avoid: set[str]) -> list[EndpointHandle]:
-        """Return the endpoints that their notices allow to use.
+    def usable(self, service_id: str, avoid: set[str]) -> list[EndpointHandle]:
+        """Return all endpoints of a service that may get a request now.
 
         Leaving ones are used only if there are no others.
         """
+        usable, leaving = self._split_usable(self._ready(service_id, avoid))
+        return usable or leaving
+
+    def has_usable(self, service_id: str, avoid: set[str]) -> bool:
+        """Return whether another endpoint of a service may get a request now."""
+        return bool(self.usable(service_id, avoid))
+
+    def _split_usable(
+        self, handles: Iterable[EndpointHandle]
+    ) -> tuple[list[EndpointHandle], list[EndpointHandle]]:
+        """Return the endpoints without restriction, and those that are leaving."""
+        self._record_ended_pauses()
         usable: list[EndpointHandle] = []
         leaving: list[EndpointHandle] = []
-        for handle in self._ready(service_id, avoid):
+        for handle in handles:
             restriction = self.notices.restriction(handle.endpoint, self.now())
             if restriction is Restriction.NONE:
                 usable.append(handle)
@@ -357,14 +407,22 @@
             if restriction is Restriction.LEAVING:
                 leaving.append(handle)
             self._count_held_back(handle, restriction)
-        return usable or leaving
+        return usable, leaving
 
     def _ready(self, service_id: str, avoid: set[str]) -> list[EndpointHandle]:
-        """Return the endpoints of a service that accept requests."""
+        """Return all endpoints of a service that accept requests."""
+        ids = self.index(service_id).ready.ids
+        handles = [self.handle_by_id[endpoint_id] for endpoint_id in ids]
+        return self._accepting(handles, service_id, avoid)
+
+    def _accepting(
+        self, handles: list[EndpointHandle], service_id: str, avoid: set[str]
+    ) -> list[EndpointHandle]:
+        """Return those of some endpoints that accept requests."""
         now = self.now()
         return [
             handle
-            for handle in self.handle_by_id.values()
+            for handle in handles
             if handle.endpoint.service_id == service_id
             and handle.endpoint.state is EndpointState.READY
             and handle.endpoint.endpoint_id not in avoid
--- a/pistachiolever/gateway/header_format.py
+++ b/pistachiolever/gateway/header_format.py
@@ -4,7 +4,7 @@
 
 from attrs import field, frozen
 
-from pistachiolever.admission.models import PromptPart
+from pistachiolever.admission.models import Load, PromptPart
 from pistachiolever.edge.keys import bearer_key
 from pistachiolever.gateway.const import (
     DEFAULT_KEEP_ALIVE_SECONDS,
@@ -37,6 +37,8 @@
 )
 # Larger numbers in a header are a mistake or an attack.
 MAX_HEADER_NUMBER: Final = 2**53
+# Numbers of running requests, of waiting ones and of slots.
+LOAD_NUMBERS: Final = 3
 # Further parts of a prompt are ignored.
 MAX_PROMPT_PARTS: Final = 256
 
@@ -132,6 +134,7 @@
             keep_alive_seconds(head),
             (head.value(self.leaving) or b"0").strip() != b"0",
             _retry_after(head),
+            _parse_load(head.value(self.load)),
         )
 
     def response_headers(self, head: ResponseHead, whole: bool) -> list[Header]:
@@ -152,6 +155,15 @@
     return None if value is None else value.decode("latin-1")
 
 
+def _parse_load(value: bytes | None) -> Load | None:
+    """Return the load that an endpoint told; None if it is absent or malformed."""
+    numbers = (value or b"").split(b",")
+    if len(numbers) != LOAD_NUMBERS or not all(n.strip().isdigit() for n in numbers):
+        return None
+    running, waiting, slots = (min(int(n), MAX_HEADER_NUMBER) for n in numbers)
+    return Load(running=running, waiting=waiting, slots=max(1, slots))
+
+
 def keep_alive_seconds(head: ResponseHead) -> float:
     """Return how long to keep a connection after a response; 0 to close it."""
     for name, value in head.headers:
--- a/pistachiolever/gateway/models.py
+++ b/pistachiolever/gateway/models.py
@@ -3,7 +3,7 @@
 from attrs import define, field, frozen
 
 from pistachiolever.admission.const import OUTPUT_TOKEN_WEIGHT
-from pistachiolever.admission.models import PromptPart
+from pistachiolever.admission.models import Load, PromptPart
 from pistachiolever.http1.models import RequestHead
 from pistachiolever.routing.models import ProxyRoute, ProxyService
 
@@ -30,6 +30,7 @@
     `signed` is true if the response carries a signature, `not_run` if it states that
     the endpoint did not run the request, `leaving` if the endpoint is leaving.
     `retry_after` is the unparsed value with which a busy endpoint asks for a pause.
+    `load` are its running and waiting requests and its slots.
     """
 
     request_id: str
@@ -38,6 +39,7 @@
     keep_alive_seconds: float
     leaving: bool = False
     retry_after: str | None = None
+    load: Load | None = None
 
 
 @define(eq=False)
--- a/pistachiolever/gateway/placement.py
+++ b/pistachiolever/gateway/placement.py
@@ -1,7 +1,6 @@
 """Ranks endpoints for a request by expected wait, prefill and failures."""
 
 from collections import OrderedDict
-from hashlib import blake2b
 
 from attrs import define, field, frozen
 
@@ -14,10 +13,12 @@
     COLD_PENALTY_SECONDS,
     FAILURE_PENALTY_SECONDS,
     FULL_PENALTY_SECONDS,
+    MAX_PART_ENDPOINTS,
     MAX_PREFIX_AFFINITIES,
     PREFIX_AFFINITY_SECONDS,
     REMOTE_DOMAIN_PENALTY_SECONDS,
 )
+from pistachiolever.gateway.endpoint_index import ServiceIndex
 from pistachiolever.gateway.health import EndpointHealth
 from pistachiolever.gateway.policy import PlacementPolicy
 
@@ -53,34 +54,46 @@
 
 @define
 class PrefixAffinity:
-    """When this router last used shared prompt prefixes at each endpoint."""
+    """When this router last used shared prompt prefixes, by prefix and endpoint."""
 
-    used_at_by_endpoint_prefix: OrderedDict[tuple[str, str], float] = field(
-        factory=OrderedDict
-    )
+    used_at_by_prefix: OrderedDict[str, dict[str, float]] = field(factory=OrderedDict)
 
     def record_use(
         self, endpoint_id: str, model: str, parts: list[PromptPart], now: float
     ) -> None:
         """Record that an endpoint has prefilled a prompt."""
         for key, _ in keyed_parts(model, parts):
-            key_at_endpoint = (endpoint_id, key)
-            self.used_at_by_endpoint_prefix[key_at_endpoint] = now
-            self.used_at_by_endpoint_prefix.move_to_end(key_at_endpoint)
-        while len(self.used_at_by_endpoint_prefix) > MAX_PREFIX_AFFINITIES:
-            self.used_at_by_endpoint_prefix.popitem(last=False)
+            used_at = self.used_at_by_prefix.setdefault(key, {})
+            used_at.pop(endpoint_id, None)
+            used_at[endpoint_id] = now
+            if len(used_at) > MAX_PART_ENDPOINTS:
+                del used_at[next(iter(used_at))]
+            self.used_at_by_prefix.move_to_end(key)
+        while len(self.used_at_by_prefix) > MAX_PREFIX_AFFINITIES:
+            self.used_at_by_prefix.popitem(last=False)
+
+    def recent_endpoints(self, key: str, now: float) -> list[str]:
+        """Return the endpoints that have probably cached a prefix."""
+        return [
+            endpoint_id
+            for endpoint_id, used_at in self.used_at_by_prefix.get(key, {}).items()
+            if now - used_at <= PREFIX_AFFINITY_SECONDS
+        ]
 
-    def cached_tokens(
-        self, endpoint_id: str, model: str, parts: list[PromptPart], now: float
-    ) -> int:
-        """Return how many tokens of a prompt an endpoint has probably cached."""
-        total = 0
-        for key, part in keyed_parts(model, parts):
-            used_at = self.used_at_by_endpoint_prefix.get((endpoint_id, key))
-            if used_at is None or now - used_at > PREFIX_AFFINITY_SECONDS:
-                break
-            total += part.tokens
-        return total
+
+@define
+class PromptPlan:
+    """What placement needs to know of a prompt, computed once for all endpoints.
+
+    `cached_by_endpoint` are the tokens that endpoints have probably cached,
+    `shared_tokens` those of the shared parts.
+    """
+
+    prompt_tokens: int
+    shared_part_id: str = ""
+    shared_tokens: int = 0
+    home_ids: list[str] = field(factory=list)
+    cached_by_endpoint: dict[str, int] = field(factory=dict)
 
 
 @define
@@ -91,40 +104,61 @@
     policy: PlacementPolicy = PlacementPolicy()
     prefix_affinity: PrefixAffinity = field(factory=PrefixAffinity)
 
-    def rank(
+    def plan(
         self,
         model: str,
         prompt_tokens: int,
         parts: list[PromptPart],
-        candidates: list[Candidate],
+        index: ServiceIndex,
         now: float,
+    ) -> PromptPlan:
+        """Return the plan of a prompt, whose last part is its own."""
+        shared = parts[:-1]
+        plan = PromptPlan(prompt_tokens)
+        if not shared:
+            return plan
+        plan.shared_part_id = shared[-1].part_id
+        plan.shared_tokens = sum(part.tokens for part in shared)
+        plan.home_ids = index.homes(plan.shared_part_id)
+        cached = 0
+        reachable: set[str] | None = None
+        for key, part in keyed_parts(model, shared):
+            recent = self.prefix_affinity.recent_endpoints(key, now)
+            reachable = set(recent) if reachable is None else reachable & set(recent)
+            if not reachable:
+                break
+            cached += part.tokens
+            for endpoint_id in reachable:
+                plan.cached_by_endpoint[endpoint_id] = cached
+        return plan
+
+    def rank(
+        self, plan: PromptPlan, candidates: list[Candidate], now: float
     ) -> list[RankedEndpoint]:
         """Return the candidates in order of cost, the cheapest first."""
-        preferred_id = _preferred_endpoint_id(parts, candidates)
         weight = self._shared_prefill_weight(candidates)
+        preferred_id = self._preferred_id(plan, candidates)
         ranked = [
-            self._evaluate(
-                model,
-                prompt_tokens,
-                parts,
-                candidate,
-                now,
-                candidate.endpoint.endpoint_id == preferred_id,
-                weight,
-            )
+            self._evaluate(plan, candidate, now, preferred_id, weight)
             for candidate in candidates
         ]
         ranked.sort(key=lambda choice: (choice.cost, choice.endpoint.endpoint_id))
         return ranked
 
+    def _preferred_id(self, plan: PromptPlan, candidates: list[Candidate]) -> str:
+        """Return the first home among the candidates; empty if there is none.
+
+        Every router prefers the same endpoint, so a shared prompt is prefilled once.
+        """
+        ids = {candidate.endpoint.endpoint_id for candidate in candidates}
+        return next((home for home in plan.home_ids if home in ids), "")
+
     def _evaluate(
         self,
-        model: str,
-        prompt_tokens: int,
-        parts: list[PromptPart],
+        plan: PromptPlan,
         candidate: Candidate,
         now: float,
-        is_preferred: bool,
+        preferred_id: str,
         shared_prefill_weight: float,
     ) -> RankedEndpoint:
         """Return a candidate with its cost."""
@@ -133,21 +167,17 @@
         wait = (
             load.unread_tokens + load.queued_tokens + candidate.bidding_tokens
         ) / rate
-        if not prompt_tokens:
+        if not plan.prompt_tokens:
             wait += BUSY_PENALTY_SECONDS * load.running / max(1, load.slots)
         is_full = load.running + load.waiting >= load.slots
-        if is_full or load.free_memory_tokens < prompt_tokens:
+        if is_full or load.free_memory_tokens < plan.prompt_tokens:
             wait += FULL_PENALTY_SECONDS
-        cached = self.prefix_affinity.cached_tokens(
-            endpoint.endpoint_id, model, parts, now
-        )
-        if is_preferred:
-            cached = max(cached, sum(part.tokens for part in parts[:-1]))
-        uncached_tokens = max(0, prompt_tokens - cached)
-        prefill = (
-            shared_prefill_weight * self._uncached_shared_tokens(parts, cached) / rate
-        )
-        prefill += uncached_tokens / rate
+        cached = plan.cached_by_endpoint.get(endpoint.endpoint_id, 0)
+        if endpoint.endpoint_id == preferred_id:
+            cached = plan.shared_tokens
+        uncached_shared = max(0, plan.shared_tokens - cached)
+        prefill = shared_prefill_weight * uncached_shared / rate
+        prefill += max(0, plan.prompt_tokens - cached) / rate
         failures = FAILURE_PENALTY_SECONDS * candidate.health.failure_fraction(now)
         cost = wait + prefill + failures
         if endpoint.failure_domain != self.failure_domain:
@@ -166,26 +196,3 @@
         pressure = busy_count / max(1, len(candidates))
         calm = self.policy.calm_reread_weight
         return calm + pressure * (self.policy.busy_reread_weight - calm)
-
-    def _uncached_shared_tokens(self, parts: list[PromptPart], cached: int) -> int:
-        """Return the tokens of shared parts that need prefill."""
-        shared = sum(part.tokens for part in parts[:-1])
-        return max(0, shared - cached)
-
-
-def _preferred_endpoint_id(parts: list[PromptPart], candidates: list[Candidate]) -> str:
-    """Return the endpoint for requests that share a prompt, by rendezvous hashing.
-
-    Every router computes the same one, so a shared prompt is prefilled once. Empty if
-    the request shares no prompt.
-    """
-    if len(parts) < 2 or not candidates:
-        return ""
-    shared = parts[-2].part_id
-    ids = [candidate.endpoint.endpoint_id for candidate in candidates]
-    return max(ids, key=lambda endpoint_id: _rendezvous_score(shared, endpoint_id))
-
-
-def _rendezvous_score(part_id: str, endpoint_id: str) -> bytes:
-    """Return an endpoint's score for a part, which is the same in every router."""
-    return blake2b(f"{part_id}/{endpoint_id}".encode(), digest_size=8).digest()
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -18,9 +18,10 @@
     MIN_ATTEMPT_SECONDS,
     RETRY_AFTER_FRACTION,
 )
+from pistachiolever.gateway.endpoint_handle import EndpointHandle
 from pistachiolever.gateway.event_stream import EventSplitter
 from pistachiolever.gateway.fair_shares import OwnGrant
-from pistachiolever.gateway.fleet import EndpointHandle, FleetView
+from pistachiolever.gateway.fleet import FleetView
 from pistachiolever.gateway.header_format import HeaderFormat
 from pistachiolever.gateway.models import ProxyRequest
 from pistachiolever.gateway.placement import RankedEndpoint
@@ -154,15 +155,20 @@
         )
 
     def _rank_endpoints(self, avoid: set[str]) -> list[RankedEndpoint]:
-        """Return the endpoints for the request, the best first."""
-        metadata = self.request.metadata
-        return self.fleet.placement.rank(
+        """Return the endpoints to consider for the request, the best first."""
+        metadata, fleet = self.request.metadata, self.fleet
+        service_id, now = self.request.service.service_id, fleet.now()
+        plan = fleet.placement.plan(
             metadata.model,
             metadata.prompt_tokens,
             metadata.parts,
-            self.fleet.candidates(self.request.service.service_id, avoid),
-            self.fleet.now(),
+            fleet.index(service_id),
+            now,
         )
+        candidates = fleet.candidates(
+            service_id, avoid, plan.shared_part_id, list(plan.cached_by_endpoint)
+        )
+        return fleet.placement.rank(plan, candidates, now)
 
     def _filter_short_waits(self, ranked: list[RankedEndpoint]) -> list[RankedEndpoint]:
         """Return the endpoints with a short expected wait.
@@ -201,6 +207,7 @@
             handle.bidding_tokens -= tokens
         if reply is None:
             return None
+        fleet.update_free(handle)
         if reply.granted and request.service.engine:
             fleet.shares.own.record_grant(
                 OwnGrant(fleet.now(), request.account_id, endpoint_id, request.cost)
--- a/pistachiolever/platform/main.py
+++ b/pistachiolever/platform/main.py
@@ -140,9 +140,13 @@
     )
     choice = context.choose_members(settings.node_id, settings.failure_domain)
     watcher = RegistryWatcher(choice, client, fleet, context.events)
+    reporting = UsageReporting(
+        fleet.reporter, choice, client, context.events, current_time
+    )
     process = GatewayProcess(settings, HEADER_FORMAT, fleet, watcher)
     async with create_task_group() as group:
         group.start_soon(process.run)
+        group.start_soon(reporting.run)
         await context.stop.wait()
         await process.drain()
         group.cancel_scope.cancel()
--- a/pistachiolever/registry/process.py
+++ b/pistachiolever/registry/process.py
@@ -150,7 +150,12 @@
             self.settings.address, self.incarnation, self.settings.failure_domain
         )
         self.watches = WatchService(
-            self.core, self.state, self.endpoints.directory, aggregate, self.now
+            self.core,
+            self.state,
+            self.endpoints.directory,
+            aggregate,
+            self.now,
+            self.rng,
         )
         self.usage = UsageExchange(
             aggregate,
--- a/pistachiolever/registry/watch_service.py
+++ b/pistachiolever/registry/watch_service.py
@@ -1,6 +1,7 @@
 """Serves watchers: holds their requests until there are updates."""
 
 from collections.abc import Callable
+from random import Random
 
 from anyio import Event, move_on_after
 from attrs import define, field
@@ -28,6 +29,7 @@
     directory: EndpointDirectory
     aggregate: UsageAggregate
     now: Callable[[], float]
+    rng: Random
     caught_up: bool = False
     synced: bool = False
     changed: Event = field(factory=Event)
@@ -87,7 +89,8 @@
         knows = request.life == self.aggregate.life
         usage = None
         if request.wants_usage:
-            usage = self.aggregate.update_since(request.usage if knows else -1, now)
+            known = request.usage if knows else -1
+            usage = self.aggregate.update_since(known, now, self.rng)
         return WatchReply(
             self.aggregate.life,
             self.directory.change_number,
--- a/pistachiolever/usage/aggregate.py
+++ b/pistachiolever/usage/aggregate.py
@@ -1,8 +1,9 @@
 """Sums of usage, and loads, at one member of the registry, without I/O."""
 
-from attrs import define, field, frozen
+from random import Random
+
+from attrs import define, field
 
-from pistachiolever.admission.models import Load
 from pistachiolever.admission.recent_service import DecayingSum
 from pistachiolever.usage.change_log import ChangeLog
 from pistachiolever.usage.const import (
@@ -11,18 +12,20 @@
     EXPIRY_CHECK_SECONDS,
     KEPT_STATES,
     LOAD_EXPIRY_SECONDS,
+    MAX_UPDATE_LOADS,
     MIN_AMOUNT,
     ROUTER_EXPIRY_SECONDS,
     ROUTER_REPEAT_SECONDS,
 )
 from pistachiolever.usage.models import (
     AgentReport,
+    MeasuredLoad,
     MemberDigest,
     PackedLoad,
     UsageByAccount,
     UsageUpdate,
-    pack_load,
     unpack_load,
+    unpack_measured,
 )
 
 
@@ -47,23 +50,6 @@
         return max(self.values(now)) < MIN_AMOUNT
 
 
-@frozen
-class MeasuredLoad:
-    """The load of an endpoint at a time, in seconds."""
-
-    load: Load
-    at: float
-
-    def pack(self, now: float) -> PackedLoad:
-        """Return the age in milliseconds and the numbers of the load."""
-        return [round((now - self.at) * 1000), *pack_load(self.load)]
-
-
-def unpack_measured(numbers: PackedLoad, now: float) -> MeasuredLoad:
-    """Return a load from its age in milliseconds and its numbers."""
-    return MeasuredLoad(unpack_load(numbers[1:]), now - numbers[0] / 1000)
-
-
 @define
 class AttachedAgent:
     """An agent that reports to this member, since `attached_at`."""
@@ -98,9 +84,11 @@
     remote_by_member: dict[str, RemoteMember] = field(factory=dict)
     own_sums: ChangeLog[str, AccountSums] = field(factory=ChangeLog)
     own_loads: ChangeLog[str, MeasuredLoad] = field(factory=ChangeLog)
+    own_seen_loads: ChangeLog[str, MeasuredLoad] = field(factory=ChangeLog)
     own_routers: ChangeLog[str, float] = field(factory=ChangeLog)
     changed_accounts: ChangeLog[str, None] = field(factory=ChangeLog)
     loads: ChangeLog[str, MeasuredLoad] = field(factory=ChangeLog)
+    seen_loads: ChangeLog[str, MeasuredLoad] = field(factory=ChangeLog)
     router_seen_at: dict[str, float] = field(factory=dict)
     has_changes: bool = False
     sequence: int = 0
@@ -123,7 +111,11 @@
         if report.load:
             measured = MeasuredLoad(unpack_load(report.load), now)
             self.own_loads.set(report.agent, measured, self.number + 1)
-            self._set_load(report.agent, measured)
+            self._set_load(self.loads, report.agent, measured)
+        for address, numbers in report.seen_loads.items():
+            measured = unpack_measured(numbers, now)
+            self.own_seen_loads.set(address, measured, self.number + 1)
+            self._set_load(self.seen_loads, address, measured)
 
     def handle_digest(self, digest: MemberDigest, now: float) -> None:
         """Apply the digest of another member, unless it has applied a newer one."""
@@ -140,7 +132,9 @@
             remote.sums_by_account[account_id] = sums
             self._mark_changed(account_id)
         for address, numbers in digest.loads.items():
-            self._set_load(address, unpack_measured(numbers, now))
+            self._set_load(self.loads, address, unpack_measured(numbers, now))
+        for address, numbers in digest.seen_loads.items():
+            self._set_load(self.seen_loads, address, unpack_measured(numbers, now))
         for address, age_ms in digest.attached.items():
             self._detach_if_older(address, now - age_ms / 1000, now)
         for router_id in digest.routers:
@@ -177,10 +171,8 @@
                 account_id: _rounded(sums.values(now))
                 for account_id, sums in self.own_sums.since(number)
             },
-            {
-                address: measured.pack(now)
-                for address, measured in self.own_loads.since(number)
-            },
+            _pack_all(self.own_loads.since(number), now),
+            _pack_all(self.own_seen_loads.since(number), now),
             {
                 address: round((now - agent.attached_at) * 1000)
                 for address, agent in self.agent_by_address.items()
@@ -189,17 +181,23 @@
             [router_id for router_id, _ in self.own_routers.since(number)],
         )
 
-    def update_since(self, number: int, now: float) -> UsageUpdate:
-        """Return what has changed in the whole fleet since a published state."""
+    def update_since(self, number: int, now: float, rng: Random) -> UsageUpdate:
+        """Return what has changed in the whole fleet since a published state.
+
+        At most MAX_UPDATE_LOADS of the changed loads, drawn at random.
+        """
         uses: UsageByAccount = {
             account_id: _rounded(self.usage(account_id, now))
             for account_id, _ in self.changed_accounts.since(number)
         }
-        loads = {
-            address: measured.pack(now)
-            for address, measured in self.loads.since(number)
-        }
-        return UsageUpdate(self.number, uses, loads)
+        loads, seen_loads = self.loads.since(number), self.seen_loads.since(number)
+        if len(loads) > MAX_UPDATE_LOADS:
+            loads = rng.sample(loads, MAX_UPDATE_LOADS)
+        if len(seen_loads) > MAX_UPDATE_LOADS:
+            seen_loads = rng.sample(seen_loads, MAX_UPDATE_LOADS)
+        return UsageUpdate(
+            self.number, uses, _pack_all(loads, now), _pack_all(seen_loads, now)
+        )
 
     def usage(self, account_id: str, now: float) -> tuple[float, float]:
         """Return demand and service of an account over the whole fleet."""
@@ -239,11 +237,13 @@
         self.changed_accounts.set(account_id, None, self.number + 1)
         self.has_changes = True
 
-    def _set_load(self, address: str, measured: MeasuredLoad) -> None:
+    def _set_load(
+        self, loads: ChangeLog[str, MeasuredLoad], address: str, measured: MeasuredLoad
+    ) -> None:
         """Set the load of an endpoint, unless a newer one is known."""
-        known = self.loads.get(address)
+        known = loads.get(address)
         if known is None or measured.at > known.at:
-            self.loads.set(address, measured, self.number + 1)
+            loads.set(address, measured, self.number + 1)
             self.has_changes = True
 
     def _detach_if_older(self, address: str, attached_at: float, now: float) -> None:
@@ -277,9 +277,10 @@
                 self.own_loads.remove(address)
             else:
                 _drop_negligible(agent.sums_by_account, now)
-        for address, (_, measured) in list(self.loads.entry_by_key.items()):
-            if now - measured.at > LOAD_EXPIRY_SECONDS:
-                self.loads.remove(address)
+        for loads in (self.loads, self.seen_loads, self.own_seen_loads):
+            for address, (_, measured) in list(loads.entry_by_key.items()):
+                if now - measured.at > LOAD_EXPIRY_SECONDS:
+                    loads.remove(address)
 
     def _expire_amounts(self, now: float) -> None:
         """Forget amounts that have decayed, once everybody has been told of them."""
@@ -301,6 +302,13 @@
             del sums_by_account[account_id]
 
 
+def _pack_all(
+    loads: list[tuple[str, MeasuredLoad]], now: float
+) -> dict[str, PackedLoad]:
+    """Return loads in the form in which they are sent."""
+    return {address: measured.pack(now) for address, measured in loads}
+
+
 def _rounded(values: tuple[float, float]) -> tuple[int, int]:
     """Return two sums as whole weighted tokens."""
     return (round(values[0]), round(values[1]))
--- a/pistachiolever/usage/const.py
+++ b/pistachiolever/usage/const.py
@@ -41,3 +41,6 @@
 KEPT_STATES: Final = 40
 # A load that was not reported again for this long belongs to an agent that is gone.
 LOAD_EXPIRY_SECONDS: Final = 60.0
+# Loads in one message to a router. It looks at few endpoints for each request, and the
+# number of endpoints must not determine what each router receives.
+MAX_UPDATE_LOADS: Final = 64
--- a/pistachiolever/usage/models.py
+++ b/pistachiolever/usage/models.py
@@ -16,16 +16,19 @@
 
 @frozen
 class AgentReport:
-    """What has changed at an agent since its last report.
+    """What has changed at an agent, or at a router, since its last report.
 
     `life` is the incarnation of the member that has the earlier reports; empty if the
-    report is complete. `agent` is the agent's address.
+    report is complete. `agent` is the agent's address, or the router's id. A router
+    reports what it decides itself for endpoints without an agent, and in `seen_loads`
+    what these endpoints told of themselves, by the agent's address.
     """
 
     agent: str
     life: str = ""
     load: PackedLoad = field(factory=list)
     uses: UsageByAccount = field(factory=dict)
+    seen_loads: dict[str, PackedLoad] = field(factory=dict)
 
 
 @frozen
@@ -33,8 +36,9 @@
     """What has changed at a member since the last digest that a peer accepted.
 
     `uses` are sums over the agents that report to this member. `loads` are by agent,
-    each preceded by its age in milliseconds. `attached` are agents that began to report
-    here, with the milliseconds since then. `routers` are the watching routers.
+    each preceded by its age in milliseconds, `seen_loads` likewise. `attached` are
+    agents that began to report here, with the milliseconds since then. `routers` are
+    the watching routers.
     """
 
     member: str
@@ -43,6 +47,7 @@
     domain: str = ""
     uses: UsageByAccount = field(factory=dict)
     loads: dict[str, PackedLoad] = field(factory=dict)
+    seen_loads: dict[str, PackedLoad] = field(factory=dict)
     attached: dict[str, int] = field(factory=dict)
     routers: list[str] = field(factory=list)
 
@@ -56,11 +61,15 @@
 
 @frozen
 class UsageUpdate:
-    """What has changed in the fleet-wide sums; `number` identifies the state."""
+    """What has changed in the fleet-wide sums; `number` identifies the state.
+
+    If many loads have changed, it has a random part of them.
+    """
 
     number: int = 0
     uses: UsageByAccount = field(factory=dict)
     loads: dict[str, PackedLoad] = field(factory=dict)
+    seen_loads: dict[str, PackedLoad] = field(factory=dict)
 
 
 def pack_load(load: Load) -> PackedLoad:
@@ -79,3 +88,20 @@
 def unpack_load(numbers: PackedLoad) -> Load:
     """Return the load with these numbers; raise TypeError if there are too many."""
     return Load(*numbers)
+
+
+@frozen
+class MeasuredLoad:
+    """The load of an endpoint at a time, in seconds."""
+
+    load: Load
+    at: float
+
+    def pack(self, now: float) -> PackedLoad:
+        """Return the age in milliseconds and the numbers of the load."""
+        return [round((now - self.at) * 1000), *pack_load(self.load)]
+
+
+def unpack_measured(numbers: PackedLoad, now: float) -> MeasuredLoad:
+    """Return a load from its age in milliseconds and its numbers."""
+    return MeasuredLoad(unpack_load(numbers[1:]), now - numbers[0] / 1000)
--- a/pistachiolever/usage/reporter.py
+++ b/pistachiolever/usage/reporter.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from attrs import define
+from attrs import define, field
 
 from pistachiolever.admission.models import Load
 from pistachiolever.admission.recent_service import RecentService
@@ -13,41 +13,57 @@
     IDLE_REPORT_SECONDS,
     REPORT_SECONDS,
 )
-from pistachiolever.usage.models import AgentReport, pack_load
+from pistachiolever.usage.models import AgentReport, MeasuredLoad, pack_load
 
 
 @define
 class UsageReporter:
     """Reports the accounts and the load that have changed, at most so often.
 
-    `member_life` is the incarnation of the member that has all earlier reports.
+    `member_life` is the incarnation of the member that has all earlier reports. A
+    reporter without `read_load` is a router's: it reports only if there is news.
     """
 
     agent: str
     service: RecentService
-    read_load: Callable[[float], Load]
+    read_load: Callable[[float], Load] | None = None
     member_life: str = ""
     reported_at: float = float("-inf")
     reported_load: Load | None = None
+    seen_loads: dict[str, MeasuredLoad] = field(factory=dict)
+
+    def record_seen_load(self, address: str, measured: MeasuredLoad) -> None:
+        """Report what an endpoint without an agent told of its load."""
+        self.seen_loads[address] = measured
 
     def next_report(self, now: float) -> AgentReport | None:
         """Return the report that is due, or None."""
-        elapsed = now - self.reported_at
-        if elapsed < REPORT_SECONDS:
+        if now - self.reported_at < REPORT_SECONDS:
             return None
-        load = self.read_load(now)
-        has_news = (
-            not self.member_life
-            or bool(self.service.changed_accounts)
-            or self.reported_load is None
-            or is_load_changed(self.reported_load, load)
-        )
-        if not has_news and elapsed < IDLE_REPORT_SECONDS:
+        load = self.read_load(now) if self.read_load else None
+        if not self._has_news(load, now):
             return None
         self.reported_at, self.reported_load = now, load
         accounts = self.service.pop_changed(everything=not self.member_life)
-        uses = {account: self.service.usage(account, now) for account in accounts}
-        return AgentReport(self.agent, self.member_life, pack_load(load), uses)
+        seen, self.seen_loads = self.seen_loads, {}
+        return AgentReport(
+            self.agent,
+            self.member_life,
+            pack_load(load) if load else [],
+            {account: self.service.usage(account, now) for account in accounts},
+            {address: measured.pack(now) for address, measured in seen.items()},
+        )
+
+    def _has_news(self, load: Load | None, now: float) -> bool:
+        """Return whether there is something to report."""
+        if self.service.changed_accounts or self.seen_loads:
+            return True
+        if load is None:
+            return False
+        if not self.member_life or self.reported_load is None:
+            return True
+        is_overdue = now - self.reported_at >= IDLE_REPORT_SECONDS
+        return is_overdue or is_load_changed(self.reported_load, load)
 
     def handle_reply(self, report: AgentReport, life: str, now: float) -> None:
         """Handle the reply of a member with its incarnation."""
--- a/tests/gateway/test_admission_clients.py
+++ b/tests/gateway/test_admission_clients.py
@@ -1,5 +1,6 @@
 """Clients of admission leave nothing behind when bids or endpoints go."""
 
+from random import Random
 from typing import Any
 
 from anyio import (
@@ -16,7 +17,11 @@
 from pistachiolever.discovery.models import EndpointState
 from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.peers import PeerClient
-from pistachiolever.gateway.admission_clients import RemoteAdmission
+from pistachiolever.gateway.admission_clients import (
+    LocalAdmission,
+    RemoteAdmission,
+    make_local_admission,
+)
 from tests.admission.test_core import BID
 from tests.gateway.test_notices import ENDPOINT, make_fleet
 from tests.registry.test_process import make_discarding_logger
@@ -36,11 +41,14 @@
 
 
 def make_admission(client: PeerClient) -> RemoteAdmission:
-    """Return the client of an agent whose fallback has no capacity."""
-    fleet = make_fleet([evolve(ENDPOINT, agent="a:1")], [100.0])
-    fallback = fleet.handle_by_id["e0"].local_admission
+    """Return the client of an agent."""
     events = make_discarding_logger("r")
-    return RemoteAdmission("a:1", client, fallback, events, current_time)
+    return RemoteAdmission("a:1", client, make_fallback, events, current_time)
+
+
+def make_fallback() -> LocalAdmission:
+    """Return what decides without the agent."""
+    return make_local_admission(Random(1), current_time, lambda: 1.0)
 
 
 class CancelledBidTest(CaseTest):
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -57,7 +57,7 @@
 
 def usable(fleet: FleetView) -> set[str]:
     """Return the endpoints that may get a request."""
-    return {c.endpoint.endpoint_id for c in fleet.candidates("s", set())}
+    return {h.endpoint.endpoint_id for h in fleet.usable("s", set())}
 
 
 class LeavingTest(CaseTest):
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -6,6 +6,7 @@
 
 from pistachiolever.admission.models import Load, PromptPart
 from pistachiolever.discovery.models import Announcement, EndpointState
+from pistachiolever.gateway.endpoint_index import ServiceIndex
 from pistachiolever.gateway.health import EndpointHealth
 from pistachiolever.gateway.placement import Candidate, Placement, RankedEndpoint
 from tests.support.cases import CaseTest
@@ -31,6 +32,17 @@
     return [PromptPart(shared, 5000), PromptPart(own, 7000)]
 
 
+def rank(
+    placement: Placement, prompt: list[PromptPart], among: list[Candidate]
+) -> list[RankedEndpoint]:
+    """Rank endpoints for a prompt of 12,000 tokens."""
+    index = ServiceIndex()
+    for candidate in among:
+        index.add(candidate.endpoint.endpoint_id)
+    plan = placement.plan("m", 12_000, prompt, index, 1.0)
+    return placement.rank(plan, among, 1.0)
+
+
 class PlacementTest(CaseTest):
     """Each test ranks endpoints under one kind of load."""
 
@@ -42,14 +54,14 @@
 
     def rank(self, prompt: list[PromptPart], among: list[Candidate]) -> str:
         """Return the best endpoint for a prompt."""
-        return best(self.placement.rank("m", 12_000, prompt, among, 1.0))
+        return best(rank(self.placement, prompt, among))
 
     def test_routers_agree_on_the_endpoint_of_a_shared_prompt(self) -> None:
         """Routers without common state must choose the same endpoint."""
         for number in range(40):
             prompt = parts(f"thing{number}")
-            first = Placement("north").rank("m", 12_000, prompt, self.idle, 1.0)
-            second = Placement("south").rank("m", 12_000, prompt, self.idle[::-1], 1.0)
+            first = rank(Placement("north"), prompt, self.idle)
+            second = rank(Placement("south"), prompt, self.idle[::-1])
             self.assertEqual(best(first), best(second))
 
     def test_prompts_spread_over_endpoints(self) -> None:
--- a/tests/registry/test_watch_service.py
+++ b/tests/registry/test_watch_service.py
@@ -32,6 +32,7 @@
         EndpointDirectory(),
         UsageAggregate("m1", "life"),
         lambda: clock[0],
+        Random(1),
         caught_up=True,
         synced=True,
     )
--- a/tests/usage/test_aggregate.py
+++ b/tests/usage/test_aggregate.py
@@ -68,12 +68,12 @@
         here = UsageAggregate("m1", "1")
         here.handle_report(report("a1", hot=(100, 40), small=(5, 5)), 1.0)
         self.assertTrue(here.publish(1.0))
-        known = here.update_since(-1, 1.0)
+        known = here.update_since(-1, 1.0, Random(1))
         self.assertEqual(set(known.uses), {"hot", "small"})
         self.assertEqual(set(known.loads), {"a1"})
         here.handle_report(report("a2", hot=(1, 1)), 1.1)
         here.publish(1.1)
-        update = here.update_since(known.number, 1.1)
+        update = here.update_since(known.number, 1.1, Random(1))
         self.assertEqual((set(update.uses), set(update.loads)), ({"hot"}, {"a2"}))
         self.assertFalse(here.publish(1.2))
 
@@ -82,7 +82,9 @@
         here.handle_report(report("a1"), 1.0)
         old = [500, *pack_load(Load(running=12))]
         here.handle_digest(MemberDigest("m2", "9", 1, loads={"a1": old}), 1.1)
-        self.assertEqual(here.update_since(-1, 1.1).loads["a1"][1:], pack_load(LOAD))
+        self.assertEqual(
+            here.update_since(-1, 1.1, Random(1)).loads["a1"][1:], pack_load(LOAD)
+        )
 
     def test_routers_of_all_members_are_counted(self) -> None:
         here, there = UsageAggregate("m1", "1"), UsageAggregate("m2", "2")
