Send the second request with a key while the first one certainly runs

Cause: the test took it that a request sent 50 ms earlier is first and still runs. Before the claim of the first, or after its end, 200 RAN is the true answer (the test checks the latter itself); which of the two it was is not known, as nothing was kept of that run. Now the booking takes a second and the second request waits until the desk counts the first; what is checked is the same.

--- a/stand_ins/booking_desk.py
+++ b/stand_ins/booking_desk.py
@@ -1,6 +1,7 @@
 """A stand-in booking desk that counts the executions of each input."""
 
 from collections.abc import AsyncIterator
+from typing import Final
 
 from anyio import sleep, sleep_forever
 from attrs import define, field
@@ -17,6 +18,9 @@
     FaultKind,
 )
 
+# Additional duration of a slow booking.
+SLOW_SECONDS: Final = 1.0
+
 
 class ConnectionCutError(Exception):
     """Drops a connection as an injected fault."""
@@ -58,6 +62,8 @@
         count = self.count_by_input.get(text, 0) + 1
         self.count_by_input[text] = count
         await sleep(self.service_seconds)
+        if fault is FaultKind.SLOW:
+            await sleep(SLOW_SECONDS)
         if fault is FaultKind.STALL:
             await sleep_forever()
         if fault is FaultKind.CUT:
--- a/stand_ins/faults.py
+++ b/stand_ins/faults.py
@@ -8,9 +8,9 @@
 class FaultKind(Enum):
     """The kind of an injected fault.
 
-    DUPLICATE sends a keep-alive comment before each token; SLOW delays each token.
-    PAUSE refuses the call and asks for a pause of a second; LEAVING serves it and says
-    that the endpoint is leaving.
+    DUPLICATE sends a keep-alive comment before each token; SLOW delays each token, or a
+    booking. PAUSE refuses the call and asks for a pause of a second; LEAVING serves it
+    and says that the endpoint is leaving.
     """
 
     NONE = "none"
--- a/tests/system/test_failures.py
+++ b/tests/system/test_failures.py
@@ -180,9 +180,12 @@
             )
             return response.status_code, response.json()["verdict"]
 
+        # Whether the second request comes while the first one runs must not depend on
+        # the speed of the machine: before, or after its end, other answers are true.
+        self.fleet.set_fault("stand-in-desk-0", "slow")
         with ThreadPoolExecutor(3) as pool:
             first = pool.submit(book, "router-0")
-            time.sleep(0.05)
+            wait_until(lambda: text in self.fleet.executions(), "the first run")
             during = pool.submit(book, "router-1")
             self.assertEqual(during.result(), (409, "MAY_HAVE_RUN"))
             self.assertEqual(first.result(), (200, "RAN"))
