--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -207,7 +207,7 @@
             try:
                 response = await connection.exchange(head, self.request.body)
                 for _ in range(MAX_FOREIGN_RESPONSES if is_reused else 0):
-                    if self._is_own(response, is_reused):
+                    if not self._is_foreign(response):
                         break
                     # A late copy of an earlier response; the own one follows.
                     response = await connection.skip_response(
@@ -232,10 +232,14 @@
 
         Without a request id it can only be trusted on a new connection.
         """
-        request_id = self.header_format.parse_response(response).request_id
-        if not request_id:
+        if not self.header_format.parse_response(response).request_id:
             return not is_reused
-        return request_id == self.request.request_id
+        return not self._is_foreign(response)
+
+    def _is_foreign(self, response: ResponseHead) -> bool:
+        """Return whether a response names another request."""
+        request_id = self.header_format.parse_response(response).request_id
+        return request_id not in ("", self.request.request_id)
 
     def _may_move(self) -> bool:
         """Return whether another endpoint could take over if this one is silent.
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -303,10 +303,10 @@
 ) -> list[Result]:
     """Send requests through one router, each after a pause in seconds.
 
-    `copies` of each are sent at the same time.
+    `copies` of each are sent at the same time, with the same id.
     """
     request = (
-        b"GET %s HTTP/%s\r\nHost: x\r\nX-Request-Id: id1\r\n"
+        b"GET %s HTTP/%s\r\nHost: x\r\nX-Request-Id: id$\r\n"
         b"X-Deadline-Ms: %d\r\nConnection: close\r\n"
         b"Authorization: Bearer key\r\n%s\r\n" % (path, version, deadline_ms, extra)
     )
@@ -332,8 +332,9 @@
     endpoints = [Endpoint(script) for script in scripts]
     results: list[Result] = []
 
-    async def exchange() -> None:
-        results.append(await _exchange(settings.front_address, request, endpoints))
+    async def exchange(request_id: bytes) -> None:
+        sent = request.replace(b"id$", request_id)
+        results.append(await _exchange(settings.front_address, sent, endpoints))
 
     with fail_after(10):
         async with create_task_group() as group:
@@ -347,11 +348,11 @@
                 )
                 fleet.apply_announcements([evolve(base, address=f"127.0.0.1:{port}")])
             await sleep(0.05)
-            for pause in pauses:
+            for number, pause in enumerate(pauses, 1):
                 await sleep(pause)
                 async with create_task_group() as callers:
                     for _ in range(copies):
-                        callers.start_soon(exchange)
+                        callers.start_soon(exchange, b"id%d" % number)
             group.cancel_scope.cancel()
     return results
 
@@ -587,3 +588,57 @@
     def test_later_requests_are_served(self) -> None:
         results = send_requests(b"/read/1", respond, pauses=(0.0,) * 3, copies=4)
         self.assertEqual([result.status for result in results], [200] * 12)
+
+
+async def respond_with_late_copies(
+    endpoint: Endpoint, stream: SocketStream, head: bytes
+) -> None:
+    """Send the previous response again, then the own one."""
+    if len(endpoint.heads) > 1:
+        await stream.send(
+            HEAD % id_of(endpoint.heads[-2]) + b"Content-Length: 5\r\n\r\nfalse"
+        )
+        await sleep(0.02)
+    await respond(endpoint, stream, head)
+
+
+async def respond_twice_later(
+    endpoint: Endpoint, stream: SocketStream, head: bytes
+) -> None:
+    """Send a response, and the same once more while the connection is idle."""
+    await respond(endpoint, stream, head)
+    await sleep(0.05)
+    await respond(endpoint, stream, head)
+
+
+async def respond_without_id(
+    endpoint: Endpoint, stream: SocketStream, head: bytes
+) -> None:
+    """Send a response without the id of its request."""
+    await stream.send(
+        b"HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 4\r\n\r\ngood"
+    )
+
+
+class LateCopyTest(CaseTest):
+    """A second copy of a response on a connection that is in use again."""
+
+    # The copy ended the next request with 502, although its own response followed.
+    def test_own_response_after_a_late_copy(self) -> None:
+        for path in (b"/read/1", b"/book/1"):
+            with self.subTest(path):
+                results = send_requests(
+                    path, respond_with_late_copies, pauses=(0.0, 0.05, 0.05)
+                )
+                found = [(result.status, result.body) for result in results]
+                self.assertEqual(found, [(200, b"good")] * 3)
+
+    def test_copy_on_an_idle_connection(self) -> None:
+        results = send_requests(b"/book/1", respond_twice_later, pauses=(0.0, 0.2, 0.2))
+        found = [(result.status, result.body) for result in results]
+        self.assertEqual(found, [(200, b"good")] * 3)
+
+    # Whose response it is can't be told.
+    def test_response_without_id_on_a_reused_connection(self) -> None:
+        results = send_requests(b"/book/1", respond_without_id, pauses=(0.0, 0.05))
+        self.assertEqual([result.status for result in results], [200, 502])
