Send callers to other routers while a router lacks processor time

Change: all pending connections are accepted together; the smoothed delay of the event loop decides that a router is not ready and asks callers to close their connections, and later that it refuses new requests before reading their bodies. Tests: test_overload.

--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -114,3 +114,16 @@
 MAX_OTHERS_SECONDS: Final = 3.0
 # Longest time without a call to an agent that has never replied.
 MAX_ABSENT_AGENT_RETRY_SECONDS: Final = 30.0
+# Interval at which the delay of the event loop is measured, and the weight of a sample.
+DELAY_SAMPLE_SECONDS: Final = 0.05
+DELAY_SAMPLE_WEIGHT: Final = 0.2
+# Smoothed delays: from the first on a router sends callers to others, from the second
+# on it refuses new requests, below the last it takes callers again.
+BUSY_DELAY_SECONDS: Final = 0.06
+SHED_DELAY_SECONDS: Final = 0.2
+CALM_DELAY_SECONDS: Final = 0.02
+# Shortest time for which a router sends callers to others: a load balancer needs two
+# checks to notice.
+MIN_BUSY_SECONDS: Final = 3.0
+# Retry-After of a router that has no processor time; other routers may have.
+OVERLOAD_RETRY_AFTER_SECONDS: Final = 0.3
--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -7,23 +7,26 @@
 from pistachiolever.gateway.const import (
     BALANCER_REMOVAL_SECONDS,
     CALLER_CONNECTION_FRACTION,
+    DELAY_SAMPLE_SECONDS,
     DRAIN_DURATION_FACTOR,
     DRAIN_POLL_SECONDS,
     ENDPOINT_DISCOVERY_SECONDS,
     GRACE_MARGIN_SECONDS,
     LAST_REQUESTS_SECONDS,
     OUTPUT_TOKEN_SECONDS,
+    OVERLOAD_RETRY_AFTER_SECONDS,
     PLAIN_RESPONSE_SECONDS,
     STARTUP_RETRY_AFTER_SECONDS,
 )
 from pistachiolever.gateway.fleet import FleetView
 from pistachiolever.gateway.header_format import HeaderFormat
 from pistachiolever.gateway.models import ProxyRequest, RequestMetadata
+from pistachiolever.gateway.overload import Overload, OverloadGuard
 from pistachiolever.gateway.request_processor import RequestProcessor
 from pistachiolever.gateway.settings import GatewaySettings
 from pistachiolever.http1.models import Header, HttpLimits
 from pistachiolever.http1.server import Exchange, HttpServer
-from pistachiolever.metrics.instruments import REQUESTS
+from pistachiolever.metrics.instruments import REQUESTS, SHED
 from pistachiolever.registry.watcher import RegistryWatcher
 from pistachiolever.routing.models import ProxyAccount, ProxyRoute, RequestKind
 from pistachiolever.routing.table import RouteTable, host_name
@@ -54,6 +57,7 @@
     public_server: HttpServer = field(init=False)
     readiness_server: HttpServer = field(init=False)
     was_ready: bool = False
+    guard: OverloadGuard = field(factory=OverloadGuard)
 
     def __attrs_post_init__(self) -> None:
         """Create the servers and register the gauges."""
@@ -72,6 +76,7 @@
         gauge("pistachiolever_configuration_version", self._version)
         gauge("pistachiolever_endpoints", lambda: len(self.fleet.handle_by_id))
         gauge("pistachiolever_busy_connections", self.public_server.busy_count)
+        gauge("pistachiolever_overload", lambda: self.guard.level)
         gauge("pistachiolever_connections", lambda: len(self.public_server.connections))
         gauge("pistachiolever_endpoint_connections", lambda: self.fleet.pool.open_count)
         gauge("pistachiolever_routers", lambda: self.fleet.budget.router_count)
@@ -84,6 +89,24 @@
             group.start_soon(self.watcher.run)
             group.start_soon(self.readiness_server.serve)
             group.start_soon(self.public_server.serve)
+            group.start_soon(self._watch_delay)
+
+    async def _watch_delay(self) -> None:
+        """Measure the delay of the event loop; record changes of the overload."""
+        while True:
+            started_at = self.fleet.now()
+            await sleep(DELAY_SAMPLE_SECONDS)
+            now, known = self.fleet.now(), self.guard.level
+            delay = max(0.0, now - started_at - DELAY_SAMPLE_SECONDS)
+            level = self.guard.observe(delay, now)
+            self.public_server.draining = self.draining or level > Overload.NONE
+            if level is not known:
+                self.fleet.events.record(
+                    EventCode.OVERLOAD_CHANGED,
+                    level=level.name,
+                    delay=round(self.guard.delay, 3),
+                    busy=self.public_server.busy_count(),
+                )
 
     async def drain(self) -> None:
         """Report not ready, finish running requests, return within the grace period.
@@ -153,6 +176,8 @@
         """Return whether the load balancer should send new connections."""
         if self.draining or self.fleet.table is None:
             return False
+        if self.guard.level > Overload.NONE:
+            return False
         waited = self.fleet.now() - self.started_at
         return bool(self.fleet.handle_by_id) or waited > ENDPOINT_DISCOVERY_SECONDS
 
@@ -173,6 +198,9 @@
     async def _handle_request(self, exchange: Exchange) -> None:
         """Serve a caller's request."""
         arrived_at = self.fleet.now()
+        if self.guard.level is Overload.SHEDDING:
+            await self._shed(exchange)
+            return
         metadata = self.header_format.parse_request(exchange.head)
         body = await exchange.read_body()
         try:
@@ -203,6 +231,12 @@
             if not done:
                 self._record_cancelled(request, processor)
 
+    async def _shed(self, exchange: Exchange) -> None:
+        """Refuse a request before reading its body: there is no time to serve it."""
+        seconds = OVERLOAD_RETRY_AFTER_SECONDS * (0.5 + self.fleet.rng.random())
+        self.fleet.instruments.count(SHED)
+        await exchange.respond(503, [(b"retry-after", b"%.2f" % seconds)], b"")
+
     def _record_cancelled(
         self, request: ProxyRequest, processor: RequestProcessor
     ) -> None:
--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -22,7 +22,6 @@
 from anyio.abc import (
     Listener,
     SocketAttribute,
-    SocketListener,
     SocketStream,
     TaskGroup,
 )
@@ -54,6 +53,7 @@
     LIMIT_REPORT_SECONDS,
     LINGER_SECONDS,
     LISTEN_BACKLOG,
+    MAX_ACCEPTED_TOGETHER,
     MAX_FRAMING_BYTES,
     MAX_UNPROCESSED_BYTES,
     READ_BYTES,
@@ -450,25 +450,42 @@
         self, listener: Listener[SocketStream], group: TaskGroup
     ) -> None:
         """Accept connections until the listener is closed."""
-        assert isinstance(listener, SocketListener)
+        raw_listener = listener.extra(SocketAttribute.raw_socket)
         while True:
             try:
+                await wait_readable(raw_listener)
                 if len(self.connections) >= self.max_connections:
-                    await self._make_room(listener)
-                stream = await listener.accept()
+                    await self._make_room()
+                await self._accept_pending(raw_listener, group)
             except ClosedResourceError:
                 return
+
+    async def _accept_pending(self, raw_listener: socket, group: TaskGroup) -> None:
+        """Accept all pending connections, up to MAX_ACCEPTED_TOGETHER.
+
+        With one at a time a busy process would fall behind, and serve only clients that
+        no longer wait.
+        """
+        for _ in range(MAX_ACCEPTED_TOGETHER):
+            if len(self.connections) >= self.max_connections:
+                return
+            try:
+                accepted, _address = raw_listener.accept()
+                stream = await SocketStream.from_socket(accepted)
+            except BlockingIOError:
+                return
             except OSError as error:
+                if raw_listener.fileno() < 0:
+                    raise ClosedResourceError from error
                 # The peer has gone, or a resource is exhausted; both pass.
                 self._report_limit(str(error))
                 self._close_newest_idle()
                 await sleep(ACCEPT_RETRY_SECONDS)
-                continue
+                return
             group.start_soon(self._serve_connection, self._add(stream))
 
-    async def _make_room(self, listener: SocketListener) -> None:
-        """Wait for a client, then for a connection that can be closed or ends."""
-        await wait_readable(listener.extra(SocketAttribute.raw_socket))
+    async def _make_room(self) -> None:
+        """Wait for a connection that can be closed or ends."""
         while len(self.connections) >= self.max_connections:
             self._report_limit("connections")
             self._room = Event()
--- a/pistachiolever/metrics/instruments.py
+++ b/pistachiolever/metrics/instruments.py
@@ -65,6 +65,9 @@
     "Dispatches that an endpoint's notice prevented",
     ("endpoint", "notice"),
 )
+SHED: Final = Instrument(
+    "pistachiolever_shed", "Requests refused for lack of processor time"
+)
 FIRST_CHUNK: Final = Instrument(
     "pistachiolever_first_part_seconds",
     "Time from arrival to the first chunk",
@@ -100,6 +103,7 @@
     RETRIES,
     STREAM_ENDS,
     HELD_BACK,
+    SHED,
     GRANTS,
     CONFIGURATIONS,
     ANNOUNCEMENTS,
@@ -114,6 +118,10 @@
     Instrument(
         "pistachiolever_busy_connections", "Connections with a request being served"
     ),
+    Instrument(
+        "pistachiolever_overload",
+        "1 while callers are sent to other routers, 2 while requests are refused",
+    ),
     Instrument("pistachiolever_connections", "Open connections of callers"),
     Instrument("pistachiolever_endpoint_connections", "Open connections to endpoints"),
     Instrument("pistachiolever_routers", "Routers that share the endpoints"),
--- a/pistachiolever/usage/aggregate.py
+++ b/pistachiolever/usage/aggregate.py
@@ -92,6 +92,7 @@
     router_seen_at: dict[str, float] = field(factory=dict)
     has_changes: bool = False
     sequence: int = 0
+    _update_by_number: dict[int, UsageUpdate] = field(factory=dict)
     _expired_at: float = float("-inf")
 
     # Input.
@@ -156,6 +157,7 @@
         if not self.has_changes:
             return False
         self.has_changes = False
+        self._update_by_number.clear()
         self.number += 1
         return True
 
@@ -184,8 +186,17 @@
     def update_since(self, number: int, now: float, rng: Random) -> UsageUpdate:
         """Return what has changed in the whole fleet since a published state.
 
-        At most MAX_UPDATE_LOADS of the changed loads, drawn at random.
+        At most MAX_UPDATE_LOADS of the changed loads, drawn at random. Routers that
+        know the same state get the same update until the next state is published.
         """
+        update = self._update_by_number.get(number)
+        if update is None:
+            update = self._make_update(number, now, rng)
+            self._update_by_number[number] = update
+        return update
+
+    def _make_update(self, number: int, now: float, rng: Random) -> UsageUpdate:
+        """Return a new update."""
         uses: UsageByAccount = {
             account_id: _rounded(self.usage(account_id, now))
             for account_id, _ in self.changed_accounts.since(number)
--- /dev/null
+++ b/tests/gateway/test_overload.py
@@ -0,0 +1,59 @@
+"""A router without processor time: all callers at one router, without network."""
+
+from pistachiolever.gateway.const import (
+    DELAY_SAMPLE_SECONDS,
+    MIN_BUSY_SECONDS,
+)
+from pistachiolever.gateway.overload import Overload, OverloadGuard
+from tests.support.cases import CaseTest
+
+
+def observe(guard: OverloadGuard, delay: float, seconds: float, now: float) -> float:
+    """Let the delay last for some seconds; return the time then."""
+    ends_at = now + seconds
+    while now < ends_at:
+        now += DELAY_SAMPLE_SECONDS + delay
+        guard.observe(delay, now)
+    return now
+
+
+class OverloadTest(CaseTest):
+    """Levels by the delay of the event loop."""
+
+    def test_levels(self) -> None:
+        for delay, level in (
+            (0.0, Overload.NONE),
+            (0.03, Overload.NONE),
+            (0.1, Overload.BUSY),
+            (0.5, Overload.SHEDDING),
+        ):
+            with self.subTest(delay):
+                guard = OverloadGuard()
+                observe(guard, delay, 3.0, 0.0)
+                self.assertIs(guard.level, level)
+
+    # A single long step, such as a large configuration, is no overload.
+    def test_one_long_step_changes_nothing(self) -> None:
+        guard = OverloadGuard()
+        guard.observe(0.25, 1.0)
+        self.assertIs(guard.level, Overload.NONE)
+
+    def test_overload_is_noticed_within_a_second(self) -> None:
+        guard = OverloadGuard()
+        observe(guard, 0.3, 1.0, 0.0)
+        self.assertGreater(guard.level, Overload.NONE)
+
+    def test_shedding_ends_before_callers_return(self) -> None:
+        guard = OverloadGuard()
+        now = observe(guard, 0.6, 3.0, 0.0)
+        self.assertIs(guard.level, Overload.SHEDDING)
+        now = observe(guard, 0.0, 1.0, now)
+        self.assertIs(guard.level, Overload.BUSY)
+        observe(guard, 0.0, MIN_BUSY_SECONDS, now)
+        self.assertIs(guard.level, Overload.NONE)
+
+    def test_router_stays_busy_until_the_balancer_has_noticed(self) -> None:
+        guard = OverloadGuard()
+        now = observe(guard, 0.15, 1.0, 0.0)
+        now = observe(guard, 0.0, MIN_BUSY_SECONDS / 2, now)
+        self.assertIs(guard.level, Overload.BUSY)
