--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -8,10 +8,11 @@
 from pistachiolever.core.verdict import Verdict
 from pistachiolever.gateway.const import (
     MAX_BUFFERED_RESPONSE_BYTES,
-    MAX_CHUNKS,
     MAX_EVENT_BYTES,
+    MAX_EVENT_PARTS,
     MAX_FOREIGN_RESPONSES,
     MAX_RESPONSE_BYTES,
+    MAX_RESPONSE_PARTS,
     MIN_RESPONSE_TIMEOUT_SECONDS,
     MIN_STREAM_TIMEOUT_SECONDS,
     PREFILL_TIMEOUT_FACTOR,
@@ -25,7 +26,7 @@
 from pistachiolever.gateway.models import ProxyRequest
 from pistachiolever.http1.client import ClientConnection
 from pistachiolever.http1.errors import PeerClosedError
-from pistachiolever.http1.models import Framing, Header, RequestHead, ResponseHead
+from pistachiolever.http1.models import Framing, Header, ResponseHead
 from pistachiolever.routing.models import RequestKind
 
 
@@ -100,7 +101,8 @@
     framing: Framing | None = None
     boundary: EventBoundary = field(factory=EventBoundary)
     first_due_at: float = 0.0
-    progressed_at: float | None = None
+    progressed_at: float = float("-inf")
+    is_sending: bool = False
     data_event_count: int = 0
 
     async def run(self) -> AttemptResult:
@@ -129,7 +131,7 @@
             with move_on_after(
                 self.request.remaining_seconds(self.fleet.now())
             ) as deadline:
-                result = await self._exchange(self.connection)
+                result = await self._exchange_unless_stalled(self.connection)
             if deadline.cancelled_caught:
                 return self._unknown_outcome(
                     "deadline", at_fault=self.first_chunk_at is None
@@ -151,6 +153,40 @@
             Verdict.MAY_HAVE_RUN, reason=reason, endpoint_at_fault=at_fault
         )
 
+    async def _exchange_unless_stalled(
+        self, connection: ClientConnection
+    ) -> AttemptResult:
+        """Send the request and handle the response.
+
+        Give up once the response is overdue and another endpoint can take over.
+        """
+        self.first_due_at = self.fleet.now() + self._response_timeout_seconds()
+        if not self._may_ever_move():
+            return await self._exchange(connection)
+        result: AttemptResult | None = None
+        failure: Exception | None = None
+        async with create_task_group() as group:
+            group.start_soon(self._watch_silence, group.cancel_scope)
+            # Caught here because the task group would wrap it in an exception group.
+            try:
+                result = await self._exchange(connection)
+            except Exception as error:  # noqa: BLE001
+                failure = error
+            group.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        if result is not None:
+            return result
+        where = "" if self.first_chunk_at is None else " within a stream"
+        return self._unknown_outcome(f"silent{where}")
+
+    async def _watch_silence(self, scope: CancelScope) -> None:
+        """Cancel a scope once the response is overdue and may be had elsewhere."""
+        while not self._is_stalled():
+            pause = self._stalled_at() - self.fleet.now()
+            await sleep(max(STALL_CHECK_SECONDS, pause))
+        scope.cancel()
+
     async def _exchange(self, connection: ClientConnection) -> AttemptResult:
         """Send the request and handle the response."""
         request = self.request
@@ -161,10 +197,12 @@
             self.splitter.last_id,
         )
         is_reused = connection.requests > 0
-        self.first_due_at = self.fleet.now() + self._response_timeout_seconds()
-        response = await self._await_response(connection, head, is_reused)
-        if response is None:
-            return self._unknown_outcome("silent")
+        response = await connection.exchange(head, request.body)
+        for _ in range(MAX_FOREIGN_RESPONSES if is_reused else 0):
+            if not self._is_foreign(response):
+                break
+            # A late copy of an earlier response; the own one follows.
+            response = await connection.skip_response(MAX_BUFFERED_RESPONSE_BYTES)
         if not self._is_own(response, is_reused):
             return self._unknown_outcome("an answer to another request")
         self.framing = response.framing
@@ -192,41 +230,6 @@
             return await self._forward_stream(connection, response)
         return await self._forward_buffered(connection, response)
 
-    async def _await_response(
-        self, connection: ClientConnection, head: RequestHead, is_reused: bool
-    ) -> ResponseHead | None:
-        """Send the request and return the head of its response.
-
-        None once the response is overdue and another endpoint can take over.
-        """
-        response: ResponseHead | None = None
-        failure: PeerClosedError | None = None
-        async with create_task_group() as group:
-            group.start_soon(self._watch_silence, group.cancel_scope)
-            # Caught here because the task group would wrap it in an exception group.
-            try:
-                response = await connection.exchange(head, self.request.body)
-                for _ in range(MAX_FOREIGN_RESPONSES if is_reused else 0):
-                    if not self._is_foreign(response):
-                        break
-                    # A late copy of an earlier response; the own one follows.
-                    response = await connection.skip_response(
-                        MAX_BUFFERED_RESPONSE_BYTES
-                    )
-            except PeerClosedError as error:
-                failure = error
-            group.cancel_scope.cancel()
-        if failure is not None:
-            raise failure
-        return response
-
-    async def _watch_silence(self, scope: CancelScope) -> None:
-        """Cancel a scope once the response is overdue and may be had elsewhere."""
-        while not self._is_stalled():
-            pause = self.first_due_at - self.fleet.now()
-            await sleep(max(STALL_CHECK_SECONDS, pause))
-        scope.cancel()
-
     def _is_own(self, response: ResponseHead, is_reused: bool) -> bool:
         """Return whether a response answers this request.
 
@@ -241,15 +244,20 @@
         request_id = self.header_format.parse_response(response).request_id
         return request_id not in ("", self.request.request_id)
 
+    def _may_ever_move(self) -> bool:
+        """Return whether the route and its attempts allow another endpoint."""
+        request = self.request
+        return (
+            request.route.retryable and request.attempt_count < request.route.attempts
+        )
+
     def _may_move(self) -> bool:
         """Return whether another endpoint could take over if this one is silent.
 
         Otherwise the only response that the caller can get may still come from here.
         """
         request, fleet = self.request, self.fleet
-        if not request.route.retryable:
-            return False
-        if request.attempt_count >= request.route.attempts:
+        if not self._may_ever_move():
             return False
         service_id = request.service.service_id
         if fleet.budget.remaining(service_id, fleet.now()) < 1.0:
@@ -315,7 +323,7 @@
         while (chunk := await connection.read_chunk()) is not None:
             chunks.append(chunk)
             size += len(chunk)
-            if len(chunks) > MAX_CHUNKS:
+            if len(chunks) > MAX_RESPONSE_PARTS:
                 return self._unknown_outcome("a response has too many chunks")
             if size > MAX_BUFFERED_RESPONSE_BYTES:
                 return await self._forward_unbuffered(connection, response, chunks)
@@ -348,12 +356,10 @@
         self, connection: ClientConnection, response: ResponseHead
     ) -> AttemptResult:
         """Forward an event stream, in whole events if it is resumable."""
-        while (data := await self._read_stream(connection)) is not None:
+        while (data := await connection.read_chunk()) is not None:
             events = self._accept_stream(data)
             if events:
                 await self._send_events(response, events)
-            elif self.request.route.resumable and self._is_stalled():
-                return self._unknown_outcome("no event within a stream")
         if self.boundary.unfinished_bytes:
             return self._unknown_outcome("the stream ended within an event")
         if response.framing is Framing.CLOSE and not self.boundary.received_bytes:
@@ -364,19 +370,6 @@
         await self._release_connection(response)
         return AttemptResult(Verdict.RAN, answered=True, status=response.status)
 
-    async def _read_stream(self, connection: ClientConnection) -> bytes | None:
-        """Return the next data of a stream, None at its end.
-
-        Raise UnusableResponseError if there is none and the stream is to be resumed.
-        """
-        while True:
-            with move_on_after(self._stream_timeout_seconds()) as timeout:
-                return await connection.read_chunk()
-            if timeout.cancelled_caught and self._is_stalled():
-                raise UnusableResponseError(
-                    self._unknown_outcome("silent within a stream")
-                )
-
     def _accept_stream(self, data: bytes) -> bytes:
         """Track received data; return what can be forwarded now.
 
@@ -386,7 +379,7 @@
         reason = ""
         if self.boundary.unfinished_bytes > MAX_EVENT_BYTES:
             reason = "an event is too long"
-        elif self.boundary.unfinished_chunks > MAX_CHUNKS:
+        elif self.boundary.unfinished_chunks > MAX_EVENT_PARTS:
             reason = "an event has too many chunks"
         elif self.boundary.received_bytes > MAX_RESPONSE_BYTES:
             reason = "a response is too long"
@@ -397,22 +390,16 @@
                 reason = "an event is missing"
         if reason:
             raise UnusableResponseError(self._unknown_outcome(reason))
-        if self.splitter.data_event_count > self.data_event_count:
-            self.data_event_count = self.splitter.data_event_count
-            self.progressed_at = self.fleet.now()
         return events
 
-    def _stream_timeout_seconds(self) -> float:
-        """Return how long to wait for more of a stream before checking on it."""
-        now = self.fleet.now()
-        remaining = self.request.remaining_seconds(now)
-        if not self.request.route.resumable:
-            return remaining
-        return min(remaining, max(STALL_CHECK_SECONDS, self._stalled_at() - now))
-
     def _is_stalled(self) -> bool:
-        """Return whether the response is overdue and another endpoint can take over."""
-        return self.fleet.now() >= self._stalled_at() and self._may_move()
+        """Return whether the response is overdue and another endpoint can take over.
+
+        Time in which the caller does not read is not the endpoint's.
+        """
+        if self.is_sending or self.fleet.now() < self._stalled_at():
+            return False
+        return self._may_move()
 
     def _stalled_at(self) -> float:
         """Return when the response will be overdue.
@@ -421,7 +408,7 @@
         """
         if self.first_chunk_at is None:
             return self.first_due_at
-        return (self.progressed_at or self.first_chunk_at) + self._max_pause()
+        return max(self.progressed_at, self.first_chunk_at) + self._max_pause()
 
     def _max_pause(self) -> float:
         """Return the longest pause of a stream, in seconds.
@@ -435,7 +422,14 @@
         self._record_first_chunk()
         if not self.sink.started:
             await self.sink.start(response.status, self._stream_headers(response))
+        started_at = self.fleet.now()
+        if self.splitter.data_event_count > self.data_event_count:
+            self.data_event_count = self.splitter.data_event_count
+            self.progressed_at = started_at
+        self.is_sending = True
         await self.sink.send(events)
+        self.is_sending = False
+        self.progressed_at += self.fleet.now() - started_at
 
     def _stream_headers(self, response: ResponseHead) -> list[Header]:
         """Return a stream's headers; its length is dropped, as it may be resumed."""
--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -78,9 +78,11 @@
 ENDPOINT_DISCOVERY_SECONDS: Final = 1.5
 # An event, or what an endpoint sends in place of one, is broken off at this size.
 MAX_EVENT_BYTES: Final = 1024 * 1024
-# Many small chunks cost far more time than their bytes suggest: so many are the limit
-# for one event, and for a response of a plain service.
-MAX_CHUNKS: Final = 8192
+# Many small chunks cost far more time than their bytes suggest: so many parts, each of
+# which may join several chunks, are the limit for one event, and for a response of a
+# plain service.
+MAX_EVENT_PARTS: Final = 1024
+MAX_RESPONSE_PARTS: Final = 2048
 # A whole response is broken off at this size.
 MAX_RESPONSE_BYTES: Final = 64 * 1024 * 1024
 # Responses to other requests that are skipped before the own one.
--- a/pistachiolever/http1/client.py
+++ b/pistachiolever/http1/client.py
@@ -42,6 +42,8 @@
 # A request with a body up to this size is sent in one write, before the response is
 # read.
 SMALL_BODY_BYTES = 8192
+# Chunks that are joined to one part of a body.
+MAX_JOINED_CHUNKS = 64
 
 
 @define(eq=False)
@@ -60,6 +62,7 @@
     requests: int = 0
     broken: bool = False
     on_close: Callable[[], None] | None = None
+    _read_ahead: object = None
     _method: bytes = b""
 
     def __attrs_post_init__(self) -> None:
@@ -159,14 +162,38 @@
         return await self._read_head()
 
     async def read_chunk(self) -> bytes | None:
-        """Return the next chunk of the body, or None at its end."""
-        event = await self._next_event()
+        """Return the next part of the body, or None at its end.
+
+        It joins the chunks that have been received already.
+        """
+        event, self._read_ahead = self._read_ahead, None
+        if event is None:
+            event = await self._next_event()
         if isinstance(event, Data):
-            return bytes(event.data)
+            return self._join_received(bytes(event.data))
         if isinstance(event, EndOfMessage):
             return None
         raise PeerClosedError("closed within an answer")
 
+    def _join_received(self, first: bytes) -> bytes:
+        """Return the first chunk and further ones that need no waiting."""
+        parts = [first]
+        size = len(first)
+        while size < READ_BYTES and len(parts) < MAX_JOINED_CHUNKS:
+            try:
+                event = self.protocol.next_event()
+            except RemoteProtocolError:
+                # The state machine raises it again when it is asked next.
+                break
+            if event is NEED_DATA:
+                break
+            if not isinstance(event, Data):
+                self._read_ahead = event
+                break
+            parts.append(bytes(event.data))
+            size += len(event.data)
+        return b"".join(parts) if len(parts) > 1 else first
+
     async def read_all(self, max_bytes: int) -> bytes:
         """Return the rest of the body; raise PeerClosedError if it is too large."""
         parts: list[bytes] = []
@@ -200,6 +227,7 @@
 
     def prepare_reuse(self, keep_alive_seconds: float) -> bool:
         """Prepare for the next request; return whether the connection can be reused."""
+        self._read_ahead = None
         is_done = self.protocol.our_state is DONE and self.protocol.their_state is DONE
         if self.broken or not is_done or self.protocol.trailing_data[0]:
             return False
