--- a/pistachiolever/http1/const.py
+++ b/pistachiolever/http1/const.py
@@ -40,5 +40,3 @@
 LIMIT_REPORT_SECONDS: Final = 1.0
 # A new connection is not closed for another one before its request had time to arrive.
 FIRST_REQUEST_SECONDS: Final = 0.5
-# Connections accepted before other tasks run again.
-MAX_ACCEPTED_TOGETHER: Final = 64
--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -16,7 +16,6 @@
     fail_after,
     move_on_after,
     sleep,
-    sleep_forever,
     wait_readable,
 )
 from anyio.abc import (
@@ -53,7 +52,6 @@
     LIMIT_REPORT_SECONDS,
     LINGER_SECONDS,
     LISTEN_BACKLOG,
-    MAX_ACCEPTED_TOGETHER,
     MAX_FRAMING_BYTES,
     MAX_UNPROCESSED_BYTES,
     READ_BYTES,
@@ -418,6 +416,7 @@
     connections: dict[ServerConnection, None] = field(factory=dict)
     _accepting: CancelScope = field(factory=CancelScope)
     _room: Event = field(factory=Event)
+    _opening_count: int = 0
     _limit_reported_at: float = float("-inf")
 
     async def serve(self) -> None:
@@ -430,9 +429,9 @@
         # kernel would accept connections that nobody serves.
         async with create_task_group() as group, multi_listener:
             with self._accepting:
-                for listener in multi_listener.listeners:
-                    group.start_soon(self._accept_all, listener, group)
-                await sleep_forever()
+                async with create_task_group() as acceptors:
+                    for listener in multi_listener.listeners:
+                        acceptors.start_soon(self._accept_all, listener, group)
             for listener in multi_listener.listeners:
                 await self._close_listener(listener, group)
 
@@ -449,44 +448,68 @@
     async def _accept_all(
         self, listener: Listener[SocketStream], group: TaskGroup
     ) -> None:
-        """Accept connections until the listener is closed."""
+        """Accept connections until cancelled."""
         raw_listener = listener.extra(SocketAttribute.raw_socket)
         while True:
-            try:
-                await wait_readable(raw_listener)
-                if len(self.connections) >= self.max_connections:
-                    await self._make_room()
-                await self._accept_pending(raw_listener, group)
-            except ClosedResourceError:
-                return
+            await wait_readable(raw_listener)
+            if self._open_count() >= self.max_connections:
+                await self._make_room()
+            await self._accept_pending(raw_listener, group)
 
     async def _accept_pending(self, raw_listener: socket, group: TaskGroup) -> None:
-        """Accept all pending connections, up to MAX_ACCEPTED_TOGETHER.
+        """Accept all pending connections that there is room for.
 
-        With one at a time a busy process would fall behind, and serve only clients that
-        no longer wait.
+        Waiting for each one to be set up would limit the rate to one in some turns of
+        the event loop, and later ones would be served after their clients had given up.
         """
-        for _ in range(MAX_ACCEPTED_TOGETHER):
-            if len(self.connections) >= self.max_connections:
-                return
+        error = self._accept_raw(raw_listener, group)
+        if error is None:
+            return
+        # The peer has gone, or a resource is exhausted; both pass.
+        self._report_limit(str(error))
+        self._close_newest_idle()
+        await sleep(ACCEPT_RETRY_SECONDS)
+
+    def _accept_raw(self, raw_listener: socket, group: TaskGroup) -> OSError | None:
+        """Accept until none is pending; return what the system refused with."""
+        while self._open_count() < self.max_connections:
             try:
                 accepted, _address = raw_listener.accept()
-                stream = await SocketStream.from_socket(accepted)
             except BlockingIOError:
-                return
+                return None
             except OSError as error:
-                if raw_listener.fileno() < 0:
-                    raise ClosedResourceError from error
-                # The peer has gone, or a resource is exhausted; both pass.
-                self._report_limit(str(error))
-                self._close_newest_idle()
-                await sleep(ACCEPT_RETRY_SECONDS)
-                return
-            group.start_soon(self._serve_connection, self._add(stream))
+                return error
+            self._opening_count += 1
+            group.start_soon(self._open_connection, accepted)
+        return None
+
+    def _open_count(self) -> int:
+        """Return the number of connections, with those that are being set up."""
+        return len(self.connections) + self._opening_count
+
+    async def _open_connection(self, accepted: socket) -> None:
+        """Set up an accepted connection and serve it."""
+        try:
+            stream = await SocketStream.from_socket(accepted)
+        except OSError as error:
+            accepted.close()
+            self._report_limit(str(error))
+            return
+        finally:
+            self._opening_count -= 1
+        connection = ServerConnection(
+            stream,
+            self.handler,
+            self.limits,
+            lambda: self.draining,
+            lambda: self.closing,
+        )
+        self.connections[connection] = None
+        await self._serve_connection(connection)
 
     async def _make_room(self) -> None:
         """Wait for a connection that can be closed or ends."""
-        while len(self.connections) >= self.max_connections:
+        while self._open_count() >= self.max_connections:
             self._report_limit("connections")
             self._room = Event()
             self._close_newest_idle()
@@ -500,31 +523,9 @@
 
         Closing alone would reset them, with the requests that they carry.
         """
-        raw_listener = listener.extra(SocketAttribute.raw_socket)
-        accepted: list[socket] = []
-        # No other task runs meanwhile, so the listener is closed before others come.
-        while len(self.connections) + len(accepted) < self.max_connections:
-            try:
-                accepted.append(raw_listener.accept()[0])
-            except OSError:
-                # There are none left, or no descriptor for another one.
-                break
+        # No other task runs in between, so the listener is closed before others come.
+        self._accept_raw(listener.extra(SocketAttribute.raw_socket), group)
         await listener.aclose()
-        for connected in accepted:
-            stream = await SocketStream.from_socket(connected)
-            group.start_soon(self._serve_connection, self._add(stream))
-
-    def _add(self, stream: SocketStream) -> ServerConnection:
-        """Return a new connection, which counts from now on."""
-        connection = ServerConnection(
-            stream,
-            self.handler,
-            self.limits,
-            lambda: self.draining,
-            lambda: self.closing,
-        )
-        self.connections[connection] = None
-        return connection
 
     async def _serve_connection(self, connection: ServerConnection) -> None:
         """Serve one connection."""
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server: invalid requests, reused connections, disconnects."""
 
 from random import SystemRandom
+from socket import socket
 
 from anyio import (
     EndOfStream,
@@ -18,6 +19,7 @@
 from pistachiolever.http1.server import Exchange, HttpServer
 from tests.support.cases import CaseTest
 
+BURST = 200
 LIMITS = HttpLimits(2000, 1000, 0.3, 0.5)
 
 
@@ -156,3 +158,36 @@
     def test_handler_error_closes_only_its_connection(self) -> None:
         answer = run(send_raw, Failing(), b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
         self.assertEqual(answer, b"")
+
+
+class BurstTest(CaseTest):
+    """Many clients connect while the server is busy."""
+
+    # One connection was accepted in some turns of the event loop. Behind them the others
+    # waited until their clients had given up, and so did all that came later.
+    def test_burst_is_accepted_within_a_few_turns(self) -> None:
+        async def test() -> int:
+            turns = 0
+            server = HttpServer(await free_address(), Echo().handle)
+
+            async def count_turns() -> None:
+                nonlocal turns
+                while len(server.connections) < BURST:
+                    turns += 1
+                    await sleep(0)
+
+            async with create_task_group() as group:
+                group.start_soon(server.serve)
+                await sleep(0.05)
+                host, _, port = server.address.rpartition(":")
+                sockets = [socket() for _ in range(BURST)]
+                for client in sockets:
+                    client.connect((host, int(port)))
+                with fail_after(5):
+                    await count_turns()
+                for client in sockets:
+                    client.close()
+                group.cancel_scope.cancel()
+            return turns
+
+        self.assertLess(run(test), BURST / 4)
