--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -189,6 +189,23 @@
     await stream.aclose()
 
 
+async def stream_drip(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
+    """Stop after two events, and send a comment now and then."""
+    await stream.send(HEAD % id_of(head) + b"Transfer-Encoding: chunked\r\n\r\n")
+    await stream.send(chunk(EVENTS[0] + EVENTS[1]))
+    while True:
+        await stream.send(chunk(b": x\n\n"))
+        await sleep(0.1)
+
+
+async def stream_slow(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
+    """Pause for longer than the route's streams usually do."""
+    await stream.send(HEAD % id_of(head) + b"Transfer-Encoding: chunked\r\n\r\n")
+    await stream.send(chunk(b"".join(EVENTS[:3])))
+    await sleep(2.0)
+    await stream.send(chunk(b"".join(EVENTS[3:])) + b"0\r\n\r\n")
+
+
 async def unframed(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
     """Send a response without a length, delimited by the end of the connection."""
     await stream.send(HEAD % id_of(head) + b"Connection: close\r\n\r\ngood")
@@ -452,6 +469,20 @@
             self.assertEqual(self.body(result), self.whole())
             self.assertTrue(result.raw.endswith(b"0\r\n\r\n"))
 
+    # Each byte started the timeout anew, so that the stream lasted until its deadline.
+    def test_stalled_stream_that_sends_comments_is_resumed(self) -> None:
+        for scripts in ([stream_drip, stream_whole], [stream_whole, stream_drip]):
+            (result,) = send_requests(b"/plan/1", *scripts, deadline_ms=4000)
+            events = self.body(result).replace(b": x\n\n", b"")
+            self.assertEqual(events, self.whole())
+            self.assertTrue(result.raw.endswith(b"0\r\n\r\n"))
+
+    # The only endpoint's stream was cut although no other could continue it.
+    def test_slow_stream_without_alternative_is_kept(self) -> None:
+        (result,) = send_requests(b"/plan/1", stream_slow, deadline_ms=4000)
+        self.assertEqual(self.body(result), self.whole())
+        self.assertTrue(result.raw.endswith(b"0\r\n\r\n"))
+
     def test_stream_is_resumed_after_its_last_whole_event(self) -> None:
         result = send_request(b"/plan/1", stream_part, stream_part)
         self.assertFalse(result.raw.endswith(b"0\r\n\r\n"))
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -163,8 +163,8 @@
 class BurstTest(CaseTest):
     """Many clients connect while the server is busy."""
 
-    # One connection was accepted in some turns of the event loop. Behind them the others
-    # waited until their clients had given up, and so did all that came later.
+    # One connection was accepted in some turns of the event loop. The others waited
+    # until their clients had given up, and so did all that came later.
     def test_burst_is_accepted_within_a_few_turns(self) -> None:
         async def test() -> int:
             turns = 0
