--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -194,7 +194,7 @@
     await stream.send(HEAD % id_of(head) + b"Transfer-Encoding: chunked\r\n\r\n")
     await stream.send(chunk(EVENTS[0] + EVENTS[1]))
     while True:
-        await stream.send(chunk(b": x\n\n"))
+        await stream.send(chunk(b": waiting\n\n"))
         await sleep(0.1)
 
 
@@ -473,11 +473,11 @@
     def test_stalled_stream_that_sends_comments_is_resumed(self) -> None:
         for scripts in ([stream_drip, stream_whole], [stream_whole, stream_drip]):
             (result,) = send_requests(b"/plan/1", *scripts, deadline_ms=4000)
-            events = self.body(result).replace(b": x\n\n", b"")
+            events = self.body(result).replace(b": waiting\n\n", b"")
             self.assertEqual(events, self.whole())
             self.assertTrue(result.raw.endswith(b"0\r\n\r\n"))
 
-    # The only endpoint's stream was cut although no other could continue it.
+    # Nothing else could continue it.
     def test_slow_stream_without_alternative_is_kept(self) -> None:
         (result,) = send_requests(b"/plan/1", stream_slow, deadline_ms=4000)
         self.assertEqual(self.body(result), self.whole())
