Count the highest number of routers told lately

A member that has just started knows few routers; with the number it told, a router took a larger part of the retry budget than its own. The test raised the budget from 68 routers' part to the whole before.

--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -7,6 +7,8 @@
 BUDGET_FRACTION: Final = 0.8
 # Routers that are assumed to share the budget until the registry reports a number.
 INITIAL_ROUTER_COUNT: Final = 8
+# Of the numbers of routers that were told within this time the highest one counts.
+ROUTER_COUNT_SECONDS: Final = 10.0
 # Time constant of the decay of an endpoint's successes and failures.
 HEALTH_DECAY_SECONDS: Final = 4.0
 # Penalty of an endpoint on which every request fails.
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -1,5 +1,6 @@
 """A router's view of the fleet: the configuration in force and the endpoints."""
 
+from collections import deque
 from collections.abc import Callable, Iterable
 from random import Random
 from typing import Protocol
@@ -28,6 +29,7 @@
     BID_PREFIX_DIGITS,
     ENDPOINT_CONNECTION_FRACTION,
     MAX_IDLE_ENDPOINT_CONNECTIONS,
+    ROUTER_COUNT_SECONDS,
 )
 from pistachiolever.gateway.endpoint_handle import EndpointHandle
 from pistachiolever.gateway.endpoint_index import ServiceIndex
@@ -77,6 +79,7 @@
     new_admission_clients: Mailbox[AdmissionClient] = field(factory=Mailbox)
     gone_addresses: Mailbox[str] = field(factory=Mailbox)
     reporter: UsageReporter = field(init=False)
+    router_counts: deque[tuple[float, int]] = field(factory=deque)
     shares_stale: bool = False
     applied_change: int = -1
     incarnation: str = field(init=False)
@@ -147,8 +150,15 @@
         self._sync_handles()
 
     def update_router_count(self, count: int) -> None:
-        """Apply the number of routers, which share the retry budget."""
-        self.budget.router_count = max(1, count)
+        """Apply the number of routers, which share the retry budget.
+
+        The highest recent number counts: a member that has just started knows few.
+        """
+        now = self.now()
+        self.router_counts.append((now, count))
+        while self.router_counts[0][0] < now - ROUTER_COUNT_SECONDS:
+            self.router_counts.popleft()
+        self.budget.router_count = max(1, max(n for _, n in self.router_counts))
 
     def apply_usage(self, update: UsageUpdate) -> None:
         """Apply what has changed in the accounts' usage and the endpoints' loads."""
--- a/tests/gateway/test_budget.py
+++ b/tests/gateway/test_budget.py
@@ -3,6 +3,7 @@
 from random import Random
 
 from pistachiolever.gateway.budget import RetryBudget
+from tests.gateway.test_notices import make_fleet
 from tests.support.cases import CaseTest
 
 RATIO, WINDOW, SLACK, ROUTERS = 0.2, 10.0, 54.0, 4
@@ -38,3 +39,20 @@
         one_of_many = RetryBudget(RATIO, WINDOW, SLACK, 54)
         self.assertGreater(lone.remaining("s", 1.0), 40)
         self.assertFalse(one_of_many.try_acquire("s", 1.0))
+
+
+class RouterCountTest(CaseTest):
+    """The number of routers, as members of the registry tell it."""
+
+    # A restarted member that knew one router let it use the whole fleet's slack.
+    def test_member_that_has_just_started_does_not_raise_the_budget(self) -> None:
+        clock = [100.0]
+        fleet = make_fleet([], clock)
+        fleet.update_router_count(68)
+        before = fleet.budget.remaining("s", clock[0])
+        clock[0] += 1.0
+        fleet.update_router_count(1)
+        self.assertEqual(fleet.budget.remaining("s", clock[0]), before)
+        clock[0] += 60.0
+        fleet.update_router_count(40)
+        self.assertGreater(fleet.budget.remaining("s", clock[0]), before)
