Do not handle requests of clients that have left, and consider all of a small service

A busy router granted and sent requests whose clients had closed their connections before it read them.

--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -107,8 +107,8 @@
 # Endpoints that are considered for a request: the homes of its shared part, and as many
 # free and random ones. Together they are all endpoints of a small service.
 HOMES: Final = 3
-FREE_SAMPLES: Final = 8
-RANDOM_SAMPLES: Final = 4
+FREE_SAMPLES: Final = 6
+RANDOM_SAMPLES: Final = 12
 MAX_CACHED_HOMES: Final = 20_000
 # Endpoints at which a router remembers to have used a shared part.
 MAX_PART_ENDPOINTS: Final = 4
--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -64,7 +64,11 @@
     RequestHead,
     framing_of,
 )
-from pistachiolever.http1.sockets import set_reset_on_close, tune_socket
+from pistachiolever.http1.sockets import (
+    has_left,
+    set_reset_on_close,
+    tune_socket,
+)
 
 Handler = Callable[["Exchange"], Awaitable[None]]
 
@@ -182,6 +186,9 @@
                 status = error.error_status_hint
                 await self._reject(BadRequestError(status, str(error)))
                 return
+            if has_left(self.stream):
+                # It waited here for longer than its client would.
+                return
             self.busy = True
             exchange = Exchange(self, head)
             with CancelScope() as scope:
--- a/pistachiolever/http1/sockets.py
+++ b/pistachiolever/http1/sockets.py
@@ -1,6 +1,6 @@
 """Options of the sockets that the HTTP layer opens or accepts."""
 
-from select import POLLIN, poll
+from select import POLLIN, POLLRDHUP, poll
 from socket import (
     IPPROTO_TCP,
     SO_KEEPALIVE,
@@ -54,6 +54,16 @@
         return
 
 
+def has_left(stream: SocketStream) -> bool:
+    """Return whether the peer has closed the connection, also behind unread data."""
+    descriptor = stream.extra(SocketAttribute.raw_socket).fileno()
+    if descriptor < 0:
+        return True
+    poller = poll()
+    poller.register(descriptor, POLLRDHUP)
+    return bool(poller.poll(0))
+
+
 def has_input(stream: SocketStream) -> bool:
     """Return whether an idle socket has unread data, an end of file or an error."""
     descriptor = stream.extra(SocketAttribute.raw_socket).fileno()
