--- a/pistachiolever/gateway/placement.py
+++ b/pistachiolever/gateway/placement.py
@@ -121,14 +121,10 @@
         plan.shared_tokens = sum(part.tokens for part in shared)
         plan.home_ids = index.homes(plan.shared_part_id)
         cached = 0
-        reachable: set[str] | None = None
         for key, part in keyed_parts(model, shared):
-            recent = self.prefix_affinity.recent_endpoints(key, now)
-            reachable = set(recent) if reachable is None else reachable & set(recent)
-            if not reachable:
-                break
             cached += part.tokens
-            for endpoint_id in reachable:
+            # An endpoint that has read a part has read those before it.
+            for endpoint_id in self.prefix_affinity.recent_endpoints(key, now):
                 plan.cached_by_endpoint[endpoint_id] = cached
         return plan
 
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -85,6 +85,25 @@
         among = [candidate(n, busy if n == preferred else IDLE) for n in self.names]
         self.assertEqual(self.rank(prompt, among), preferred)
 
+    # The first part is common to all prompts, and only the last endpoints that used it
+    # were remembered; with it the knowledge of all further parts was lost.
+    def test_cached_part_behind_a_common_one_is_known(self) -> None:
+        index = ServiceIndex()
+        for name in self.names:
+            index.add(name)
+        affinity = self.placement.prefix_affinity
+        for name in self.names:
+            shared = [PromptPart("common", 500), PromptPart(f"of-{name}", 5000)]
+            affinity.record_use(name, "m", shared, 1.0)
+        for name in self.names:
+            prompt = [
+                PromptPart("common", 500),
+                PromptPart(f"of-{name}", 5000),
+                PromptPart("own", 7000),
+            ]
+            plan = self.placement.plan("m", 12_500, prompt, index, 2.0)
+            self.assertEqual(plan.cached_by_endpoint[name], 5500)
+
     def test_failing_endpoint_is_avoided(self) -> None:
         """An endpoint that fails at once looks idle and would attract all requests."""
         among = [candidate(name) for name in self.names]
