Count the time in which a caller does not read as no stall, for plain responses too

Cause: the task that watches a response covers its forwarding as well, and only the events of a stream were marked as being sent. A long response to a slow caller was broken off after 1.2 s, where another endpoint was there.

--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -330,6 +330,7 @@
         await self._release_connection(response)
         self._record_first_chunk()
         headers = self.header_format.response_headers(response, whole=True)
+        self.is_sending = True
         await self.sink.respond(response.status, headers, b"".join(chunks))
         return AttemptResult(Verdict.RAN, answered=True, status=response.status)
 
@@ -339,6 +340,8 @@
         """Forward a response that is too long for the buffer, chunk by chunk."""
         self._record_first_chunk()
         headers = self.header_format.response_headers(response, whole=False)
+        # Once it has begun, no other endpoint can continue it.
+        self.is_sending = True
         await self.sink.start(response.status, headers)
         for buffered in chunks:
             await self.sink.send(buffered)
@@ -364,6 +367,7 @@
             return self._unknown_outcome("the stream ended within an event")
         if response.framing is Framing.CLOSE and not self.boundary.received_bytes:
             return self._unknown_outcome("the stream ended before its first event")
+        self.is_sending = True
         if not self.sink.started:
             await self.sink.start(response.status, self._stream_headers(response))
         await self.sink.finish()
--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -102,6 +102,16 @@
                 attempt.first_due_at = NOW - overdue
                 self.assertIs(attempt._is_stalled(), stalled)
 
+    # A complete response was given up while its caller read it slowly.
+    def test_slow_caller_is_no_stall(self) -> None:
+        attempt = self.attempt(0, 0.0, 1.0)
+        other = Announcement("e2", 1, 1, EndpointState.READY, "s", "a:2", "n")
+        attempt.fleet.apply_announcements([other])
+        attempt.first_chunk_at = NOW - 10.0
+        self.assertTrue(attempt._is_stalled())
+        attempt.is_sending = True
+        self.assertFalse(attempt._is_stalled())
+
     def test_overdue_response_is_kept_without_retry_budget(self) -> None:
         attempt = self.attempt(2, 0.0, 1.0)
         other = Announcement("e2", 1, 1, EndpointState.READY, "s", "a:2", "n")
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -40,6 +40,7 @@
 from tests.registry.test_process import make_discarding_logger
 from tests.support.cases import CaseTest
 
+LONG_BYTES = 256 * 65_536
 SERVICES = [WeightedService("s", 1.0)]
 ROUTES = [
     ProxyRoute("read", "x", "/read/", RequestKind.IDEMPOTENT, SERVICES, 2, 0.3, 0, 2),
@@ -48,6 +49,7 @@
         "plan", "x", "/plan/", RequestKind.STREAM, SERVICES, 4, 1, 0, 2, resumable=True
     ),
     ProxyRoute("talk", "x", "/talk/", RequestKind.STREAM, SERVICES, 4, 1),
+    ProxyRoute("file", "x", "/file/", RequestKind.IDEMPOTENT, SERVICES, 9, 0.3, 0, 2),
 ]
 CONFIGURATION = ProxyConfiguration(
     1, ROUTES, [ProxyService("s")], [ProxyAccount("one", ["key"])]
@@ -317,6 +319,7 @@
     pauses: tuple[float, ...] = (0.0,),
     deadline_ms: int = 1500,
     copies: int = 1,
+    read_after_seconds: float = 0.0,
 ) -> list[Result]:
     """Send requests through one router, each after a pause in seconds.
 
@@ -327,11 +330,17 @@
         b"X-Deadline-Ms: %d\r\nConnection: close\r\n"
         b"Authorization: Bearer key\r\n%s\r\n" % (path, version, deadline_ms, extra)
     )
-    return run(_send_requests, request, list(scripts), pauses, copies)
+    return run(
+        _send_requests, request, list(scripts), pauses, copies, read_after_seconds
+    )
 
 
 async def _send_requests(
-    request: bytes, scripts: list[Script], pauses: tuple[float, ...], copies: int
+    request: bytes,
+    scripts: list[Script],
+    pauses: tuple[float, ...],
+    copies: int,
+    read_after_seconds: float,
 ) -> list[Result]:
     """Run a router, its endpoints and one caller."""
     settings = GatewaySettings(
@@ -351,9 +360,11 @@
 
     async def exchange(request_id: bytes) -> None:
         sent = request.replace(b"id$", request_id)
-        results.append(await _exchange(settings.front_address, sent, endpoints))
+        results.append(
+            await _exchange(settings.front_address, sent, endpoints, read_after_seconds)
+        )
 
-    with fail_after(10):
+    with fail_after(15):
         async with create_task_group() as group:
             group.start_soon(process.run)
             for number, endpoint in enumerate(endpoints):
@@ -374,12 +385,15 @@
     return results
 
 
-async def _exchange(address: str, request: bytes, endpoints: list[Endpoint]) -> Result:
+async def _exchange(
+    address: str, request: bytes, endpoints: list[Endpoint], read_after_seconds: float
+) -> Result:
     """Send a request on a connection of its own; return the result."""
     attempts = sum(len(endpoint.heads) for endpoint in endpoints)
     host, _, port = address.rpartition(":")
     async with await connect_tcp(host, int(port)) as caller:
         await caller.send(request)
+        await sleep(read_after_seconds)
         raw, reset = await read_until_end(caller)
     head, _, body = raw.partition(b"\r\n\r\n")
     status = int(head.split(b" ")[1]) if head else 0
@@ -673,3 +687,25 @@
     def test_response_without_id_on_a_reused_connection(self) -> None:
         results = send_requests(b"/book/1", respond_without_id, pauses=(0.0, 0.05))
         self.assertEqual([result.status for result in results], [200, 502])
+
+
+async def respond_long(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
+    """Send a response that no socket buffer holds."""
+    await stream.send(HEAD % id_of(head) + b"Content-Length: %d\r\n\r\n" % LONG_BYTES)
+    for _ in range(LONG_BYTES // 65_536):
+        await stream.send(b"x" * 65_536)
+
+
+class SlowCallerTest(CaseTest):
+    """A caller that reads slowly gets its whole answer."""
+
+    # It was broken off as if its endpoint had stalled.
+    def test_whole_answer(self) -> None:
+        (result,) = send_requests(
+            b"/file/1",
+            respond_long,
+            respond_long,
+            deadline_ms=10_000,
+            read_after_seconds=2.0,
+        )
+        self.assertEqual((result.status, len(result.body)), (200, LONG_BYTES))
