Survive clients that reset their connection before it is set up

All requests of the router, agent or member ended without an answer. All roles share this server, and no other place sets up accepted sockets.

--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -498,7 +498,8 @@
         """Set up an accepted connection and serve it."""
         try:
             stream = await SocketStream.from_socket(accepted)
-        except OSError as error:
+        except (OSError, ValueError) as error:
+            # ValueError: the client has reset the connection.
             accepted.close()
             self._report_limit(str(error))
             return
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -1,7 +1,8 @@
 """Tests of the HTTP server: invalid requests, reused connections, disconnects."""
 
 from random import SystemRandom
-from socket import socket
+from socket import SO_LINGER, SOL_SOCKET, socket
+from struct import pack
 
 from anyio import (
     EndOfStream,
@@ -213,3 +214,26 @@
             return turns
 
         self.assertLess(run(test), BURST / 4)
+
+    # A client reset its connection before the server had set it up. The error ended the
+    # accept loop, and with it the process and all requests that it was serving.
+    def test_connection_reset_before_its_setup_ends_no_process(self) -> None:
+        async def test() -> bytes:
+            server = HttpServer(await free_address(), Echo().handle)
+            async with create_task_group() as group:
+                group.start_soon(server.serve)
+                await sleep(0.05)
+                host, _, port = server.address.rpartition(":")
+                for _ in range(3):
+                    with socket() as client:
+                        client.connect((host, int(port)))
+                        client.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", True, 0))
+                await sleep(0.05)
+                async with await connect_tcp(host, int(port)) as stream:
+                    await stream.send(b"POST / HTTP/1.1\r\nHost: x\r\n")
+                    await stream.send(b"Content-Length: 2\r\n\r\nok")
+                    answer = await stream.receive()
+                group.cancel_scope.cancel()
+            return answer.partition(b"\r\n\r\n")[2]
+
+        self.assertEqual(run(test), b"ok")
