--- a/pistachiolever/gateway/models.py
+++ b/pistachiolever/gateway/models.py
@@ -72,6 +72,14 @@
         """Return the id of the request at engines and in logs."""
         return self.metadata.request_id
 
+    @property
+    def shared_part_ids(self) -> list[str]:
+        """Return the ids of the prompt parts that other requests may share.
+
+        The last part belongs to the request itself or to its session.
+        """
+        return [part.part_id for part in self.metadata.parts[:-1]]
+
     @property
     def output_tokens(self) -> int:
         """Return the expected output in tokens.
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -359,6 +359,7 @@
             prompt=request.metadata.prompt_tokens,
             tokens=tokens,
             left=round(request.remaining_seconds(now), 3),
+            parts=[] if result.answered else request.shared_part_ids,
         )
 
     def _may_retry(self, result: AttemptResult) -> bool:
