Quarantine prompt parts under which endpoints crash

Cause: a crash was held against the endpoint only. Nobody related it to the request, no router told another, and repeats made it worse. Now crashes are counted by prompt part and endpoint incarnation, and spread over all routers with the accounts' usage.

--- a/pistachiolever/edge/peers.py
+++ b/pistachiolever/edge/peers.py
@@ -48,6 +48,10 @@
             if connection.is_reusable(current_time()):
                 return connection
             await connection.close()
+        return await self.open(address, connect_seconds)
+
+    async def open(self, address: str, connect_seconds: float) -> ClientConnection:
+        """Return a new connection."""
         if self.open_count >= self.max_open and not await self._close_oldest_idle():
             detail = f"{self.open_count} connections are open"
             raise PeerClosedError(detail, sent=False, is_local=True)
--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -3,7 +3,7 @@
 from typing import Protocol
 
 from anyio import CancelScope, create_task_group, move_on_after, sleep
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from pistachiolever.core.verdict import Verdict
 from pistachiolever.gateway.const import (
@@ -27,6 +27,7 @@
 from pistachiolever.http1.client import ClientConnection
 from pistachiolever.http1.errors import PeerClosedError
 from pistachiolever.http1.models import Framing, Header, ResponseHead
+from pistachiolever.quarantine.const import SOUND_RUN_SECONDS
 from pistachiolever.routing.models import RequestKind
 
 
@@ -63,7 +64,8 @@
 
     `sent` is false if nothing was sent to the endpoint. `endpoint_at_fault` is false if
     the failure must not lower the endpoint's health. `is_local` is true if this process
-    has no descriptor for another connection.
+    has no descriptor for another connection. `connection_ended` is true if the endpoint
+    closed or reset the connection before the response was complete.
     """
 
     verdict: Verdict
@@ -74,6 +76,7 @@
     response: BufferedResponse | None = None
     endpoint_at_fault: bool = True
     is_local: bool = False
+    connection_ended: bool = False
 
 
 class UnusableResponseError(Exception):
@@ -142,7 +145,7 @@
         except PeerClosedError as error:
             if not error.sent:
                 return AttemptResult(Verdict.NOT_RUN, sent=False, reason=error.detail)
-            return self._unknown_outcome(error.detail)
+            return evolve(self._unknown_outcome(error.detail), connection_ended=True)
         finally:
             if self.connection is not None:
                 await self.connection.close()
@@ -363,10 +366,13 @@
             events = self._accept_stream(data)
             if events:
                 await self._send_events(response, events)
+        reason = ""
         if self.boundary.unfinished_bytes:
-            return self._unknown_outcome("the stream ended within an event")
-        if response.framing is Framing.CLOSE and not self.boundary.received_bytes:
-            return self._unknown_outcome("the stream ended before its first event")
+            reason = "the stream ended within an event"
+        elif response.framing is Framing.CLOSE and not self.boundary.received_bytes:
+            reason = "the stream ended before its first event"
+        if reason:
+            return evolve(self._unknown_outcome(reason), connection_ended=True)
         self.is_sending = True
         if not self.sink.started:
             await self.sink.start(response.status, self._stream_headers(response))
@@ -439,6 +445,12 @@
         """Return a stream's headers; its length is dropped, as it may be resumed."""
         return self.header_format.response_headers(response, whole=True)
 
+    def has_run(self) -> bool:
+        """Return whether the endpoint has sent events for some time."""
+        if self.first_chunk_at is None:
+            return False
+        return self.fleet.now() - self.first_chunk_at >= SOUND_RUN_SECONDS
+
     def _record_first_chunk(self) -> None:
         """Record the time of the first chunk and report it to admission."""
         if self.first_chunk_at is None:
--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -39,6 +39,10 @@
 STALL_CHECK_SECONDS: Final = 0.2
 # With less time left until its deadline, a request is not sent any more.
 MIN_ATTEMPT_SECONDS: Final = 0.03
+# Time to connect to an endpoint that broke off a run, and time for which the connection
+# may be used if the endpoint is there.
+CRASH_CHECK_SECONDS: Final = 0.3
+CRASH_CHECK_KEEP_ALIVE_SECONDS: Final = 1.0
 # Incarnations whose notices are remembered.
 MAX_NOTICES: Final = 20_000
 # Time that a leaving endpoint serves on unless the settings name one.
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -3,7 +3,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from random import Random
-from typing import Protocol
+from typing import Final, Protocol
 
 from anyio import create_task_group
 from attrs import define, field
@@ -27,6 +27,8 @@
 from pistachiolever.gateway.budget import RetryBudget
 from pistachiolever.gateway.const import (
     BID_PREFIX_DIGITS,
+    CRASH_CHECK_KEEP_ALIVE_SECONDS,
+    CRASH_CHECK_SECONDS,
     ENDPOINT_CONNECTION_FRACTION,
     MAX_IDLE_ENDPOINT_CONNECTIONS,
     ROUTER_COUNT_SECONDS,
@@ -39,13 +41,21 @@
 from pistachiolever.gateway.placement import Candidate, Placement
 from pistachiolever.gateway.policy import PlacementPolicy
 from pistachiolever.gateway.settings import GatewaySettings
+from pistachiolever.http1.errors import PeerClosedError
 from pistachiolever.metrics.instruments import HELD_BACK, Instruments
+from pistachiolever.quarantine.quarantine import Change, Quarantine
 from pistachiolever.routing.errors import InvalidConfigurationError
 from pistachiolever.routing.models import ProxyConfiguration
 from pistachiolever.routing.table import RouteTable
 from pistachiolever.usage.models import MeasuredLoad, UsageUpdate, unpack_measured
 from pistachiolever.usage.reporter import UsageReporter
 
+PART_EVENTS: Final = {
+    Change.QUARANTINED: EventCode.PART_QUARANTINED,
+    Change.TESTED: EventCode.PART_TESTED,
+    Change.RELEASED: EventCode.PART_RELEASED,
+}
+
 
 class ConfigurationDecoder(Protocol):
     """Decodes and validates a configuration document."""
@@ -79,6 +89,7 @@
     new_admission_clients: Mailbox[AdmissionClient] = field(factory=Mailbox)
     gone_addresses: Mailbox[str] = field(factory=Mailbox)
     reporter: UsageReporter = field(init=False)
+    quarantine: Quarantine = field(init=False)
     router_counts: deque[tuple[float, int]] = field(factory=deque)
     shares_stale: bool = False
     applied_change: int = -1
@@ -99,7 +110,10 @@
             self.settings.retry_slack,
         )
         self.notices = EndpointNotices(self.settings.drain_seconds)
-        self.reporter = UsageReporter(self.settings.node_id, RecentService())
+        self.quarantine = Quarantine(self.settings.node_id)
+        self.reporter = UsageReporter(
+            self.settings.node_id, RecentService(), quarantine=self.quarantine
+        )
 
     async def run(self) -> None:
         """Run admission clients; close connections to endpoints that are gone."""
@@ -159,6 +173,7 @@
         while self.router_counts[0][0] < now - ROUTER_COUNT_SECONDS:
             self.router_counts.popleft()
         self.budget.router_count = max(1, max(n for _, n in self.router_counts))
+        self.quarantine.router_count = self.budget.router_count
 
     def apply_usage(self, update: UsageUpdate) -> None:
         """Apply what has changed in the accounts' usage and the endpoints' loads."""
@@ -179,6 +194,8 @@
                 measured = unpack_measured(numbers, now)
                 handle.record_seen_load(measured.load, measured.at)
                 self.update_free(handle)
+        self.quarantine.apply(update.parts, now)
+        self._record_part_changes()
 
     def record_seen_load(self, handle: EndpointHandle, load: Load) -> None:
         """Apply the load that an endpoint told in a response.
@@ -362,6 +379,66 @@
                 seconds=round(pause.seconds, 3),
             )
 
+    # Prompt parts under which endpoints crash.
+
+    def quarantined_part(self, part_ids: list[str]) -> str:
+        """Return a part of a prompt that must not be sent now; empty if none."""
+        part_id = self.quarantine.quarantined_part(part_ids, self.now())
+        self._record_part_changes()
+        return part_id
+
+    def may_send_parts(self, part_ids: list[str]) -> bool:
+        """Return whether a request with these parts may be sent to an endpoint now."""
+        allowed = self.quarantine.try_send(part_ids, self.now())
+        self._record_part_changes()
+        return allowed
+
+    def record_sound_run(self, part_ids: list[str]) -> None:
+        """Record that an endpoint ran a request with these parts."""
+        self.quarantine.record_sound(part_ids, self.now())
+        self._record_part_changes()
+
+    async def check_crash(
+        self, handle: EndpointHandle, request_id: str, part_ids: list[str]
+    ) -> None:
+        """Find out whether an endpoint that broke off a new run has crashed.
+
+        It has if nobody listens at its address; a connection may end for other reasons.
+        """
+        if not self.quarantine.suspects(part_ids, self.now()):
+            return
+        endpoint = handle.endpoint
+        try:
+            connection = await self.pool.open(endpoint.address, CRASH_CHECK_SECONDS)
+        except PeerClosedError as error:
+            if error.is_local:
+                return
+            self.record_unreachable(handle, error.detail)
+            if not error.refused:
+                return
+        else:
+            await self.pool.release(connection, CRASH_CHECK_KEEP_ALIVE_SECONDS)
+            return
+        incarnation = f"{endpoint.endpoint_id}/{endpoint.born_ms}"
+        suspected = self.quarantine.record_crash(incarnation, part_ids, self.now())
+        self.events.record(
+            EventCode.PARTS_SUSPECTED,
+            request_id,
+            endpoint=endpoint.endpoint_id,
+            born=endpoint.born_ms,
+            parts=suspected,
+        )
+
+    def _record_part_changes(self) -> None:
+        """Log which parts were quarantined, tested or released."""
+        for change in self.quarantine.pop_changes():
+            self.events.record(
+                PART_EVENTS[change.change],
+                part=change.part_id,
+                crashes=change.crashes,
+                seconds=change.seconds,
+            )
+
     # Queries by requests.
 
     def candidates(
--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -79,6 +79,10 @@
         gauge("pistachiolever_endpoint_connections", lambda: self.fleet.pool.open_count)
         gauge("pistachiolever_routers", lambda: self.fleet.budget.router_count)
         gauge("pistachiolever_registry_in_touch", self.watcher.is_connected)
+        gauge(
+            "pistachiolever_quarantined_parts",
+            lambda: self.fleet.quarantine.quarantined_count(self.fleet.now()),
+        )
 
     async def run(self) -> None:
         """Serve until cancelled."""
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -1,5 +1,7 @@
 """Processes a caller's request: grants, attempts, retries and the final response."""
 
+from typing import Final
+
 from anyio import move_on_after
 from attrs import define, field
 
@@ -37,6 +39,9 @@
 )
 from pistachiolever.routing.models import RequestKind
 
+# Reason of a refusal: endpoints crashed under requests with a part of this prompt.
+QUARANTINED: Final = "quarantined"
+
 
 @define(eq=False)
 class RequestProcessor:
@@ -67,6 +72,9 @@
         """Process the request; return once its response is complete or broken off."""
         request = self.request
         self.fleet.budget.record_request(request.service.service_id, self.fleet.now())
+        if self.fleet.quarantined_part(request.shared_part_ids):
+            await self._fail(QUARANTINED)
+            return
         if request.service.engine:
             self.fleet.shares.own.record_demand(
                 request.account_id, request.cost, self.fleet.now()
@@ -79,6 +87,10 @@
             if handle is None:
                 await self._fail(self._no_grant_reason())
                 return
+            if not self.fleet.may_send_parts(request.shared_part_ids):
+                handle.admission.report_end(request.bid_id, 0)
+                await self._fail(QUARANTINED)
+                return
             result = await self._send_attempt(handle)
             if result.answered:
                 return
@@ -291,6 +303,8 @@
             tokens = self._output_tokens(attempt)
             handle.admission.report_end(request.bid_id, tokens)
             self._record_result(handle, attempt, result, sent_at, tokens)
+        if result.connection_ended and not attempt.has_run():
+            await fleet.check_crash(handle, request.request_id, request.shared_part_ids)
         if not result.sent:
             request.attempt_count -= 1
         elif result.verdict is not Verdict.NOT_RUN:
@@ -315,6 +329,8 @@
         """Record a result in health, affinity, metrics and the event log."""
         fleet, request = self.fleet, self.request
         now = fleet.now()
+        if result.answered or attempt.has_run():
+            fleet.record_sound_run(request.shared_part_ids)
         if result.answered:
             handle.health.record_success(now)
             fleet.placement.prefix_affinity.record_use(
@@ -377,6 +393,8 @@
             return False
         if request.remaining_seconds(now) < MIN_ATTEMPT_SECONDS:
             return False
+        if not self.fleet.quarantine.may_repeat(request.shared_part_ids, now):
+            return False
         allowed = self.fleet.budget.try_acquire(request.service.service_id, now)
         self.fleet.instruments.count(
             RETRIES, request.service.service_id, str(allowed).lower()
@@ -446,9 +464,13 @@
     def _retry_after_header(self) -> Header:
         """Return a Retry-After header that the caller can still honour.
 
-        While all endpoints pause it names the end of the first pause, as an earlier
-        retry would be refused again.
+        While all endpoints pause, or a part of the prompt is quarantined, it names the
+        end of that, as an earlier retry would be refused again.
         """
+        part_id = self.fleet.quarantined_part(self.request.shared_part_ids)
+        if part_id:
+            seconds = self.fleet.quarantine.remaining_seconds(part_id, self.fleet.now())
+            return (b"retry-after", b"%.2f" % seconds)
         paused_seconds = self.fleet.pause_remaining(self.request.service.service_id)
         if paused_seconds is not None:
             # Spread, since callers would otherwise return at the same moment.
--- a/pistachiolever/http1/client.py
+++ b/pistachiolever/http1/client.py
@@ -1,7 +1,7 @@
 """A client connection, which sends requests one at a time and can be reused."""
 
 from collections.abc import Callable
-from errno import EMFILE, ENFILE
+from errno import ECONNREFUSED, ECONNRESET, EMFILE, ENFILE
 
 from anyio import (
     BrokenResourceError,
@@ -260,7 +260,13 @@
             stream = await connect_tcp(host, int(port))
     except (OSError, TimeoutError, ValueError) as error:
         detail = f"cannot connect to {address}: {type(error).__name__}"
-        is_local = getattr(error, "errno", 0) in (EMFILE, ENFILE)
-        raise PeerClosedError(detail, False, is_local) from error
+        # The error of a single attempt to connect is the cause of the one raised.
+        number = getattr(error.__cause__ or error, "errno", 0)
+        raise PeerClosedError(
+            detail,
+            sent=False,
+            is_local=number in (EMFILE, ENFILE),
+            refused=number in (ECONNREFUSED, ECONNRESET),
+        ) from error
     tune_socket(stream)
     return ClientConnection(address, stream)
--- a/pistachiolever/http1/errors.py
+++ b/pistachiolever/http1/errors.py
@@ -16,11 +16,19 @@
 
     `sent` is false only if no byte of the request can have been sent; `is_local` is
     true if this process had no descriptor left, which says nothing of the peer.
+    `refused` is true if nobody listens at the peer's address.
     """
 
-    def __init__(self, detail: str, sent: bool = True, is_local: bool = False) -> None:
+    def __init__(
+        self,
+        detail: str,
+        sent: bool = True,
+        is_local: bool = False,
+        refused: bool = False,
+    ) -> None:
         """Store the detail, whether the request may have been sent, and the cause."""
         super().__init__(detail)
         self.detail = detail
         self.sent = sent
         self.is_local = is_local
+        self.refused = refused
--- /dev/null
+++ b/pistachiolever/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Quarantine of prompt parts under which endpoints crash."""
--- /dev/null
+++ b/pistachiolever/quarantine/models.py
@@ -0,0 +1,101 @@
+"""What is known of prompt parts under which endpoints have crashed."""
+
+from math import inf
+
+from attrs import define, field, frozen
+
+from pistachiolever.quarantine.const import (
+    MAX_QUARANTINE_SECONDS,
+    QUARANTINE_FACTOR,
+    QUARANTINE_SECONDS,
+    TIME_TOLERANCE_SECONDS,
+)
+
+
+@frozen
+class PartReport:
+    """The evidence on one part as it is sent; ages are in milliseconds.
+
+    `crashes` are the ages by endpoint incarnation, `depth` the part's place in prompts.
+    `sound` is the age of the last sound run, `quarantined` that of the last quarantine,
+    -1 for none; `quarantines` is their number.
+    """
+
+    crashes: dict[str, int] = field(factory=dict)
+    depth: int = 0
+    sound: int = -1
+    quarantined: int = -1
+    quarantines: int = 0
+
+
+@define
+class PartRecord:
+    """The evidence on one part of prompts; times are of this process's clock.
+
+    Records of different processes can be merged in any order and more than once.
+    """
+
+    crashed_at: dict[str, float] = field(factory=dict)
+    depth: int = 0
+    sound_at: float = -inf
+    quarantined_at: float = -inf
+    quarantines: int = 0
+
+    def merge(self, other: "PartRecord") -> bool:
+        """Add the evidence of another record; return whether that is news."""
+        changed = other.depth > self.depth
+        self.depth = max(self.depth, other.depth)
+        for incarnation, at in other.crashed_at.items():
+            changed |= incarnation not in self.crashed_at
+            self.crashed_at.setdefault(incarnation, at)
+        if other.sound_at > self.sound_at + TIME_TOLERANCE_SECONDS:
+            self.sound_at = other.sound_at
+            changed = True
+        if other.quarantines > self.quarantines:
+            self.quarantines = other.quarantines
+            self.quarantined_at = other.quarantined_at
+            changed = True
+        return changed
+
+    def crashes_since_sound(self) -> set[str]:
+        """Return the endpoint incarnations that crashed after the last sound run."""
+        return {key for key, at in self.crashed_at.items() if at > self.sound_at}
+
+    def is_condemned(self) -> bool:
+        """Return whether the part was quarantined and has had no sound run since."""
+        return self.quarantines > 0 and self.quarantined_at > self.sound_at
+
+    def ends_at(self) -> float:
+        """Return when the last quarantine ends."""
+        seconds = QUARANTINE_SECONDS * QUARANTINE_FACTOR ** (self.quarantines - 1)
+        return self.quarantined_at + min(seconds, MAX_QUARANTINE_SECONDS)
+
+    def newest_at(self) -> float:
+        """Return the time of the newest crash or quarantine."""
+        return max(self.quarantined_at, *self.crashed_at.values(), -inf)
+
+    def pack(self, now: float) -> PartReport:
+        """Return the evidence in the form in which it is sent."""
+        return PartReport(
+            {key: _age_ms(at, now) for key, at in self.crashed_at.items()},
+            self.depth,
+            _age_ms(self.sound_at, now),
+            _age_ms(self.quarantined_at, now),
+            self.quarantines,
+        )
+
+
+def unpack_report(report: PartReport, now: float) -> PartRecord:
+    """Return the record that was sent; a negative age means never."""
+    return PartRecord(
+        {key: now - age / 1000 for key, age in report.crashes.items()},
+        report.depth,
+        now - report.sound / 1000 if report.sound >= 0 else -inf,
+        now - report.quarantined / 1000 if report.quarantined >= 0 else -inf,
+        report.quarantines,
+    )
+
+
+def _age_ms(at: float, now: float) -> int:
+    """Return the age of a time in milliseconds, -1 for never."""
+    return -1 if at == -inf else max(0, round((now - at) * 1000))
--- /dev/null
+++ b/pistachiolever/quarantine/quarantine.py
@@ -0,0 +1,291 @@
+"""Decides in a router which prompt parts are sent to endpoints, without I/O."""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+from enum import Enum
+from math import inf
+from zlib import crc32
+
+from attrs import define, field, frozen
+
+from pistachiolever.quarantine.const import (
+    CRASHES_TO_QUARANTINE,
+    CRASHES_TO_STOP_REPEATS,
+    MAX_SOUND_PARTS,
+    REPEAT_REPORT_SECONDS,
+    SETTLE_SECONDS,
+    SOUND_SECONDS,
+    TEST_SPREAD_SECONDS,
+    TIME_TOLERANCE_SECONDS,
+)
+from pistachiolever.quarantine.evidence import EvidenceTable
+from pistachiolever.quarantine.models import PartRecord, PartReport
+
+
+class Change(Enum):
+    """A change of what a router does with a part."""
+
+    QUARANTINED = "quarantined"
+    TESTED = "tested"
+    RELEASED = "released"
+
+
+@frozen
+class PartChange:
+    """A change, with the number of crashes known and the seconds it is to last."""
+
+    part_id: str
+    change: Change
+    crashes: int
+    seconds: float = 0.0
+
+
+@define
+class Quarantine:
+    """The suspected parts, as this router and the others have seen them.
+
+    A part is quarantined once enough endpoints have crashed under requests with it and
+    none has run such a request for a while. Parts under which endpoints also run
+    requests are never suspected, and a crash that a quarantined part explains counts
+    against no other one. `unreported` are the parts with news for the other routers,
+    `changes` those for the log. `router_count` is the number of routers in the fleet.
+    """
+
+    node_id: str
+    router_count: int = 1
+    table: EvidenceTable = field(factory=EvidenceTable)
+    sound_at_by_part: OrderedDict[str, float] = field(factory=OrderedDict)
+    enough_since_by_part: dict[str, float] = field(factory=dict)
+    unreported: set[str] = field(factory=set)
+    changes: list[PartChange] = field(factory=list)
+    repeated_at: float = -inf
+
+    # Evidence.
+
+    def record_sound(self, part_ids: Sequence[str], now: float) -> None:
+        """Record that an endpoint ran a request with these parts."""
+        for part_id in part_ids:
+            self.sound_at_by_part[part_id] = now
+            self.sound_at_by_part.move_to_end(part_id)
+            if part_id in self.table.record_by_part:
+                self._tell_sound(part_id)
+        while len(self.sound_at_by_part) > MAX_SOUND_PARTS:
+            self.sound_at_by_part.popitem(last=False)
+
+    def suspects(self, part_ids: Sequence[str], now: float) -> list[str]:
+        """Return the parts that have had no sound run recently."""
+        return [
+            part_id for part_id in part_ids if not self._is_known_sound(part_id, now)
+        ]
+
+    def record_crash(
+        self, incarnation: str, part_ids: Sequence[str], now: float
+    ) -> list[str]:
+        """Record that an endpoint crashed before it had run a request for long.
+
+        Return the suspected parts.
+        """
+        suspected = self.suspects(part_ids, now)
+        for depth, part_id in enumerate(part_ids):
+            if part_id not in suspected:
+                continue
+            if self.table.add_crash(part_id, depth, incarnation, now):
+                self.unreported.add(part_id)
+        self._find_enough(now)
+        return suspected
+
+    def apply(self, reports: dict[str, PartReport], now: float) -> None:
+        """Add the evidence of other routers."""
+        condemned = self._condemned()
+        for part_id in self.table.merge(reports, now):
+            self._tell_sound(part_id)
+        if reports:
+            self._find_enough(now)
+            self._record_condemned(condemned, now)
+
+    # Decisions.
+
+    def quarantined_part(self, part_ids: Sequence[str], now: float) -> str:
+        """Return a part that must not be sent now; empty if there is none."""
+        if not self.table.record_by_part:
+            return ""
+        self._quarantine_guilty(part_ids, now)
+        for part_id in part_ids:
+            record = self.table.record_by_part.get(part_id)
+            if record is None or not record.is_condemned():
+                continue
+            if now < self._tested_at(part_id, record):
+                return part_id
+        return ""
+
+    def try_send(self, part_ids: Sequence[str], now: float) -> bool:
+        """Return whether a request with these parts may be sent to an endpoint now.
+
+        After a quarantine the first one may, and a longer quarantine begins until the
+        run turns out to be sound.
+        """
+        if self.quarantined_part(part_ids, now):
+            return False
+        for part_id in part_ids:
+            record = self.table.record_by_part.get(part_id)
+            if record is not None and record.is_condemned():
+                self._begin(part_id, record, Change.TESTED, now)
+        return True
+
+    def may_repeat(self, part_ids: Sequence[str], now: float) -> bool:
+        """Return whether a request may be sent again after a failed attempt."""
+        if not self.table.record_by_part:
+            return True
+        return not any(
+            self._count(part_id, part_ids) >= CRASHES_TO_STOP_REPEATS
+            for part_id in self.suspects(part_ids, now)
+        )
+
+    def remaining_seconds(self, part_id: str, now: float) -> float:
+        """Return the seconds until a part may be sent again."""
+        record = self.table.record_by_part.get(part_id)
+        if record is None:
+            return 0.0
+        return max(0.0, self._tested_at(part_id, record) - now)
+
+    def quarantined_count(self, now: float) -> int:
+        """Return the number of quarantined parts."""
+        records = self.table.record_by_part.values()
+        return sum(r.is_condemned() and now < r.ends_at() for r in records)
+
+    # Reports.
+
+    def has_reports(self, now: float) -> bool:
+        """Return whether there is something to tell the other routers."""
+        if self.unreported:
+            return True
+        if now - self.repeated_at < REPEAT_REPORT_SECONDS:
+            return False
+        self.repeated_at = now
+        self.unreported.update(self._condemned())
+        return bool(self.unreported)
+
+    def pop_reports(self, now: float) -> dict[str, PartReport]:
+        """Return the evidence that is news."""
+        self.table.expire(now)
+        records = self.table.record_by_part
+        reports = {
+            part_id: records[part_id].pack(now)
+            for part_id in self.unreported
+            if part_id in records
+        }
+        self.unreported.clear()
+        return reports
+
+    def pop_changes(self) -> list[PartChange]:
+        """Return the changes since the last call."""
+        changes, self.changes = self.changes, []
+        return changes
+
+    # Rules.
+
+    def _is_known_sound(self, part_id: str, now: float) -> bool:
+        """Return whether a part has had a sound run recently, at any router."""
+        sound_at = self.sound_at_by_part.get(part_id, -inf)
+        record = self.table.record_by_part.get(part_id)
+        if record is not None:
+            sound_at = max(sound_at, record.sound_at)
+        return now - sound_at < SOUND_SECONDS
+
+    def _count(self, part_id: str, part_ids: Sequence[str]) -> int:
+        """Return the number of crashes that count against a part of a prompt."""
+        record = self.table.record_by_part.get(part_id)
+        if record is None:
+            return 0
+        crashes = record.crashes_since_sound()
+        if len(crashes) < min(CRASHES_TO_STOP_REPEATS, CRASHES_TO_QUARANTINE):
+            return len(crashes)
+        return len(crashes - self.table.explained(part_ids))
+
+    def _find_enough(self, now: float) -> None:
+        """Note which parts have enough crashes against them, and since when."""
+        for part_id in self.table.record_by_part:
+            if self._count(part_id, [part_id]) >= CRASHES_TO_QUARANTINE:
+                self.enough_since_by_part.setdefault(part_id, now)
+            else:
+                self.enough_since_by_part.pop(part_id, None)
+
+    def _quarantine_guilty(self, part_ids: Sequence[str], now: float) -> None:
+        """Quarantine the last part of a prompt that has enough evidence against it."""
+        for part_id in reversed(part_ids):
+            since = self.enough_since_by_part.get(part_id)
+            record = self.table.record_by_part.get(part_id)
+            if since is None or record is None or record.is_condemned():
+                continue
+            if now - since < SETTLE_SECONDS or self._is_known_sound(part_id, now):
+                continue
+            if not self._has_better_suspect(part_id, record, now):
+                self._begin(part_id, record, Change.QUARANTINED, now)
+                self._find_enough(now)
+
+    def _has_better_suspect(self, part_id: str, record: PartRecord, now: float) -> bool:
+        """Return whether another part explains the same crashes better.
+
+        That is one with more crashes, or with the same ones and deeper in prompts: what
+        comes before it is common to more requests.
+        """
+        crashes = record.crashes_since_sound()
+        for other_id, other in self.table.record_by_part.items():
+            if other_id == part_id or self._is_known_sound(other_id, now):
+                continue
+            others = other.crashes_since_sound()
+            if others > crashes or (others == crashes and other.depth > record.depth):
+                return True
+        return False
+
+    def _begin(
+        self, part_id: str, record: PartRecord, change: Change, now: float
+    ) -> None:
+        """Begin a quarantine."""
+        record.quarantined_at = now
+        record.quarantines += 1
+        self.unreported.add(part_id)
+        self._record_change(part_id, record, change, now)
+
+    def _tested_at(self, part_id: str, record: PartRecord) -> float:
+        """Return when this router would test a part after its quarantine."""
+        share = crc32(f"{self.node_id}/{part_id}".encode()) / 2**32
+        return record.ends_at() + share * TEST_SPREAD_SECONDS * self.router_count
+
+    def _tell_sound(self, part_id: str) -> None:
+        """Add a sound run of this router to the evidence, if the others lack it."""
+        record = self.table.record_by_part[part_id]
+        sound_at = self.sound_at_by_part.get(part_id, -inf)
+        if sound_at <= record.sound_at + TIME_TOLERANCE_SECONDS:
+            return
+        was_condemned = record.is_condemned()
+        record.sound_at = sound_at
+        self.unreported.add(part_id)
+        self.enough_since_by_part.pop(part_id, None)
+        if was_condemned and not record.is_condemned():
+            self._record_change(part_id, record, Change.RELEASED, sound_at)
+
+    def _condemned(self) -> set[str]:
+        """Return the parts that are or were quarantined without a sound run since."""
+        records = self.table.record_by_part
+        return {part_id for part_id in records if records[part_id].is_condemned()}
+
+    def _record_condemned(self, known: set[str], now: float) -> None:
+        """Record what other routers have quarantined or released."""
+        condemned = self._condemned()
+        for part_id in condemned - known:
+            record = self.table.record_by_part[part_id]
+            self._record_change(part_id, record, Change.QUARANTINED, now)
+        for part_id in known - condemned:
+            released = self.table.record_by_part.get(part_id)
+            if released is not None:
+                self._record_change(part_id, released, Change.RELEASED, now)
+
+    def _record_change(
+        self, part_id: str, record: PartRecord, change: Change, now: float
+    ) -> None:
+        """Keep a change for the log."""
+        is_released = change is Change.RELEASED
+        seconds = 0.0 if is_released else round(record.ends_at() - now, 1)
+        crashes = len(record.crashed_at)
+        self.changes.append(PartChange(part_id, change, crashes, seconds))
--- a/pistachiolever/usage/aggregate.py
+++ b/pistachiolever/usage/aggregate.py
@@ -5,6 +5,8 @@
 from attrs import define, field
 
 from pistachiolever.admission.recent_service import DecayingSum
+from pistachiolever.quarantine.evidence import EvidenceTable
+from pistachiolever.quarantine.models import PartReport
 from pistachiolever.usage.change_log import ChangeLog
 from pistachiolever.usage.const import (
     AGENT_EXPIRY_SECONDS,
@@ -90,6 +92,8 @@
     loads: ChangeLog[str, MeasuredLoad] = field(factory=ChangeLog)
     seen_loads: ChangeLog[str, MeasuredLoad] = field(factory=ChangeLog)
     router_seen_at: dict[str, float] = field(factory=dict)
+    evidence: EvidenceTable = field(factory=EvidenceTable)
+    changed_parts: ChangeLog[str, None] = field(factory=ChangeLog)
     has_changes: bool = False
     sequence: int = 0
     _update_by_number: dict[int, UsageUpdate] = field(factory=dict)
@@ -117,6 +121,7 @@
             measured = unpack_measured(numbers, now)
             self.own_seen_loads.set(address, measured, self.number + 1)
             self._set_load(self.seen_loads, address, measured)
+        self._merge_parts(report.parts, now)
 
     def handle_digest(self, digest: MemberDigest, now: float) -> None:
         """Apply the digest of another member, unless it has applied a newer one."""
@@ -140,6 +145,7 @@
             self._detach_if_older(address, now - age_ms / 1000, now)
         for router_id in digest.routers:
             self.router_seen_at[router_id] = now
+        self._merge_parts(digest.parts, now)
 
     def record_router(self, router_id: str, now: float) -> None:
         """Record that a router watches this member."""
@@ -181,6 +187,7 @@
                 if now - agent.attached_at < ATTACHED_SECONDS
             },
             [router_id for router_id, _ in self.own_routers.since(number)],
+            self._parts_since(number, now),
         )
 
     def update_since(self, number: int, now: float, rng: Random) -> UsageUpdate:
@@ -207,7 +214,11 @@
         if len(seen_loads) > MAX_UPDATE_LOADS:
             seen_loads = rng.sample(seen_loads, MAX_UPDATE_LOADS)
         return UsageUpdate(
-            self.number, uses, _pack_all(loads, now), _pack_all(seen_loads, now)
+            self.number,
+            uses,
+            _pack_all(loads, now),
+            _pack_all(seen_loads, now),
+            self._parts_since(number, now),
         )
 
     def usage(self, account_id: str, now: float) -> tuple[float, float]:
@@ -234,6 +245,21 @@
 
     # Changes.
 
+    def _merge_parts(self, reports: dict[str, PartReport], now: float) -> None:
+        """Add evidence on parts of prompts."""
+        for part_id in self.evidence.merge(reports, now):
+            self.changed_parts.set(part_id, None, self.number + 1)
+            self.has_changes = True
+
+    def _parts_since(self, number: int, now: float) -> dict[str, PartReport]:
+        """Return the evidence on parts that has changed since a published state."""
+        records = self.evidence.record_by_part
+        return {
+            part_id: records[part_id].pack(now)
+            for part_id, _ in self.changed_parts.since(number)
+            if part_id in records
+        }
+
     def _add_to_own(
         self, account_id: str, asked: float, got: float, now: float
     ) -> None:
@@ -275,6 +301,10 @@
         self._expired_at = now
         self._expire_agents(now)
         self._expire_amounts(now)
+        self.evidence.expire(now)
+        for part_id in list(self.changed_parts.entry_by_key):
+            if part_id not in self.evidence.record_by_part:
+                self.changed_parts.remove(part_id)
         for router_id, seen_at in list(self.router_seen_at.items()):
             if now - seen_at > ROUTER_EXPIRY_SECONDS:
                 del self.router_seen_at[router_id]
--- a/pistachiolever/usage/models.py
+++ b/pistachiolever/usage/models.py
@@ -7,6 +7,7 @@
 from attrs import field, frozen
 
 from pistachiolever.admission.models import Load
+from pistachiolever.quarantine.models import PartReport
 
 # Demand and service of accounts in decaying weighted tokens.
 UsageByAccount = dict[str, tuple[int, int]]
@@ -21,7 +22,8 @@
     `life` is the incarnation of the member that has the earlier reports; empty if the
     report is complete. `agent` is the agent's address, or the router's id. A router
     reports what it decides itself for endpoints without an agent, and in `seen_loads`
-    what these endpoints told of themselves, by the agent's address.
+    what these endpoints told of themselves, by the agent's address. `parts` is a
+    router's evidence on parts of prompts.
     """
 
     agent: str
@@ -29,6 +31,7 @@
     load: PackedLoad = field(factory=list)
     uses: UsageByAccount = field(factory=dict)
     seen_loads: dict[str, PackedLoad] = field(factory=dict)
+    parts: dict[str, PartReport] = field(factory=dict)
 
 
 @frozen
@@ -38,7 +41,7 @@
     `uses` are sums over the agents that report to this member. `loads` are by agent,
     each preceded by its age in milliseconds, `seen_loads` likewise. `attached` are
     agents that began to report here, with the milliseconds since then. `routers` are
-    the watching routers.
+    the watching routers, `parts` the evidence on parts of prompts, of all routers.
     """
 
     member: str
@@ -50,6 +53,7 @@
     seen_loads: dict[str, PackedLoad] = field(factory=dict)
     attached: dict[str, int] = field(factory=dict)
     routers: list[str] = field(factory=list)
+    parts: dict[str, PartReport] = field(factory=dict)
 
 
 @frozen
@@ -63,13 +67,15 @@
 class UsageUpdate:
     """What has changed in the fleet-wide sums; `number` identifies the state.
 
-    If many loads have changed, it has a random part of them.
+    If many loads have changed, it has a random part of them. `parts` is the evidence on
+    parts of prompts.
     """
 
     number: int = 0
     uses: UsageByAccount = field(factory=dict)
     loads: dict[str, PackedLoad] = field(factory=dict)
     seen_loads: dict[str, PackedLoad] = field(factory=dict)
+    parts: dict[str, PartReport] = field(factory=dict)
 
 
 def pack_load(load: Load) -> PackedLoad:
--- a/pistachiolever/usage/reporter.py
+++ b/pistachiolever/usage/reporter.py
@@ -6,6 +6,7 @@
 
 from pistachiolever.admission.models import Load
 from pistachiolever.admission.recent_service import RecentService
+from pistachiolever.quarantine.quarantine import Quarantine
 from pistachiolever.usage.const import (
     CHANGED_MEMORY_FRACTION,
     CHANGED_SLOT_FRACTION,
@@ -21,12 +22,14 @@
     """Reports the accounts and the load that have changed, at most so often.
 
     `member_life` is the incarnation of the member that has all earlier reports. A
-    reporter without `read_load` is a router's: it reports only if there is news.
+    reporter without `read_load` is a router's: it reports only if there is news, also
+    of its `quarantine`.
     """
 
     agent: str
     service: RecentService
     read_load: Callable[[float], Load] | None = None
+    quarantine: Quarantine | None = None
     member_life: str = ""
     reported_at: float = float("-inf")
     reported_load: Load | None = None
@@ -52,12 +55,15 @@
             pack_load(load) if load else [],
             {account: self.service.usage(account, now) for account in accounts},
             {address: measured.pack(now) for address, measured in seen.items()},
+            self.quarantine.pop_reports(now) if self.quarantine else {},
         )
 
     def _has_news(self, load: Load | None, now: float) -> bool:
         """Return whether there is something to report."""
         if self.service.changed_accounts or self.seen_loads:
             return True
+        if self.quarantine is not None and self.quarantine.has_reports(now):
+            return True
         if load is None:
             return False
         if not self.member_life or self.reported_load is None:
@@ -75,6 +81,8 @@
     def handle_failure(self, report: AgentReport) -> None:
         """Report again what a report without a reply contained."""
         self.service.changed_accounts.update(report.uses)
+        if self.quarantine is not None:
+            self.quarantine.unreported.update(report.parts)
 
 
 def is_load_changed(old: Load, new: Load) -> bool:
--- /dev/null
+++ b/tests/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the quarantine of prompt parts."""
--- /dev/null
+++ b/tests/quarantine/test_quarantine.py
@@ -0,0 +1,182 @@
+"""Which parts of prompts are quarantined, from which evidence."""
+
+from collections.abc import Callable
+
+from attrs import define
+
+from pistachiolever.quarantine.const import (
+    CRASHES_TO_QUARANTINE,
+    QUARANTINE_FACTOR,
+    QUARANTINE_SECONDS,
+    SETTLE_SECONDS,
+    SOUND_SECONDS,
+    TEST_SPREAD_SECONDS,
+)
+from pistachiolever.quarantine.quarantine import Change, Quarantine
+from tests.support.cases import CaseTest
+
+NOW = 1000.0
+BAD = ["system", "bad"]
+SOUND = ["system", "tools"]
+SETTLED = NOW + CRASHES_TO_QUARANTINE + SETTLE_SECONDS
+
+
+def crash(
+    quarantine: Quarantine, parts: list[str], count: int = 3, at: float = NOW
+) -> None:
+    """Let a number of endpoints crash, one a second."""
+    for number in range(count):
+        quarantine.record_crash(f"e{at:.0f}-{number}", parts, at + number)
+
+
+@define
+class Case:
+    """What happens before requests with the parts BAD come at the time SETTLED."""
+
+    prepare: Callable[[Quarantine], None]
+    part: str
+
+
+def common_part_is_sound(quarantine: Quarantine) -> None:
+    """Other requests with the first part are served."""
+    quarantine.record_sound(SOUND, NOW)
+    crash(quarantine, BAD)
+
+
+def nothing_is_sound(quarantine: Quarantine) -> None:
+    """No other requests come."""
+    crash(quarantine, BAD)
+
+
+def too_few_crashes(quarantine: Quarantine) -> None:
+    """One crash fewer than needed."""
+    crash(quarantine, BAD, CRASHES_TO_QUARANTINE - 1)
+
+
+def the_same_crash(quarantine: Quarantine) -> None:
+    """Many requests end with one endpoint."""
+    for _ in range(5):
+        quarantine.record_crash("e1", BAD, NOW)
+
+
+def sound_between(quarantine: Quarantine) -> None:
+    """The part has a sound run between the crashes."""
+    crash(quarantine, BAD, 2)
+    quarantine.record_sound(BAD, NOW + 1.5)
+    quarantine.record_crash("e9", BAD, NOW + 2)
+
+
+def sound_after(quarantine: Quarantine) -> None:
+    """The part has a sound run after the crashes."""
+    crash(quarantine, BAD)
+    quarantine.record_sound(BAD, SETTLED - 0.1)
+
+
+def sound_long_ago(quarantine: Quarantine) -> None:
+    """The part was sound before endpoints began to crash."""
+    quarantine.record_sound(BAD, NOW - SOUND_SECONDS - 1)
+    crash(quarantine, BAD)
+
+
+def explained_by_another(quarantine: Quarantine) -> None:
+    """The endpoints also ran requests with a part that crashes all of them."""
+    for number in range(5):
+        quarantine.record_crash(f"e{number}", ["worse"], NOW)
+        if number < 3:
+            quarantine.record_crash(f"e{number}", BAD, NOW)
+
+
+def explained_by_a_quarantined_one(quarantine: Quarantine) -> None:
+    """The other part is quarantined already."""
+    explained_by_another(quarantine)
+    quarantine.quarantined_part(["worse"], SETTLED)
+
+
+class EvidenceTest(CaseTest):
+    """Which part of BAD is quarantined."""
+
+    def test_table(self) -> None:
+        cases = [
+            Case(common_part_is_sound, "bad"),
+            Case(nothing_is_sound, "bad"),
+            Case(too_few_crashes, ""),
+            Case(the_same_crash, ""),
+            Case(sound_between, ""),
+            Case(sound_after, ""),
+            Case(sound_long_ago, "bad"),
+            Case(explained_by_another, ""),
+            Case(explained_by_a_quarantined_one, ""),
+        ]
+        for case in cases:
+            with self.subTest(case.prepare.__name__):
+                quarantine = Quarantine("r")
+                case.prepare(quarantine)
+                part = quarantine.quarantined_part(BAD, SETTLED)
+                self.assertEqual(part, case.part)
+                self.assertEqual(quarantine.quarantined_part(SOUND, SETTLED), "")
+
+    def test_others_are_heard_before_the_quarantine(self) -> None:
+        quarantine = Quarantine("r")
+        crash(quarantine, BAD)
+        self.assertEqual(quarantine.quarantined_part(BAD, SETTLED - 1.1), "")
+        self.assertEqual(quarantine.quarantined_part(BAD, SETTLED), "bad")
+
+    def test_repeats_stop_before_the_quarantine(self) -> None:
+        quarantine = Quarantine("r")
+        quarantine.record_sound(SOUND, NOW)
+        expected = [True, True, False]
+        for count, allowed in enumerate(expected):
+            self.assertIs(quarantine.may_repeat(BAD, NOW), allowed)
+            self.assertTrue(quarantine.may_repeat(SOUND, NOW))
+            quarantine.record_crash(f"e{count}", BAD, NOW)
+
+
+class EndTest(CaseTest):
+    """How a quarantine ends."""
+
+    def quarantined(self, node_id: str = "r", routers: int = 1) -> Quarantine:
+        """Return a router that has quarantined the part at SETTLED."""
+        quarantine = Quarantine(node_id, routers)
+        quarantine.record_sound(SOUND, NOW)
+        crash(quarantine, BAD)
+        self.assertFalse(quarantine.try_send(BAD, SETTLED))
+        return quarantine
+
+    def end(self, quarantine: Quarantine) -> float:
+        """Return when a quarantine ends."""
+        return SETTLED + quarantine.remaining_seconds("bad", SETTLED)
+
+    def test_one_request_tests_the_part(self) -> None:
+        quarantine = self.quarantined()
+        end = self.end(quarantine)
+        self.assertGreaterEqual(end, SETTLED + QUARANTINE_SECONDS)
+        self.assertLessEqual(end, SETTLED + QUARANTINE_SECONDS + TEST_SPREAD_SECONDS)
+        self.assertFalse(quarantine.try_send(BAD, end - 0.01))
+        self.assertTrue(quarantine.try_send(BAD, end))
+        self.assertFalse(quarantine.try_send(BAD, end))
+        longer = QUARANTINE_FACTOR * QUARANTINE_SECONDS
+        self.assertFalse(quarantine.try_send(BAD, end + longer - 0.01))
+
+    def test_request_waiting_for_a_grant_does_not_use_up_the_test(self) -> None:
+        quarantine = self.quarantined()
+        end = self.end(quarantine)
+        for _ in range(3):
+            self.assertEqual(quarantine.quarantined_part(BAD, end), "")
+        self.assertTrue(quarantine.try_send(BAD, end))
+
+    def test_sound_run_releases_the_part(self) -> None:
+        quarantine = self.quarantined()
+        end = self.end(quarantine)
+        quarantine.try_send(BAD, end)
+        quarantine.record_sound(BAD, end + 1.5)
+        self.assertTrue(quarantine.try_send(BAD, end + 1.6))
+        changes = [change.change for change in quarantine.pop_changes()]
+        self.assertEqual(changes, [Change.QUARANTINED, Change.TESTED, Change.RELEASED])
+
+    def test_routers_test_at_different_times(self) -> None:
+        ends = {
+            round(self.end(self.quarantined(f"router-{number}", 50)), 1)
+            for number in range(50)
+        }
+        self.assertGreater(len(ends), 40)
+        self.assertGreater(max(ends) - min(ends), 50 * TEST_SPREAD_SECONDS / 2)
