--- a/pistachiolever/metrics/instruments.py
+++ b/pistachiolever/metrics/instruments.py
@@ -124,11 +124,11 @@
     ),
     Instrument("pistachiolever_connections", "Open connections of callers"),
     Instrument("pistachiolever_endpoint_connections", "Open connections to endpoints"),
-    Instrument("pistachiolever_routers", "Routers that share the endpoints"),
     Instrument(
         "pistachiolever_quarantined_parts",
         "Prompt parts that are not sent, since endpoints crashed under them",
     ),
+    Instrument("pistachiolever_routers", "Routers that share the endpoints"),
     Instrument(
         "pistachiolever_registry_in_touch", "1 while a registry member responds"
     ),
