Take a connection that is reset while it is opened for a closed one

Callers saw: a whole request whose connection was closed without an answer, when its endpoint reset the router's new connection at once.

Cause: uvloop has no socket any more for a connection that it has closed, and asking the stream for it raises AttributeError. The socket options of a new connection, and the check of an idle one, asked for it. This is not the error that an attempt handles, so that the server ended the caller's connection.

Why it works: a connection without a socket counts as closed. Its first use reports PeerClosedError, after which the request is tried elsewhere or answered.

--- a/pistachiolever/http1/sockets.py
+++ b/pistachiolever/http1/sockets.py
@@ -11,6 +11,7 @@
     TCP_KEEPINTVL,
     TCP_NODELAY,
     TCP_USER_TIMEOUT,
+    socket,
 )
 from struct import pack
 
@@ -26,16 +27,16 @@
 
 def tune_socket(stream: SocketStream) -> None:
     """Disable Nagle's algorithm and detect unresponsive peers."""
-    socket = stream.extra(SocketAttribute.raw_socket)
+    raw = _raw_socket(stream)
+    if raw is None:
+        return
     try:
-        socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
-        socket.setsockopt(
-            IPPROTO_TCP, TCP_USER_TIMEOUT, int(USER_TIMEOUT_SECONDS * 1000)
-        )
-        socket.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
-        socket.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
-        socket.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
-        socket.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES)
+        raw.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        raw.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, int(USER_TIMEOUT_SECONDS * 1000))
+        raw.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+        raw.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
+        raw.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
+        raw.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES)
     except OSError:
         # The peer has already disconnected; the next read reports it.
         return
@@ -46,9 +47,11 @@
 
     The kernel also closes the socket that way if the process is killed.
     """
-    socket = stream.extra(SocketAttribute.raw_socket)
+    raw = _raw_socket(stream)
+    if raw is None:
+        return
     try:
-        socket.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", enabled, 0))
+        raw.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", enabled, 0))
     except OSError:
         # The peer has already disconnected; the next read reports it.
         return
@@ -56,19 +59,28 @@
 
 def has_left(stream: SocketStream) -> bool:
     """Return whether the peer has closed the connection, also behind unread data."""
-    descriptor = stream.extra(SocketAttribute.raw_socket).fileno()
-    if descriptor < 0:
-        return True
-    poller = poll()
-    poller.register(descriptor, POLLRDHUP)
-    return bool(poller.poll(0))
+    return _has_event(stream, POLLRDHUP)
 
 
 def has_input(stream: SocketStream) -> bool:
     """Return whether an idle socket has unread data, an end of file or an error."""
-    descriptor = stream.extra(SocketAttribute.raw_socket).fileno()
-    if descriptor < 0:
+    return _has_event(stream, POLLIN)
+
+
+def _has_event(stream: SocketStream, mask: int) -> bool:
+    """Return whether an event, an error or the end of the connection is pending."""
+    raw = _raw_socket(stream)
+    if raw is None or raw.fileno() < 0:
         return True
     poller = poll()
-    poller.register(descriptor, POLLIN)
+    poller.register(raw.fileno(), mask)
     return bool(poller.poll(0))
+
+
+def _raw_socket(stream: SocketStream) -> socket | None:
+    """Return the socket of a connection; None if it is closed already."""
+    try:
+        return stream.extra(SocketAttribute.raw_socket)
+    except AttributeError:
+        # A closed connection of uvloop has none.
+        return None
