Answer a request whose handling fails unexpectedly with 502

Callers saw: a whole request whose connection was closed without any answer.

Cause: an error that no handler expects went up to the server, which logged it and closed the connection, also where the response had not begun.

Evidence: test_unexpected_error_of_a_handler_is_answered got b"" before and gets one 502 now, with and without an unread body. It replaces a test that demanded the empty answer. A new test shows that a response that has begun is still broken off, before and now.

Why it works: 502 promises nothing of what was done, and the connection is closed after it as for other rejected requests. The error is logged as before.

--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -204,7 +204,10 @@
                 return
 
     async def _handle(self, exchange: "Exchange") -> None:
-        """Run the handler; reject the request if the handler finds it invalid."""
+        """Run the handler; reject the request if the handler finds it invalid.
+
+        An unexpected error is answered with 502, which does not say what was done.
+        """
         try:
             await self.handler(exchange)
         except (BadRequestError, RemoteProtocolError) as error:
@@ -215,6 +218,11 @@
         except (BrokenResourceError, ClosedResourceError):
             # The client disconnected while the response was written.
             self._handle_disconnect()
+        except Exception:  # noqa: BLE001
+            if exchange.started:
+                raise
+            logging.exception("unexpected error of a handler")
+            await self._reject(BadRequestError(502, "unexpected error"))
 
     def _start_next_cycle(self) -> bool:
         """Prepare for the next request; return whether the connection allows one."""
