Keep a silent stream that no other endpoint can continue for lack of event ids

Callers saw: a stream of a resumable route was broken off, although its engine was silent for a moment only and went on.

Cause: whether a stalled stream is given up depended on the route alone. A stream whose events have no ids can't be resumed, so that it was broken off as soon as it had been given up.

Why it works: the condition for giving up is now the one for resuming.

--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -257,7 +257,7 @@
         Otherwise the only response that the caller can get may still come from here.
         """
         request, fleet = self.request, self.fleet
-        if not self._may_ever_move():
+        if not self._may_ever_move() or not self.splitter.resumable:
             return False
         service_id = request.service.service_id
         if fleet.budget.remaining(service_id, fleet.now()) < 1.0:
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -208,6 +208,16 @@
     await stream.send(chunk(b"".join(EVENTS[3:])) + b"0\r\n\r\n")
 
 
+async def stream_slow_without_ids(
+    endpoint: Endpoint, stream: SocketStream, head: bytes
+) -> None:
+    """Pause for long within a stream whose events have no ids."""
+    await stream.send(HEAD % id_of(head) + b"Transfer-Encoding: chunked\r\n\r\n")
+    await stream.send(chunk(b"data: a\n\n"))
+    await sleep(2.0)
+    await stream.send(chunk(b"data: b\n\n") + b"0\r\n\r\n")
+
+
 async def unframed(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
     """Send a response without a length, delimited by the end of the connection."""
     await stream.send(HEAD % id_of(head) + b"Connection: close\r\n\r\ngood")
@@ -497,6 +507,17 @@
         self.assertEqual(self.body(result), self.whole())
         self.assertTrue(result.raw.endswith(b"0\r\n\r\n"))
 
+    # It was given up and then broken off, as the rest could not be had elsewhere.
+    def test_slow_stream_without_event_ids_is_kept(self) -> None:
+        (result,) = send_requests(
+            b"/plan/1",
+            stream_slow_without_ids,
+            stream_slow_without_ids,
+            deadline_ms=4000,
+        )
+        self.assertEqual(self.body(result), b"data: a\n\ndata: b\n\n")
+        self.assertTrue(result.raw.endswith(b"0\r\n\r\n"))
+
     def test_stream_is_resumed_after_its_last_whole_event(self) -> None:
         result = send_request(b"/plan/1", stream_part, stream_part)
         self.assertFalse(result.raw.endswith(b"0\r\n\r\n"))
