Read on from a silent endpoint until another one has granted the rest

Callers saw: a stream was broken off, or a response failed, although its engine had only been silent for a second or two and went on.

Cause: an overdue response was given up as soon as another endpoint existed and a retry was left. If then nobody granted the request, or others had used the last retries in between, nothing was left of it.

Why it works: the grant and the retry are obtained while the old connection is still read. Only with both in hand, and if nothing came meanwhile, it is closed; the other endpoint gets the request after that. A grant that is not needed any more is given back.

--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -1,5 +1,6 @@
 """One attempt to serve a request at an endpoint, up to its verdict."""
 
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 from anyio import CancelScope, create_task_group, move_on_after, sleep
@@ -18,6 +19,7 @@
     PREFILL_TIMEOUT_FACTOR,
     RESPONSE_TIMEOUT_TARGET_FRACTION,
     STALL_CHECK_SECONDS,
+    TAKE_OVER_RETRY_SECONDS,
 )
 from pistachiolever.gateway.endpoint_handle import EndpointHandle
 from pistachiolever.gateway.event_stream import EventBoundary, EventSplitter
@@ -85,9 +87,18 @@
         self.result = result
 
 
+async def keep_waiting(is_stalled: Callable[[], bool]) -> bool:
+    """Find no endpoint that takes over."""
+    return False
+
+
 @define(eq=False)
 class Attempt:
-    """Sends a request to one endpoint and forwards the response."""
+    """Sends a request to one endpoint and forwards the response.
+
+    `bid_id` is the bid that the endpoint granted. `find_successor` returns whether
+    another endpoint has granted the request while the response was still stalled.
+    """
 
     fleet: FleetView
     header_format: HeaderFormat
@@ -96,6 +107,8 @@
     sink: ResponseSink
     splitter: EventSplitter
     expected_prefill_seconds: float = 0.0
+    bid_id: str = ""
+    find_successor: Callable[[Callable[[], bool]], Awaitable[bool]] = keep_waiting
     connection: ClientConnection | None = None
     first_chunk_at: float | None = None
     framing: Framing | None = None
@@ -158,7 +171,7 @@
     ) -> AttemptResult:
         """Send the request and handle the response.
 
-        Give up once the response is overdue and another endpoint can take over.
+        Give up once the response is overdue and another endpoint takes over.
         """
         self.first_due_at = self.fleet.now() + self._response_timeout_seconds()
         if not self._may_ever_move():
@@ -181,11 +194,19 @@
         return self._unknown_outcome(f"silent{where}")
 
     async def _watch_silence(self, scope: CancelScope) -> None:
-        """Cancel a scope once the response is overdue and may be had elsewhere."""
-        while not self._is_stalled():
+        """Cancel a scope once the response is overdue and granted elsewhere.
+
+        Until then it may still come from here.
+        """
+        while True:
             pause = self._stalled_at() - self.fleet.now()
             await sleep(max(STALL_CHECK_SECONDS, pause))
-        scope.cancel()
+            if not self._is_stalled():
+                continue
+            if await self.find_successor(self._is_stalled):
+                scope.cancel()
+                return
+            await sleep(TAKE_OVER_RETRY_SECONDS)
 
     async def _exchange(self, connection: ClientConnection) -> AttemptResult:
         """Send the request and handle the response."""
@@ -443,4 +464,4 @@
         """Record the time of the first chunk and report it to admission."""
         if self.first_chunk_at is None:
             self.first_chunk_at = self.fleet.now()
-            self.handle.admission.report_start(self.request.bid_id)
+            self.handle.admission.report_start(self.bid_id)
--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -37,6 +37,8 @@
 MIN_STREAM_TIMEOUT_SECONDS: Final = 1.2
 # Time between two checks of a stream that pauses for longer and can't be resumed.
 STALL_CHECK_SECONDS: Final = 0.2
+# Pause after no other endpoint took over a stalled response.
+TAKE_OVER_RETRY_SECONDS: Final = 1.0
 # With less time left until its deadline, a request is not sent any more.
 MIN_ATTEMPT_SECONDS: Final = 0.03
 # Incarnations whose notices are remembered.
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -1,5 +1,7 @@
 """Processes a caller's request: grants, attempts, retries and the final response."""
 
+from collections.abc import Callable
+
 from anyio import move_on_after
 from attrs import define, field
 
@@ -43,7 +45,8 @@
     """Processes one request from arrival to response.
 
     `refusal` is the last refused bid, `failure` the last error response of an
-    endpoint; both determine the response if no attempt succeeds.
+    endpoint; both determine the response if no attempt succeeds. `successor` has
+    granted what the endpoint in use leaves unanswered.
     `expected_prefill_seconds` is the prefill time that was pending at the endpoint
     when it granted the request.
     """
@@ -55,6 +58,7 @@
     splitter: EventSplitter = field(init=False)
     refusal: BidReply | None = None
     failure: BufferedResponse | None = None
+    successor: EndpointHandle | None = None
     queued_seconds: float = 0.0
     expected_prefill_seconds: float = 0.0
 
@@ -71,11 +75,21 @@
             self.fleet.shares.own.record_demand(
                 request.account_id, request.cost, self.fleet.now()
             )
+        try:
+            await self._run_attempts()
+        finally:
+            self._release_successor()
+
+    async def _run_attempts(self) -> None:
+        """Send attempts until one is answered or the request fails."""
+        request = self.request
         while True:
             if request.remaining_seconds(self.fleet.now()) < MIN_ATTEMPT_SECONDS:
                 await self._fail("deadline")
                 return
-            handle = await self._acquire_grant()
+            handle, self.successor = self.successor, None
+            if handle is None:
+                handle = await self._acquire_grant()
             if handle is None:
                 await self._fail(self._no_grant_reason())
                 return
@@ -88,19 +102,36 @@
 
     # Grants.
 
-    async def _acquire_grant(self) -> EndpointHandle | None:
-        """Return an endpoint with a grant; None if the tried endpoints refused."""
+    async def _find_successor(self, is_stalled: Callable[[], bool]) -> bool:
+        """Return whether another endpoint will take over a stalled response.
+
+        The endpoint in use may go on until the other one has granted the request.
+        """
+        self.successor = await self._acquire_grant(elsewhere=True)
+        if self.successor is None:
+            return False
+        if is_stalled() and self._use_retry_budget("silent"):
+            return True
+        self._release_successor()
+        return False
+
+    def _release_successor(self) -> None:
+        """Give back a grant that will not be used."""
+        handle, self.successor = self.successor, None
+        if handle is not None:
+            handle.admission.report_end(self.request.bid_id, 0)
+
+    async def _acquire_grant(self, elsewhere: bool = False) -> EndpointHandle | None:
+        """Return an endpoint with a grant; None if the tried endpoints refused.
+
+        `elsewhere` leaves out those to which the request was sent before.
+        """
         refused: set[str] = set()
         request = self.request
         started_at = self.fleet.now()
         try:
             while len(refused) < self._max_bids():
-                ranked = self._rank_endpoints(refused | request.tried_endpoint_ids)
-                if not ranked and not refused:
-                    # Retry an endpoint that failed before rather than none.
-                    ranked = self._rank_endpoints(refused)
-                if refused:
-                    ranked = self._filter_short_waits(ranked)
+                ranked = self._rank_choices(refused, elsewhere)
                 if not ranked:
                     return None
                 choice = ranked[0]
@@ -131,7 +162,8 @@
                 refused.add(choice.endpoint.endpoint_id)
             return None
         finally:
-            self.queued_seconds += self.fleet.now() - started_at
+            if not elsewhere:
+                self.queued_seconds += self.fleet.now() - started_at
 
     def _no_grant_reason(self) -> str:
         """Return why no endpoint granted the request."""
@@ -154,6 +186,14 @@
             self.fleet.shares.total(self.request.account_id, self.fleet.now()) > share
         )
 
+    def _rank_choices(self, refused: set[str], elsewhere: bool) -> list[RankedEndpoint]:
+        """Return the endpoints to bid to next, the best first."""
+        ranked = self._rank_endpoints(refused | self.request.tried_endpoint_ids)
+        if not ranked and not refused and not elsewhere:
+            # Retry an endpoint that failed before rather than none.
+            ranked = self._rank_endpoints(refused)
+        return self._filter_short_waits(ranked) if refused else ranked
+
     def _rank_endpoints(self, avoid: set[str]) -> list[RankedEndpoint]:
         """Return the endpoints to consider for the request, the best first."""
         metadata, fleet = self.request.metadata, self.fleet
@@ -274,7 +314,7 @@
         if request.attempt_count:
             self.splitter.resume()
         request.attempt_count += 1
-        sent_at = fleet.now()
+        sent_at, bid_id = fleet.now(), request.bid_id
         attempt = Attempt(
             fleet,
             self.header_format,
@@ -283,13 +323,15 @@
             self.sink,
             self.splitter,
             self.expected_prefill_seconds,
+            bid_id,
+            self._find_successor,
         )
         result = AttemptResult(Verdict.MAY_HAVE_RUN, reason="cancelled")
         try:
             result = await attempt.run()
         finally:
             tokens = self._output_tokens(attempt)
-            handle.admission.report_end(request.bid_id, tokens)
+            handle.admission.report_end(bid_id, tokens)
             self._record_result(handle, attempt, result, sent_at, tokens)
         if not result.sent:
             request.attempt_count -= 1
@@ -376,6 +418,11 @@
             return False
         if request.remaining_seconds(now) < MIN_ATTEMPT_SECONDS:
             return False
+        return self.successor is not None or self._use_retry_budget(result.reason)
+
+    def _use_retry_budget(self, reason: str) -> bool:
+        """Return whether the retry budget allows another attempt, which it counts."""
+        request, now = self.request, self.fleet.now()
         allowed = self.fleet.budget.try_acquire(request.service.service_id, now)
         self.fleet.instruments.count(
             RETRIES, request.service.service_id, str(allowed).lower()
@@ -384,7 +431,7 @@
             EventCode.REQUEST_RETRIED,
             request.request_id,
             allowed=allowed,
-            reason=result.reason,
+            reason=reason,
             sends=request.attempt_count,
             budget=round(
                 self.fleet.budget.remaining(request.service.service_id, now), 1
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -218,6 +218,12 @@
     await stream.send(chunk(b"data: b\n\n") + b"0\r\n\r\n")
 
 
+async def respond_slowly(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
+    """Send a correct response after the target of its route."""
+    await sleep(1.2)
+    await respond(endpoint, stream, head)
+
+
 async def unframed(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
     """Send a response without a length, delimited by the end of the connection."""
     await stream.send(HEAD % id_of(head) + b"Connection: close\r\n\r\ngood")
@@ -330,10 +336,14 @@
     deadline_ms: int = 1500,
     copies: int = 1,
     read_after_seconds: float = 0.0,
+    slots: int = 8,
+    retry_ratio: float = 1,
+    retry_slack: float = 99,
 ) -> list[Result]:
     """Send requests through one router, each after a pause in seconds.
 
-    `copies` of each are sent at the same time, with the same id.
+    `copies` of each are sent at the same time, with the same id. Each endpoint has
+    `slots`; `retry_ratio` and `retry_slack` limit the fleet's retries.
     """
     request = (
         b"GET %s HTTP/%s\r\nHost: x\r\nX-Request-Id: id$\r\n"
@@ -341,7 +351,15 @@
         b"Authorization: Bearer key\r\n%s\r\n" % (path, version, deadline_ms, extra)
     )
     return run(
-        _send_requests, request, list(scripts), pauses, copies, read_after_seconds
+        _send_requests,
+        request,
+        list(scripts),
+        pauses,
+        copies,
+        read_after_seconds,
+        slots,
+        retry_ratio,
+        retry_slack,
     )
 
 
@@ -351,10 +369,21 @@
     pauses: tuple[float, ...],
     copies: int,
     read_after_seconds: float,
+    slots: int,
+    retry_ratio: float,
+    retry_slack: float,
 ) -> list[Result]:
     """Run a router, its endpoints and one caller."""
     settings = GatewaySettings(
-        "r", "north", await free_address(), await free_address(), "/ready", 2, 1, 10, 99
+        "r",
+        "north",
+        await free_address(),
+        await free_address(),
+        "/ready",
+        2,
+        retry_ratio,
+        10,
+        retry_slack,
     )
     events = make_discarding_logger("r")
     fleet = FleetView(
@@ -382,7 +411,7 @@
                 port = listener.extra(SocketAttribute.local_port)
                 group.start_soon(listener.serve, endpoint.serve)
                 base = Announcement(
-                    f"e{number}", 1, 1, EndpointState.READY, "s", "", "north", 8
+                    f"e{number}", 1, 1, EndpointState.READY, "s", "", "north", slots
                 )
                 fleet.apply_announcements([evolve(base, address=f"127.0.0.1:{port}")])
             await sleep(0.05)
@@ -464,6 +493,13 @@
                 result = send_request(b"/read/1", fault, respond)
                 self.assertEqual((result.status, result.body), (200, b"good"))
 
+    # It was given up for an endpoint that had no room, and then failed.
+    def test_slow_response_is_kept_until_another_endpoint_grants_it(self) -> None:
+        results = send_requests(
+            b"/read/1", respond_slowly, hold, deadline_ms=2000, copies=2, slots=1
+        )
+        self.assertIn((200, b"good"), [(r.status, r.body) for r in results])
+
     def test_disallowed_request_reaches_no_endpoint(self) -> None:
         self.assertEqual(send_request(b"/other/1", respond).status, 404)
         wrong = b"Authorization: Bearer wrong\r\n"
@@ -507,6 +543,29 @@
         self.assertEqual(self.body(result), self.whole())
         self.assertTrue(result.raw.endswith(b"0\r\n\r\n"))
 
+    # It was given up for an endpoint that had no room, and then broken off.
+    def test_stream_is_kept_until_another_endpoint_grants_the_rest(self) -> None:
+        results = send_requests(
+            b"/plan/1", stream_slow, hold, deadline_ms=2500, copies=2, slots=1
+        )
+        bodies = [self.body(result) for result in results if result.status == 200]
+        self.assertIn(self.whole(), bodies)
+
+    # Both were given up for the one retry that was left.
+    def test_stream_is_kept_if_another_request_uses_the_last_retry(self) -> None:
+        results = send_requests(
+            b"/plan/1",
+            stream_slow,
+            stream_slow,
+            stream_slow,
+            deadline_ms=4000,
+            copies=6,
+            slots=3,
+            retry_ratio=0,
+            retry_slack=15,
+        )
+        self.assertEqual([self.body(result) for result in results], [self.whole()] * 6)
+
     # It was given up and then broken off, as the rest could not be had elsewhere.
     def test_slow_stream_without_event_ids_is_kept(self) -> None:
         (result,) = send_requests(
