Answer a request that arrived before its idle connection was closed

Callers saw: a request on a kept connection got no answer, and the connection was closed or reset.

Cause: the server closed an idle connection at its timeout, for a new one or in a drain without looking for input that it had not read. After a pause of the process, the timeout and the request are noticed in the same turn of the event loop, and the timeout won.

Why it works: the socket, and what the reading task has received, is looked at before the connection is closed.

--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -65,6 +65,7 @@
     framing_of,
 )
 from pistachiolever.http1.sockets import (
+    has_input,
     has_left,
     set_reset_on_close,
     tune_socket,
@@ -238,12 +239,10 @@
         with CancelScope() as idle:
             self._idle_scope = idle
             if not self._has_input():
-                with move_on_after(limits.idle_seconds) as timeout:
+                with move_on_after(limits.idle_seconds):
                     await self._wait_for_input()
-                if timeout.cancelled_caught:
-                    return None
         self._idle_scope = None
-        if idle.cancelled_caught:
+        if not await self._has_arrived_input():
             return None
         try:
             with fail_after(limits.head_seconds):
@@ -258,6 +257,14 @@
         """Return whether there is unprocessed input or the client has disconnected."""
         return bool(self.protocol.trailing_data[0]) or self.disconnected
 
+    async def _has_arrived_input(self) -> bool:
+        """Return whether there is input, also if it has not been read yet."""
+        if self._has_input() or has_input(self.stream):
+            return True
+        # The task that reads the socket may have some without having run since.
+        await sleep(0)
+        return self._has_input()
+
     async def _wait_for_input(self) -> None:
         """Wait for the first byte of a request."""
         while not self._has_input():
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -1,8 +1,10 @@
 """Tests of the HTTP server: invalid requests, reused connections, disconnects."""
 
+from collections.abc import Callable
 from random import SystemRandom
 from socket import SO_LINGER, SOL_SOCKET, socket
 from struct import pack
+from time import sleep as pause_process
 
 from anyio import (
     EndOfStream,
@@ -12,6 +14,7 @@
     fail_after,
     run,
     sleep,
+    wait_readable,
 )
 from anyio.abc import SocketStream
 from attrs import define, field
@@ -203,6 +206,40 @@
         self.assertTrue(answer.endswith(b"4\r\npart\r\n"), answer)
 
 
+class PendingRequestTest(CaseTest):
+    """A request that waits in the socket is answered, however late it is read."""
+
+    async def exchange(self, close: Callable[[HttpServer], None]) -> list[bytes]:
+        """Send two requests, the second while the server does not run for a while."""
+        server = HttpServer(await free_address(), Echo().handle, lambda: LIMITS)
+        answers: list[bytes] = []
+        async with create_task_group() as group:
+            group.start_soon(server.serve)
+            await sleep(0.05)
+            host, _, port = server.address.rpartition(":")
+            with socket() as client:
+                client.connect((host, int(port)))
+                for pause in (0.0, LIMITS.idle_seconds + 0.1):
+                    client.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+                    pause_process(pause)
+                    if pause:
+                        close(server)
+                    await wait_readable(client)
+                    answers.append(client.recv(1000))
+            group.cancel_scope.cancel()
+        return answers
+
+    # The idle timeout had passed when the process ran again: it closed the connection.
+    def test_request_that_came_within_the_idle_timeout(self) -> None:
+        answers = run(self.exchange, lambda server: None)
+        self.assertEqual([answer[:12] for answer in answers], [b"HTTP/1.1 200"] * 2)
+
+    # The connection was closed as an idle one, to make room or in a drain.
+    def test_request_on_a_connection_that_is_closed_as_idle(self) -> None:
+        answers = run(self.exchange, lambda server: server.close_idle())
+        self.assertEqual([answer[:12] for answer in answers], [b"HTTP/1.1 200"] * 2)
+
+
 class BurstTest(CaseTest):
     """Many clients connect while the server is busy."""
 
