Read on after a refusal whose request is still being sent

Callers saw: while a router had no processor time, a request ended with a reset connection in place of the 503 that the router had sent.

Cause: such a router refuses a request without reading its body, and closed the connection with the body unread or still on its way, which resets it.

Why it works: the server ends its side and reads on for a short time, as it did already after invalid requests.

--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -32,6 +32,7 @@
     MUST_CLOSE,
     NEED_DATA,
     PAUSED,
+    SEND_BODY,
     SEND_RESPONSE,
     SERVER,
     Connection,
@@ -199,7 +200,11 @@
             self.busy = False
             self.served_count += 1
             self.request_bytes = 0
-            if self.disconnected or scope.cancel_called or not self._start_next_cycle():
+            if self.disconnected or scope.cancel_called:
+                return
+            if not self._start_next_cycle():
+                if exchange.finished and self.protocol.their_state is SEND_BODY:
+                    await self._linger()
                 return
             if self.closing():
                 return
@@ -290,11 +295,19 @@
         data += self.protocol.send(Data(data=body)) or b""
         try:
             await self.stream.send(data)
+        except (BrokenResourceError, ClosedResourceError):
+            return
+        await self._linger()
+
+    async def _linger(self) -> None:
+        """Read on for a while after a response, so that its client receives it.
+
+        Closing with unread input would reset the connection.
+        """
+        try:
             await self.stream.send_eof()
         except (BrokenResourceError, ClosedResourceError):
             return
-        # Closing with unread input would reset the connection, and the client might not
-        # receive the response.
         with move_on_after(LINGER_SECONDS):
             while not self.disconnected:
                 self._reading_resumed.set()
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -79,6 +79,14 @@
         raise ZeroDivisionError
 
 
+class Refusing(Echo):
+    """A handler that refuses requests without reading their bodies."""
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Refuse the request."""
+        await exchange.respond(503, [], b"")
+
+
 class FailingLate(Echo):
     """A handler that raises an exception within its response."""
 
@@ -191,6 +199,28 @@
 
         self.assertEqual(run(test), 0)
 
+    # A router without processor time reset the connections of callers that were still
+    # sending the requests which it refused.
+    def test_refusal_reaches_a_client_that_is_still_sending(self) -> None:
+        async def test() -> bytes:
+            server = HttpServer(await free_address(), Refusing().handle)
+            async with create_task_group() as group:
+                group.start_soon(server.serve)
+                await sleep(0.05)
+                host, _, port = server.address.rpartition(":")
+                async with await connect_tcp(host, int(port)) as stream:
+                    await stream.send(b"POST / HTTP/1.1\r\nHost: x\r\n")
+                    await stream.send(b"Content-Length: 300\r\n\r\n")
+                    for _ in range(3):
+                        await sleep(0.05)
+                        await stream.send(b"x" * 100)
+                    with fail_after(2):
+                        answer = await read_all(stream)
+                group.cancel_scope.cancel()
+            return answer
+
+        self.assertEqual(run(test)[:12], b"HTTP/1.1 503")
+
     # The caller got no answer at all.
     def test_unexpected_error_of_a_handler_is_answered(self) -> None:
         for extra in (b"", b"Content-Length: 1\r\n"):
