Do not give up a stream while its head is sent

Callers would see a stream without its first events: once the head was being sent, its first events counted as sent, but a router that stood still in that moment could give the stream up and resume it after them.

Cause: only the sending of the events themselves was left out of the search for silent endpoints, not that of the head before them.

Evidence: test_stream_whose_head_is_being_sent_is_no_stall found a stall while the head was sent before, and finds none now.

Why it works: from the moment at which events count as sent, the stream is not given up until they are.

--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -445,13 +445,14 @@
     async def _send_events(self, response: ResponseHead, events: bytes) -> None:
         """Send events, preceded by the head if it was not sent yet."""
         self._record_first_chunk()
+        # From here on the events count as sent, so they must not be left out.
+        self.is_sending = True
+        started_at = self.fleet.now()
         if not self.sink.started:
             await self.sink.start(response.status, self._stream_headers(response))
-        started_at = self.fleet.now()
         if self.splitter.data_event_count > self.data_event_count:
             self.data_event_count = self.splitter.data_event_count
             self.progressed_at = started_at
-        self.is_sending = True
         await self.sink.send(events)
         self.is_sending = False
         self.progressed_at += self.fleet.now() - started_at
--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -3,6 +3,9 @@
 from random import Random
 from typing import Any
 
+from anyio import run
+from attrs import define, field
+
 from pistachiolever.discovery.models import Announcement, EndpointState
 from pistachiolever.edge.peers import PeerClient
 from pistachiolever.gateway.attempt import Attempt
@@ -11,7 +14,7 @@
 from pistachiolever.gateway.header_format import HeaderFormat
 from pistachiolever.gateway.models import ProxyRequest, RequestMetadata
 from pistachiolever.gateway.settings import GatewaySettings
-from pistachiolever.http1.models import RequestHead
+from pistachiolever.http1.models import Header, RequestHead, ResponseHead
 from tests.gateway.test_relay import CONFIGURATION, ROUTES
 from tests.registry.test_process import make_discarding_logger
 from tests.support.cases import CaseTest
@@ -19,6 +22,35 @@
 NOW = 100.0
 
 
+@define(eq=False)
+class PausedSink:
+    """A caller before whose reads the process is paused for long."""
+
+    attempt: Attempt
+    started: bool = False
+    stalled: list[bool] = field(factory=list)
+
+    async def start(self, status: int, headers: list[Header]) -> None:
+        """Send the head of the response."""
+        self.started = True
+        self._pause()
+
+    async def send(self, data: bytes) -> None:
+        """Send a chunk of the body."""
+        self._pause()
+
+    async def finish(self) -> None:
+        """Complete the response."""
+
+    async def respond(self, status: int, headers: list[Header], body: bytes) -> None:
+        """Send a complete response."""
+
+    def _pause(self) -> None:
+        """Look for a stall after a pause."""
+        self.attempt.first_chunk_at = NOW - 10.0
+        self.stalled.append(self.attempt._is_stalled())
+
+
 class ResponseTimeoutTest(CaseTest):
     """Long prefill of a large prompt must not count as an unresponsive endpoint.
 
@@ -112,6 +144,16 @@
         attempt.is_sending = True
         self.assertFalse(attempt._is_stalled())
 
+    # Given up while the head was sent, the stream went on elsewhere without its events.
+    def test_stream_whose_head_is_being_sent_is_no_stall(self) -> None:
+        attempt = self.attempt(2, 0.0, 1.0)
+        other = Announcement("e2", 1, 1, EndpointState.READY, "s", "a:2", "n")
+        attempt.fleet.apply_announcements([other])
+        attempt.sink = PausedSink(attempt)
+        events = attempt._accept_stream(b"id: 1\ndata: x\n\n")
+        run(attempt._send_events, ResponseHead(200), events)
+        self.assertEqual(attempt.sink.stalled, [False, False])
+
     def test_overdue_response_is_kept_without_retry_budget(self) -> None:
         attempt = self.attempt(2, 0.0, 1.0)
         other = Announcement("e2", 1, 1, EndpointState.READY, "s", "a:2", "n")
