--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -32,6 +32,7 @@
     MUST_CLOSE,
     NEED_DATA,
     PAUSED,
+    SEND_BODY,
     SEND_RESPONSE,
     SERVER,
     Connection,
@@ -65,6 +66,7 @@
     framing_of,
 )
 from pistachiolever.http1.sockets import (
+    has_input,
     has_left,
     set_reset_on_close,
     tune_socket,
@@ -198,13 +200,20 @@
             self.busy = False
             self.served_count += 1
             self.request_bytes = 0
-            if self.disconnected or scope.cancel_called or not self._start_next_cycle():
+            if self.disconnected or scope.cancel_called:
+                return
+            if not self._start_next_cycle():
+                if exchange.finished and self.protocol.their_state is SEND_BODY:
+                    await self._linger()
                 return
             if self.closing():
                 return
 
     async def _handle(self, exchange: "Exchange") -> None:
-        """Run the handler; reject the request if the handler finds it invalid."""
+        """Run the handler; reject the request if the handler finds it invalid.
+
+        An unexpected error is answered with 502, which does not say what was done.
+        """
         try:
             await self.handler(exchange)
         except (BadRequestError, RemoteProtocolError) as error:
@@ -215,6 +224,11 @@
         except (BrokenResourceError, ClosedResourceError):
             # The client disconnected while the response was written.
             self._handle_disconnect()
+        except Exception:  # noqa: BLE001
+            if exchange.started:
+                raise
+            logging.exception("unexpected error of a handler")
+            await self._reject(BadRequestError(502, "unexpected error"))
 
     def _start_next_cycle(self) -> bool:
         """Prepare for the next request; return whether the connection allows one."""
@@ -230,12 +244,10 @@
         with CancelScope() as idle:
             self._idle_scope = idle
             if not self._has_input():
-                with move_on_after(limits.idle_seconds) as timeout:
+                with move_on_after(limits.idle_seconds):
                     await self._wait_for_input()
-                if timeout.cancelled_caught:
-                    return None
         self._idle_scope = None
-        if idle.cancelled_caught:
+        if not await self._has_arrived_input():
             return None
         try:
             with fail_after(limits.head_seconds):
@@ -250,6 +262,14 @@
         """Return whether there is unprocessed input or the client has disconnected."""
         return bool(self.protocol.trailing_data[0]) or self.disconnected
 
+    async def _has_arrived_input(self) -> bool:
+        """Return whether there is input, also if it has not been read yet."""
+        if self._has_input() or has_input(self.stream):
+            return True
+        # The task that reads the socket may have some without having run since.
+        await sleep(0)
+        return self._has_input()
+
     async def _wait_for_input(self) -> None:
         """Wait for the first byte of a request."""
         while not self._has_input():
@@ -275,11 +295,19 @@
         data += self.protocol.send(Data(data=body)) or b""
         try:
             await self.stream.send(data)
+        except (BrokenResourceError, ClosedResourceError):
+            return
+        await self._linger()
+
+    async def _linger(self) -> None:
+        """Read on for a while after a response, so that its client receives it.
+
+        Closing with unread input would reset the connection.
+        """
+        try:
             await self.stream.send_eof()
         except (BrokenResourceError, ClosedResourceError):
             return
-        # Closing with unread input would reset the connection, and the client might not
-        # receive the response.
         with move_on_after(LINGER_SECONDS):
             while not self.disconnected:
                 self._reading_resumed.set()
