Answer the requests that a stopping router can't finish

Callers saw: the connection of a whole request was closed without an answer when its router stopped, if the request had come before the stop and its response had not begun by the end of the grace period.

Cause: only requests that came during the drain got a deadline before its end.

Requests of which the engine is slow may still be answered until the end, as before.

Why it works: what has not begun when the time for the last requests is over is answered with 502, which promises nothing; its engine's connection is closed.

--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -135,10 +135,15 @@
             server.close_after_requests()
             while server.connections:
                 await sleep(DRAIN_POLL_SECONDS / 5)
+        cut = server.busy_count()
+        server.abandon_requests()
+        if cut:
+            # The answers are sent meanwhile.
+            await sleep(DRAIN_POLL_SECONDS)
         self.fleet.events.record(
             EventCode.PROCESS_STOPPED,
             seconds=round(self.fleet.now() - started_at, 2),
-            cut=server.busy_count(),
+            cut=cut,
         )
 
     def _can_finish(self, request: ProxyRequest) -> bool:
--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -98,6 +98,7 @@
     _input_arrived: Event = field(factory=Event)
     _reading_resumed: Event = field(factory=Event)
     _request_scope: CancelScope | None = None
+    _exchange: "Exchange | None" = None
     _idle_scope: CancelScope | None = None
 
     def __attrs_post_init__(self) -> None:
@@ -125,6 +126,12 @@
         scope.cancel()
         return True
 
+    def abandon_request(self) -> None:
+        """Answer the request with 502 unless its response has begun."""
+        exchange, scope = self._exchange, self._request_scope
+        if exchange is not None and scope is not None and not exchange.started:
+            scope.cancel()
+
     def is_settled(self) -> bool:
         """Return whether the first request was served, or had time to arrive."""
         age = current_time() - self.opened_at
@@ -191,24 +198,30 @@
             if has_left(self.stream):
                 # It waited here for longer than its client would.
                 return
-            self.busy = True
-            exchange = Exchange(self, head)
-            with CancelScope() as scope:
-                self._request_scope = scope
-                await self._handle(exchange)
-            self._request_scope = None
-            self.busy = False
-            self.served_count += 1
-            self.request_bytes = 0
-            if self.disconnected or scope.cancel_called:
-                return
-            if not self._start_next_cycle():
-                if exchange.finished and self.protocol.their_state is SEND_BODY:
-                    await self._linger()
-                return
-            if self.closing():
+            if not await self._serve_request(Exchange(self, head)) or self.closing():
                 return
 
+    async def _serve_request(self, exchange: "Exchange") -> bool:
+        """Serve one request; return whether the connection can take another one."""
+        self.busy, self._exchange = True, exchange
+        with CancelScope() as scope:
+            self._request_scope = scope
+            await self._handle(exchange)
+        self._request_scope = self._exchange = None
+        self.busy = False
+        self.served_count += 1
+        self.request_bytes = 0
+        if self.disconnected:
+            return False
+        if scope.cancel_called:
+            await self._reject(BadRequestError(502, "the server stops"))
+            return False
+        if self._start_next_cycle():
+            return True
+        if exchange.finished and self.protocol.their_state is SEND_BODY:
+            await self._linger()
+        return False
+
     async def _handle(self, exchange: "Exchange") -> None:
         """Run the handler; reject the request if the handler finds it invalid.
 
@@ -597,6 +610,11 @@
             if self.closing or connection.is_settled():
                 connection.close_if_idle()
 
+    def abandon_requests(self) -> None:
+        """Answer the requests whose responses have not begun, as they will not."""
+        for connection in list(self.connections):
+            connection.abandon_request()
+
     def busy_count(self) -> int:
         """Return the number of requests being served."""
         return sum(connection.busy for connection in self.connections)
--- a/tests/gateway/test_drain.py
+++ b/tests/gateway/test_drain.py
@@ -51,6 +51,8 @@
     b"Authorization: Bearer key\r\nConnection: close\r\n\r\n"
 )
 
+LONG_REQUEST = PLAIN_REQUEST.replace(b"/read/", b"/file/")
+
 
 async def slow_stream(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
     """Stream for longer than the load balancer keeps sending connections."""
@@ -215,6 +217,27 @@
 
         run(test)
 
+    # It was closed without an answer when the process ended.
+    def test_request_that_lasts_longer_than_the_drain_is_answered(self) -> None:
+        async def test() -> list[bytes]:
+            router = DrainingRouter(hold)
+            answers: list[bytes] = []
+            with fail_after(20):
+                async with create_task_group() as callers, create_task_group() as group:
+                    await router.start(group)
+
+                    async def call() -> None:
+                        answers.append(await router.send(LONG_REQUEST))
+
+                    callers.start_soon(call)
+                    await sleep(0.1)
+                    await router.process.drain()
+                    group.cancel_scope.cancel()
+            return answers
+
+        (answer,) = run(test)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 502 "), answer)
+
     # Requests that were taken late in a drain were cut off when the process ended.
     def test_request_that_takes_too_long_is_answered_before_the_end(self) -> None:
         async def test() -> list[bytes]:
