Take a reset connection that has socket options for a closed one, too

The same look at a connection decides whether an idle one to an endpoint is used again, for requests whose callers wait.

Cause: uvloop has a socket without a descriptor for a closed connection whose socket was asked for before, and each call on it raises ValueError.

Why it works: a socket without a descriptor counts as none. Setting the options of an accepted connection is covered by the handler that keeps an error on one connection from ending the process.

--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -578,8 +578,8 @@
 
     async def _serve_connection(self, connection: ServerConnection) -> None:
         """Serve one connection."""
-        tune_socket(connection.stream)
         try:
+            tune_socket(connection.stream)
             await connection.run()
         except Exception:  # noqa: BLE001
             # An error on one connection must not end the process.
--- a/pistachiolever/http1/sockets.py
+++ b/pistachiolever/http1/sockets.py
@@ -70,7 +70,7 @@
 def _has_event(stream: SocketStream, mask: int) -> bool:
     """Return whether an event, an error or the end of the connection is pending."""
     raw = _raw_socket(stream)
-    if raw is None or raw.fileno() < 0:
+    if raw is None:
         return True
     poller = poll()
     poller.register(raw.fileno(), mask)
@@ -80,7 +80,8 @@
 def _raw_socket(stream: SocketStream) -> socket | None:
     """Return the socket of a connection; None if it is closed already."""
     try:
-        return stream.extra(SocketAttribute.raw_socket)
-    except AttributeError:
-        # A closed connection of uvloop has none.
+        raw = stream.extra(SocketAttribute.raw_socket)
+    except (AttributeError, ValueError):
+        # A closed connection of uvloop has none, or one without a descriptor.
         return None
+    return raw if raw.fileno() >= 0 else None
--- a/tests/http1/test_sockets.py
+++ b/tests/http1/test_sockets.py
@@ -50,23 +50,32 @@
 class ResetConnectionTest(CaseTest):
     """A connection that was reset is reported as closed, whatever is asked of it."""
 
-    # AttributeError: the connection of the caller was closed without an answer.
+    def check_closed(self, stream: SocketStream) -> None:
+        """Check that a connection counts as closed and takes options without error."""
+        tune_socket(stream)
+        set_reset_on_close(stream, True)
+        self.assertTrue(has_input(stream))
+        self.assertTrue(has_left(stream))
+
+    # AttributeError, or ValueError on a connection that had options: the connection of
+    # the caller was closed without an answer.
     def test_connection_that_was_closed_on_the_reset(self) -> None:
-        async def test() -> None:
+        async def test(tuned: bool) -> None:
             async with create_task_group() as group:
                 listener = await create_tcp_listener(local_host="127.0.0.1")
                 group.start_soon(listener.serve, reset)
                 port = listener.extra(SocketAttribute.local_port)
                 async with await connect_tcp("127.0.0.1", port) as stream:
+                    if tuned:
+                        tune_socket(stream)
                     with fail_after(5), self.assertRaises(BrokenResourceError):
                         await stream.receive()
-                    tune_socket(stream)
-                    set_reset_on_close(stream, True)
-                    self.assertTrue(has_input(stream))
-                    self.assertTrue(has_left(stream))
+                    self.check_closed(stream)
                 group.cancel_scope.cancel()
 
-        run(test, backend_options={"use_uvloop": True})
+        for tuned in (False, True):
+            with self.subTest(tuned=tuned):
+                run(test, tuned, backend_options={"use_uvloop": True})
 
     # The same while the connection was opened, for some of the endpoint's resets.
     def test_connections_that_are_reset_while_they_are_opened(self) -> None:
