Take no events of a stream that is being given up

Callers saw a resumed stream without one of its events: the response went on at the next endpoint after an event that had never been sent.

Cause: while a silent stream waits for another endpoint's grant, its own endpoint may go on in the same turn of the event loop in which the grant arrives. The decision to give up comes first, the cancellation is delivered at the next checkpoint, and until then the data is taken: the splitter counts the event, and the write of it is cancelled. The next attempt then asks for what follows that event.

Evidence: the new test lets both happen in one turn. Before, the last event id was 2 while the caller had received event 1 only; now it is 1, so that the next endpoint sends event 2.

It works since a chunk is taken only if the attempt has not been cancelled, and from there to the mark that events are being sent no other task runs.

--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from anyio import CancelScope, create_task_group, move_on_after, sleep
+from anyio.lowlevel import checkpoint_if_cancelled
 from attrs import define, evolve, field, frozen
 
 from pistachiolever.core.verdict import Verdict
@@ -386,6 +387,8 @@
     ) -> AttemptResult:
         """Forward an event stream, in whole events if it is resumable."""
         while (data := await connection.read_chunk()) is not None:
+            # Events that come when the attempt is given up would count as sent.
+            await checkpoint_if_cancelled()
             events = self._accept_stream(data)
             if events:
                 await self._send_events(response, events)
--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -1,9 +1,11 @@
 """Timeouts of an attempt that has not received its response."""
 
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
-from anyio import run
+from anyio import Event, run
+from anyio.lowlevel import checkpoint
 from attrs import define, field
 
 from pistachiolever.discovery.models import Announcement, EndpointState
@@ -20,6 +22,8 @@
 from tests.support.cases import CaseTest
 
 NOW = 100.0
+FIRST_EVENT = b"id: 1\ndata: x\n\n"
+SECOND_EVENT = b"id: 2\ndata: y\n\n"
 
 
 @define(eq=False)
@@ -51,6 +55,58 @@
         self.stalled.append(self.attempt._is_stalled())
 
 
+@define(eq=False)
+class RecordingSink:
+    """A caller that reads all the time."""
+
+    started: bool = False
+    received: bytes = b""
+
+    async def start(self, status: int, headers: list[Header]) -> None:
+        """Send the head of the response."""
+        await checkpoint()
+        self.started = True
+
+    async def send(self, data: bytes) -> None:
+        """Send a chunk of the body."""
+        await checkpoint()
+        self.received += data
+
+    async def finish(self) -> None:
+        """Complete the response."""
+
+    async def respond(self, status: int, headers: list[Header], body: bytes) -> None:
+        """Send a complete response."""
+
+
+@define(eq=False)
+class ResumingConnection:
+    """A connection whose endpoint goes on when another one grants the rest."""
+
+    fleet: FleetView
+    requests: int = 0
+    reads: int = 0
+    granted: Event = field(factory=Event)
+
+    async def exchange(self, head: RequestHead, body: bytes) -> ResponseHead:
+        """Return the head of the response."""
+        return ResponseHead(200, [(b"x-signature", b"s")])
+
+    async def read_chunk(self) -> bytes | None:
+        """Return the first event, and the second one after a long silence."""
+        self.reads += 1
+        if self.reads == 1:
+            return FIRST_EVENT
+        self.fleet.now = lambda: NOW + 10.0
+        await self.granted.wait()
+        return SECOND_EVENT
+
+    async def grant(self, is_stalled: Callable[[], bool]) -> bool:
+        """Let the endpoint go on in the turn in which another one grants the rest."""
+        self.granted.set()
+        return is_stalled()
+
+
 class ResponseTimeoutTest(CaseTest):
     """Long prefill of a large prompt must not count as an unresponsive endpoint.
 
@@ -154,6 +210,19 @@
         run(attempt._send_events, ResponseHead(200), events)
         self.assertEqual(attempt.sink.stalled, [False, False])
 
+    # The event counted as sent, so that the stream went on elsewhere without it.
+    def test_event_that_comes_when_its_stream_is_given_up_is_not_lost(self) -> None:
+        attempt = self.attempt(2, 0.0, -10.0)
+        other = Announcement("e2", 1, 1, EndpointState.READY, "s", "a:2", "n")
+        attempt.fleet.apply_announcements([other])
+        sink = attempt.sink = RecordingSink()
+        connection: Any = ResumingConnection(attempt.fleet)
+        attempt.find_successor = connection.grant
+        result = run(attempt._exchange_unless_stalled, connection)
+        self.assertEqual(result.reason, "silent within a stream")
+        self.assertEqual(sink.received, FIRST_EVENT)
+        self.assertEqual(attempt.splitter.last_id, 1)
+
     def test_overdue_response_is_kept_without_retry_budget(self) -> None:
         attempt = self.attempt(2, 0.0, 1.0)
         other = Announcement("e2", 1, 1, EndpointState.READY, "s", "a:2", "n")
