Count no crash soon after a sound run at another router

Callers would have got 503 for all requests with a common prompt part, at all routers for two minutes, after an outage of its endpoints of 30 s.

Cause: a router does not suspect a part that it has run itself within 30 s, but one with little traffic does so for parts that all others know as sound. The others' word, a sound run just before the crashes, only kept the part from being quarantined for 30 s; the crashes went on to count. With no run of the part in that time, as its endpoints were gone, the first request after the outage began the quarantine.

Evidence: the new test lets endpoints crash at one router a second after a sound run at another one, with no request for 35 s. Before, all six routers refused the part; now none does.

It works since a crash counts by the same rule in the merged evidence as at the router that saw it: only if no router ran the part in the 30 s before, nor since.

--- a/pistachiolever/quarantine/models.py
+++ b/pistachiolever/quarantine/models.py
@@ -8,6 +8,7 @@
     MAX_QUARANTINE_SECONDS,
     QUARANTINE_FACTOR,
     QUARANTINE_SECONDS,
+    SOUND_SECONDS,
     TIME_TOLERANCE_SECONDS,
 )
 
@@ -57,9 +58,13 @@
             changed = True
         return changed
 
-    def crashes_since_sound(self) -> set[str]:
-        """Return the endpoint incarnations that crashed after the last sound run."""
-        return {key for key, at in self.crashed_at.items() if at > self.sound_at}
+    def counted_crashes(self) -> set[str]:
+        """Return the endpoint incarnations that crashed long after a sound run.
+
+        Whoever saw another crash would not have suspected the part, had it known.
+        """
+        counted_from = self.sound_at + SOUND_SECONDS
+        return {key for key, at in self.crashed_at.items() if at >= counted_from}
 
     def is_condemned(self) -> bool:
         """Return whether the part was quarantined and has had no sound run since."""
--- a/pistachiolever/quarantine/quarantine.py
+++ b/pistachiolever/quarantine/quarantine.py
@@ -197,7 +197,7 @@
         record = self.table.record_by_part.get(part_id)
         if record is None:
             return 0
-        crashes = record.crashes_since_sound()
+        crashes = record.counted_crashes()
         if len(crashes) < min(CRASHES_TO_STOP_REPEATS, CRASHES_TO_QUARANTINE):
             return len(crashes)
         return len(crashes - self.table.explained(part_ids))
@@ -229,11 +229,11 @@
         That is one with more crashes, or with the same ones and deeper in prompts: what
         comes before it is common to more requests.
         """
-        crashes = record.crashes_since_sound()
+        crashes = record.counted_crashes()
         for other_id, other in self.table.record_by_part.items():
             if other_id == part_id or self._is_known_sound(other_id, now):
                 continue
-            others = other.crashes_since_sound()
+            others = other.counted_crashes()
             if others > crashes or (others == crashes and other.depth > record.depth):
                 return True
         return False
--- a/tests/quarantine/test_spread.py
+++ b/tests/quarantine/test_spread.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 
 from pistachiolever.admission.recent_service import RecentService
+from pistachiolever.quarantine.const import SOUND_SECONDS
 from pistachiolever.quarantine.models import PartRecord, unpack_report
 from pistachiolever.quarantine.quarantine import Quarantine
 from pistachiolever.usage.aggregate import UsageAggregate
@@ -148,6 +149,17 @@
         network.run(20)
         self.assertEqual(network.refusing(), [False] * 6)
 
+    # The part was quarantined everywhere at the end of an outage of 30 s, since the
+    # router that saw the crashes had not run it itself.
+    def test_crashes_soon_after_a_sound_run_elsewhere_never_count(self) -> None:
+        network = make_network(1)
+        network.routers[4].quarantine.record_sound(BAD, network.now)
+        network.run(1.0)
+        for number in range(3):
+            network.crash(0, f"e{number}")
+        network.run(SOUND_SECONDS + 5)
+        self.assertEqual(network.refusing(), [False] * 6)
+
     def test_restarted_router_and_members_learn_of_a_quarantine(self) -> None:
         network = make_network(1)
         for router in range(3):
