End a quarantine on late news of a sound run

Callers would have got 503 for all requests with a sound prompt part, at all routers for two minutes, after three endpoints had crashed at once.

Cause: the others have a second to object before a router quarantines a part. News take up to a quarter of a second for each of three stages, so that the way there and back takes up to 1.5 s, and more if a message is lost. An objection that came later did not count: it told of a sound run before the quarantine, and only one after it ended it.

Evidence: in the new test a router that is out of touch for 1.5 s quarantines a part that another one has run just before. Before, all six routers refused the part once the messages went through; now none does.

It works since a router that had known of the sound run would not have begun the quarantine. The rule is the same as for the crashes, and each router applies it to the merged evidence.

--- a/pistachiolever/quarantine/models.py
+++ b/pistachiolever/quarantine/models.py
@@ -67,8 +67,12 @@
         return {key for key, at in self.crashed_at.items() if at >= counted_from}
 
     def is_condemned(self) -> bool:
-        """Return whether the part was quarantined and has had no sound run since."""
-        return self.quarantines > 0 and self.quarantined_at > self.sound_at
+        """Return whether the part was quarantined, without a sound run since.
+
+        Nor shortly before: news of that may come only after the quarantine has begun.
+        """
+        suspected_from = self.sound_at + SOUND_SECONDS
+        return self.quarantines > 0 and self.quarantined_at >= suspected_from
 
     def ends_at(self) -> float:
         """Return when the last quarantine ends."""
--- a/tests/quarantine/test_spread.py
+++ b/tests/quarantine/test_spread.py
@@ -160,6 +160,20 @@
         network.run(SOUND_SECONDS + 5)
         self.assertEqual(network.refusing(), [False] * 6)
 
+    # A router without contact quarantined a part that others were running, and all of
+    # them took its word.
+    def test_late_news_of_a_sound_run_ends_a_quarantine(self) -> None:
+        network = make_network(1)
+        network.routers[4].quarantine.record_sound(BAD, network.now)
+        network.lost_fraction = 1.0
+        for number in range(3):
+            network.crash(0, f"e{number}")
+        network.run(1.5)
+        self.assertEqual(network.refusing(), [True] + [False] * 5)
+        network.lost_fraction = 0.0
+        network.run(CONTACT_SECONDS)
+        self.assertEqual(network.refusing(), [False] * 6)
+
     def test_restarted_router_and_members_learn_of_a_quarantine(self) -> None:
         network = make_network(1)
         for router in range(3):
