Record that a prompt is sound while its stream runs

Callers could have got 503 for a prompt part that endpoints were running at that very moment.

Cause: a run showed that its prompt is sound only when its attempt ended. Parts of prompts whose streams last long, or that had begun since routers started, counted as never run: with three endpoints that ended under them for any reason they were quarantined.

Evidence: in the new test a stream breaks off 0.6 s after its first event. Before, its part was not known as sound in that time; now it is, and not if the stream breaks off after 0.4 s.

It works since each event that comes half a second after the first one, or later, is such a sign; one is recorded for each half a second.

--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -121,6 +121,7 @@
     progressed_at: float = float("-inf")
     is_sending: bool = False
     data_event_count: int = 0
+    sound_recorded_at: float = float("-inf")
 
     async def run(self) -> AttemptResult:
         """Send the request and forward the response.
@@ -456,6 +457,7 @@
     async def _send_events(self, response: ResponseHead, events: bytes) -> None:
         """Send events, preceded by the head if it was not sent yet."""
         self._record_first_chunk()
+        self._record_run()
         # From here on the events count as sent, so they must not be left out.
         self.is_sending = True
         started_at = self.fleet.now()
@@ -478,6 +480,13 @@
             return False
         return self.fleet.now() - self.first_chunk_at >= SOUND_RUN_SECONDS
 
+    def _record_run(self) -> None:
+        """Record now and then that the prompt is sound, while it runs."""
+        now = self.fleet.now()
+        if self.has_run() and now - self.sound_recorded_at >= SOUND_RUN_SECONDS:
+            self.sound_recorded_at = now
+            self.fleet.record_sound_run(self.request.shared_part_ids)
+
     def _record_first_chunk(self) -> None:
         """Record the time of the first chunk and report it to admission."""
         if self.first_chunk_at is None:
--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -6,8 +6,9 @@
 
 from anyio import Event, run
 from anyio.lowlevel import checkpoint
-from attrs import define, field
+from attrs import define, evolve, field
 
+from pistachiolever.admission.models import PromptPart
 from pistachiolever.discovery.models import Announcement, EndpointState
 from pistachiolever.edge.peers import PeerClient
 from pistachiolever.gateway.attempt import Attempt
@@ -16,6 +17,7 @@
 from pistachiolever.gateway.header_format import HeaderFormat
 from pistachiolever.gateway.models import ProxyRequest, RequestMetadata
 from pistachiolever.gateway.settings import GatewaySettings
+from pistachiolever.http1.errors import PeerClosedError
 from pistachiolever.http1.models import Header, RequestHead, ResponseHead
 from tests.gateway.test_relay import CONFIGURATION, ROUTES
 from tests.registry.test_process import make_discarding_logger
@@ -107,6 +109,40 @@
         return is_stalled()
 
 
+@define(eq=False)
+class SlowSink(RecordingSink):
+    """A caller that takes some time to read each event."""
+
+    seconds: float = 0.0
+    clock: list[float] = field(factory=lambda: [NOW])
+
+    async def send(self, data: bytes) -> None:
+        """Send a chunk of the body."""
+        self.clock[0] += self.seconds
+
+
+@define(eq=False)
+class BrokenConnection:
+    """A connection that ends after one event at each of some times."""
+
+    clock: list[float]
+    times: list[float]
+    requests: int = 0
+    sent: int = 0
+
+    async def exchange(self, head: RequestHead, body: bytes) -> ResponseHead:
+        """Return the head of the response."""
+        return ResponseHead(200, [(b"x-signature", b"s")])
+
+    async def read_chunk(self) -> bytes | None:
+        """Return the next event."""
+        if self.sent == len(self.times):
+            raise PeerClosedError("closed within an answer")
+        self.clock[0] = max(self.clock[0], NOW + self.times[self.sent])
+        self.sent += 1
+        return b"id: %d\ndata: x\n\n" % self.sent
+
+
 class ResponseTimeoutTest(CaseTest):
     """Long prefill of a large prompt must not count as an unresponsive endpoint.
 
@@ -223,6 +259,28 @@
         self.assertEqual(sink.received, FIRST_EVENT)
         self.assertEqual(attempt.splitter.last_id, 1)
 
+    def run_broken(self, times: list[float], sink: Any) -> Attempt:
+        """Return an attempt whose stream broke off, at a clock that the sink moves."""
+        attempt = self.attempt(3, 0.0, 1.0)
+        parts = [PromptPart("part", 10), PromptPart("own", 10)]
+        metadata = evolve(attempt.request.metadata, parts=parts)
+        attempt.request.metadata = metadata
+        attempt.fleet.now = lambda: sink.clock[0]
+        attempt.sink = sink
+        connection: Any = BrokenConnection(sink.clock, times)
+        with self.assertRaises(PeerClosedError):
+            run(attempt._exchange_unless_stalled, connection)
+        return attempt
+
+    # Only the end of a run counted: the parts of prompts whose streams were running
+    # could be suspected and quarantined.
+    def test_stream_shows_that_its_prompt_is_sound_while_it_runs(self) -> None:
+        for times, expected in (([0.0, 0.2, 0.4], False), ([0.0, 0.2, 0.6], True)):
+            with self.subTest(times=times):
+                attempt = self.run_broken(times, SlowSink())
+                sound = attempt.fleet.quarantine.sound_at_by_part
+                self.assertEqual("part" in sound, expected)
+
     def test_overdue_response_is_kept_without_retry_budget(self) -> None:
         attempt = self.attempt(2, 0.0, 1.0)
         other = Announcement("e2", 1, 1, EndpointState.READY, "s", "a:2", "n")
