Do not take the time of a slow caller for a run

Requests with a part under which endpoints crash would have gone on to endpoints from all routers for 30 s.

Cause: an endpoint that had begun to answer half a second before its connection ended, as the router saw it, counted as one that had run the request. With a caller that reads slowly, or an endpoint that is silent after its first event, the end is seen late: the part was recorded as sound, which lifts the quarantine everywhere.

Evidence: in the new test the caller takes 5 s for each event of a stream that ends within 0.4 s. Before, the attempt counted as a run; now not.

It works since a run lasts from the first event to the last one that came, without the time in which events were sent on.

--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -121,6 +121,8 @@
     progressed_at: float = float("-inf")
     is_sending: bool = False
     data_event_count: int = 0
+    sending_seconds: float = 0.0
+    run_seconds: float = 0.0
     sound_recorded_at: float = float("-inf")
 
     async def run(self) -> AttemptResult:
@@ -456,8 +458,7 @@
 
     async def _send_events(self, response: ResponseHead, events: bytes) -> None:
         """Send events, preceded by the head if it was not sent yet."""
-        self._record_first_chunk()
-        self._record_run()
+        self._record_run(self._record_first_chunk())
         # From here on the events count as sent, so they must not be left out.
         self.is_sending = True
         started_at = self.fleet.now()
@@ -468,7 +469,9 @@
             self.progressed_at = started_at
         await self.sink.send(events)
         self.is_sending = False
-        self.progressed_at += self.fleet.now() - started_at
+        sending_seconds = self.fleet.now() - started_at
+        self.progressed_at += sending_seconds
+        self.sending_seconds += sending_seconds
 
     def _stream_headers(self, response: ResponseHead) -> list[Header]:
         """Return a stream's headers; its length is dropped, as it may be resumed."""
@@ -476,19 +479,22 @@
 
     def has_run(self) -> bool:
         """Return whether the endpoint has sent events for some time."""
-        if self.first_chunk_at is None:
-            return False
-        return self.fleet.now() - self.first_chunk_at >= SOUND_RUN_SECONDS
+        return self.run_seconds >= SOUND_RUN_SECONDS
 
-    def _record_run(self) -> None:
-        """Record now and then that the prompt is sound, while it runs."""
+    def _record_run(self, first_chunk_at: float) -> None:
+        """Record now and then that the prompt is sound, while it runs.
+
+        Time in which the caller does not read is not the endpoint's.
+        """
         now = self.fleet.now()
+        self.run_seconds = now - first_chunk_at - self.sending_seconds
         if self.has_run() and now - self.sound_recorded_at >= SOUND_RUN_SECONDS:
             self.sound_recorded_at = now
             self.fleet.record_sound_run(self.request.shared_part_ids)
 
-    def _record_first_chunk(self) -> None:
-        """Record the time of the first chunk and report it to admission."""
+    def _record_first_chunk(self) -> float:
+        """Return the time of the first chunk; report it to admission at first."""
         if self.first_chunk_at is None:
             self.first_chunk_at = self.fleet.now()
             self.handle.admission.report_start(self.bid_id)
+        return self.first_chunk_at
--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -281,6 +281,14 @@
                 sound = attempt.fleet.quarantine.sound_at_by_part
                 self.assertEqual("part" in sound, expected)
 
+    # The part under which an endpoint had crashed was taken for sound at all routers.
+    def test_time_of_a_slow_caller_does_not_show_that_a_prompt_is_sound(self) -> None:
+        for times in ([0.0], [0.0, 0.2], [0.0, 0.2, 0.4]):
+            with self.subTest(times=times):
+                attempt = self.run_broken(times, SlowSink(seconds=5.0))
+                self.assertFalse(attempt.has_run())
+                self.assertEqual(attempt.fleet.quarantine.sound_at_by_part, {})
+
     def test_overdue_response_is_kept_without_retry_budget(self) -> None:
         attempt = self.attempt(2, 0.0, 1.0)
         other = Announcement("e2", 1, 1, EndpointState.READY, "s", "a:2", "n")
