Take no stream that a crash may have ended for a sound run

Requests with a part under which endpoints crash went on to one endpoint after the other, if the endpoints send streams that end with their connections.

Cause: a crash between two events of such a stream looks like its end. The response counted as answered, so that nobody asked whether the endpoint was still there, and the part was recorded as sound, which protects it at all routers for 30 s.

Evidence: in the new test the endpoints end after the first event of a stream without a length.

It works since such an end is checked like a broken one unless the run lasted for half a second: the part is sound if the endpoint still accepts connections, and suspected if it does not. The check goes on if the caller leaves with its response, for 0.3 s at most.

--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -68,7 +68,8 @@
     `sent` is false if nothing was sent to the endpoint. `endpoint_at_fault` is false if
     the failure must not lower the endpoint's health. `is_local` is true if this process
     has no descriptor for another connection. `connection_ended` is true if the endpoint
-    closed or reset the connection before the response was complete.
+    closed or reset the connection before the response was complete, or ended a stream
+    without a length in that way, which is the same if it crashes.
     """
 
     verdict: Verdict
@@ -407,7 +408,12 @@
             await self.sink.start(response.status, self._stream_headers(response))
         await self.sink.finish()
         await self._release_connection(response)
-        return AttemptResult(Verdict.RAN, answered=True, status=response.status)
+        return AttemptResult(
+            Verdict.RAN,
+            answered=True,
+            status=response.status,
+            connection_ended=response.framing is Framing.CLOSE,
+        )
 
     def _accept_stream(self, data: bytes) -> bytes:
         """Track received data; return what can be forwarded now.
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -400,25 +400,26 @@
 
     async def check_crash(
         self, handle: EndpointHandle, request_id: str, part_ids: list[str]
-    ) -> None:
-        """Find out whether an endpoint that broke off a new run has crashed.
+    ) -> bool:
+        """Find out whether an endpoint that ended a new run's connection has crashed.
 
         It has if nobody listens at its address; a connection may end for other reasons.
+        Return whether it is known to be there.
         """
         if not self.quarantine.suspects(part_ids, self.now()):
-            return
+            return False
         endpoint = handle.endpoint
         try:
             connection = await self.pool.open(endpoint.address, CRASH_CHECK_SECONDS)
         except PeerClosedError as error:
             if error.is_local:
-                return
+                return False
             self.record_unreachable(handle, error.detail)
             if not error.refused:
-                return
+                return False
         else:
             await self.pool.release(connection, CRASH_CHECK_KEEP_ALIVE_SECONDS)
-            return
+            return True
         incarnation = f"{endpoint.endpoint_id}/{endpoint.born_ms}"
         suspected = self.quarantine.record_crash(incarnation, part_ids, self.now())
         self.events.record(
@@ -428,6 +429,7 @@
             born=endpoint.born_ms,
             parts=suspected,
         )
+        return False
 
     def _record_part_changes(self) -> None:
         """Log which parts were quarantined, tested or released."""
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from anyio import move_on_after
+from anyio import CancelScope, move_on_after
 from attrs import define, field
 
 from pistachiolever.admission.models import Bid, BidReply
@@ -345,7 +345,13 @@
             handle.admission.report_end(bid_id, tokens)
             self._record_result(handle, attempt, result, sent_at, tokens)
         if result.connection_ended and not attempt.has_run():
-            await fleet.check_crash(handle, request.request_id, request.shared_part_ids)
+            # A caller that has its whole response may leave at once.
+            with CancelScope(shield=True):
+                is_there = await fleet.check_crash(
+                    handle, request.request_id, request.shared_part_ids
+                )
+            if result.answered and is_there:
+                fleet.record_sound_run(request.shared_part_ids)
         if not result.sent:
             request.attempt_count -= 1
         elif result.verdict is not Verdict.NOT_RUN:
@@ -370,7 +376,7 @@
         """Record a result in health, affinity, metrics and the event log."""
         fleet, request = self.fleet, self.request
         now = fleet.now()
-        if result.answered or attempt.has_run():
+        if attempt.has_run() or (result.answered and not result.connection_ended):
             fleet.record_sound_run(request.shared_part_ids)
         if result.answered:
             handle.health.record_success(now)
--- a/tests/gateway/test_crashing_prompts.py
+++ b/tests/gateway/test_crashing_prompts.py
@@ -26,9 +26,13 @@
 from pistachiolever.routing.table import RouteTable
 from tests.gateway.test_relay import (
     CONFIGURATION,
+    EVENTS,
+    HEAD,
     Endpoint,
     Result,
+    Script,
     _exchange,
+    id_of,
     respond,
     value,
 )
@@ -70,24 +74,38 @@
     await respond(endpoint, stream, head)
 
 
+async def crash_within_stream(
+    endpoint: Endpoint, stream: SocketStream, head: bytes
+) -> None:
+    """Send one event of a stream without a length; end the endpoint, or the stream."""
+    assert isinstance(endpoint, CrashingEndpoint)
+    await stream.send(HEAD % id_of(head) + b"Connection: close\r\n\r\n")
+    await stream.send(EVENTS[0])
+    if BAD_PART in value(head, b"x-prompt-parts"):
+        endpoint.scope.cancel()
+        await sleep(1)
+    await stream.aclose()
+
+
 @define
 class Fleet:
-    """A router, its endpoints and a caller."""
+    """A router, its endpoints and a caller of one path."""
 
     address: str
     endpoints: list[CrashingEndpoint]
+    path: bytes
     count: int = 0
 
     async def send(self, parts: bytes) -> Result:
         """Send a request with a prompt part of its own after `parts`."""
         self.count += 1
         request = (
-            b"GET /read/1 HTTP/1.1\r\nHost: x\r\nX-Request-Id: id%d\r\n"
+            b"GET %s HTTP/1.1\r\nHost: x\r\nX-Request-Id: id%d\r\n"
             b"X-Deadline-Ms: 1500\r\nConnection: close\r\n"
             b"X-Token-Counts: 160,10\r\nX-Prompt-Parts: %s,f%d:10\r\n"
             b"Authorization: Bearer key\r\n\r\n"
         )
-        sent = request % (self.count, parts, self.count)
+        sent = request % (self.path, self.count, parts, self.count)
         return await _exchange(self.address, sent, list(self.endpoints), 0.0)
 
     async def send_bad(self) -> Result:
@@ -99,8 +117,8 @@
         return sum(endpoint.scope.cancel_called for endpoint in self.endpoints)
 
 
-async def start_fleet(group: TaskGroup) -> Fleet:
-    """Start a router and ENDPOINTS endpoints."""
+async def start_fleet(group: TaskGroup, script: Script, path: bytes) -> Fleet:
+    """Start a router and ENDPOINTS endpoints that run a script."""
     front, ready = await free_address(), await free_address()
     settings = GatewaySettings("r", "north", front, ready, "/ready", 2, 1, 10, 99)
     events = make_discarding_logger("r")
@@ -112,7 +130,7 @@
         MemberChoice("r", "north", list), PeerClient(), view, events
     )
     group.start_soon(GatewayProcess(settings, HeaderFormat(), view, watcher).run)
-    endpoints = [CrashingEndpoint(crash_on_bad_part) for _ in range(ENDPOINTS)]
+    endpoints = [CrashingEndpoint(script) for _ in range(ENDPOINTS)]
     for number, endpoint in enumerate(endpoints):
         base = Announcement(
             f"e{number}", 1, 1, EndpointState.READY, "s", "", "north", 8
@@ -123,7 +141,7 @@
 
         group.start_soon(endpoint.listen, announce)
     await sleep(0.1)
-    return Fleet(front, endpoints)
+    return Fleet(front, endpoints, path)
 
 
 class CrashingPromptTest(CaseTest):
@@ -132,21 +150,33 @@
     # Requests with that part were sent on to one endpoint after the other until all of
     # them had ended.
     def test_part_that_crashes_endpoints_is_no_longer_sent(self) -> None:
+        self.check_with(crash_on_bad_part, b"/read/1", (502, 503))
+
+    # The stream looked complete, so that the part was taken for sound.
+    def test_part_that_ends_streams_without_a_length_is_no_longer_sent(self) -> None:
+        self.check_with(crash_within_stream, b"/plan/1", (200, 502, 503))
+
+    def check_with(
+        self, script: Script, path: bytes, bad_statuses: tuple[int, ...]
+    ) -> None:
+        """Check a fleet whose endpoints run a script, with requests to a path."""
+
         async def test() -> None:
             with fail_after(20):
                 async with create_task_group() as group:
-                    await self.check(await start_fleet(group))
+                    fleet = await start_fleet(group, script, path)
+                    await self.check(fleet, bad_statuses)
                     group.cancel_scope.cancel()
 
         run(test)
 
-    async def check(self, fleet: Fleet) -> None:
+    async def check(self, fleet: Fleet, bad_statuses: tuple[int, ...]) -> None:
         """Send sound and bad requests; check what is sent on and what is served."""
         for _ in range(3):
             self.assertEqual((await fleet.send(b"aa:100,bb:50")).status, 200)
         for _ in range(20):
             if fleet.ended_count() < 5:
-                self.assertIn((await fleet.send_bad()).status, (502, 503))
+                self.assertIn((await fleet.send_bad()).status, bad_statuses)
         await sleep(SECONDS_AFTER_FIFTH)
         results = [await fleet.send_bad() for _ in range(20)]
         self.assertLessEqual(sum(r.attempts for r in results), MAX_LATER_SENDS)
