Let members without room for all suspected parts come to rest

Routers and members would have exchanged 500 parts four times a second for ten minutes, when endpoints of a large fleet crash at the same time.

Cause: a member drops the parts that are unchanged for longest above its limit, and passes on what is new to it. If two members get different parts at the same time, each drops its own for those of the other one, which are news again in the next turn.

Evidence: in the new test three members get 500 different parts each.

It works since a member that is full passes on to other members only what its own routers report. Each report still reaches all members, as each member sends its digests to all others.

--- a/pistachiolever/quarantine/evidence.py
+++ b/pistachiolever/quarantine/evidence.py
@@ -35,6 +35,10 @@
         self._limit()
         return is_news
 
+    def is_full(self) -> bool:
+        """Return whether another part would displace one."""
+        return len(self.record_by_part) >= MAX_SUSPECTED_PARTS
+
     def expire(self, now: float) -> None:
         """Forget old crashes, and quarantines that ended long ago."""
         for part_id, record in list(self.record_by_part.items()):
--- a/pistachiolever/usage/aggregate.py
+++ b/pistachiolever/usage/aggregate.py
@@ -94,6 +94,7 @@
     router_seen_at: dict[str, float] = field(factory=dict)
     evidence: EvidenceTable = field(factory=EvidenceTable)
     changed_parts: ChangeLog[str, None] = field(factory=ChangeLog)
+    passed_on_parts: ChangeLog[str, None] = field(factory=ChangeLog)
     has_changes: bool = False
     sequence: int = 0
     _update_by_number: dict[int, UsageUpdate] = field(factory=dict)
@@ -121,7 +122,7 @@
             measured = unpack_measured(numbers, now)
             self.own_seen_loads.set(address, measured, self.number + 1)
             self._set_load(self.seen_loads, address, measured)
-        self._merge_parts(report.parts, now)
+        self._merge_parts(report.parts, now, pass_on=True)
 
     def handle_digest(self, digest: MemberDigest, now: float) -> None:
         """Apply the digest of another member, unless it has applied a newer one."""
@@ -145,7 +146,8 @@
             self._detach_if_older(address, now - age_ms / 1000, now)
         for router_id in digest.routers:
             self.router_seen_at[router_id] = now
-        self._merge_parts(digest.parts, now)
+        # Members without room for all parts would otherwise exchange them for ever.
+        self._merge_parts(digest.parts, now, pass_on=not self.evidence.is_full())
 
     def record_router(self, router_id: str, now: float) -> None:
         """Record that a router watches this member."""
@@ -187,7 +189,7 @@
                 if now - agent.attached_at < ATTACHED_SECONDS
             },
             [router_id for router_id, _ in self.own_routers.since(number)],
-            self._parts_since(number, now),
+            self._pack_parts(self.passed_on_parts.since(number), now),
         )
 
     def update_since(self, number: int, now: float, rng: Random) -> UsageUpdate:
@@ -218,7 +220,7 @@
             uses,
             _pack_all(loads, now),
             _pack_all(seen_loads, now),
-            self._parts_since(number, now),
+            self._pack_parts(self.changed_parts.since(number), now),
         )
 
     def usage(self, account_id: str, now: float) -> tuple[float, float]:
@@ -245,18 +247,24 @@
 
     # Changes.
 
-    def _merge_parts(self, reports: dict[str, PartReport], now: float) -> None:
-        """Add evidence on parts of prompts."""
+    def _merge_parts(
+        self, reports: dict[str, PartReport], now: float, pass_on: bool
+    ) -> None:
+        """Add evidence on parts of prompts, and pass it on to the other members."""
         for part_id in self.evidence.merge(reports, now):
             self.changed_parts.set(part_id, None, self.number + 1)
+            if pass_on:
+                self.passed_on_parts.set(part_id, None, self.number + 1)
             self.has_changes = True
 
-    def _parts_since(self, number: int, now: float) -> dict[str, PartReport]:
-        """Return the evidence on parts that has changed since a published state."""
+    def _pack_parts(
+        self, changes: list[tuple[str, None]], now: float
+    ) -> dict[str, PartReport]:
+        """Return the evidence on parts that have changed."""
         records = self.evidence.record_by_part
         return {
             part_id: records[part_id].pack(now)
-            for part_id, _ in self.changed_parts.since(number)
+            for part_id, _ in changes
             if part_id in records
         }
 
@@ -302,9 +310,10 @@
         self._expire_agents(now)
         self._expire_amounts(now)
         self.evidence.expire(now)
-        for part_id in list(self.changed_parts.entry_by_key):
-            if part_id not in self.evidence.record_by_part:
-                self.changed_parts.remove(part_id)
+        for parts in (self.changed_parts, self.passed_on_parts):
+            for part_id in list(parts.entry_by_key):
+                if part_id not in self.evidence.record_by_part:
+                    parts.remove(part_id)
         for router_id, seen_at in list(self.router_seen_at.items()):
             if now - seen_at > ROUTER_EXPIRY_SECONDS:
                 del self.router_seen_at[router_id]
--- a/tests/quarantine/test_spread.py
+++ b/tests/quarantine/test_spread.py
@@ -5,10 +5,11 @@
 from attrs import define, field
 
 from pistachiolever.admission.recent_service import RecentService
-from pistachiolever.quarantine.const import SOUND_SECONDS
+from pistachiolever.quarantine.const import MAX_SUSPECTED_PARTS, SOUND_SECONDS
 from pistachiolever.quarantine.models import PartRecord, unpack_report
 from pistachiolever.quarantine.quarantine import Quarantine
 from pistachiolever.usage.aggregate import UsageAggregate
+from pistachiolever.usage.models import MemberDigest
 from pistachiolever.usage.reporter import UsageReporter
 from tests.support.cases import CaseTest
 
@@ -88,15 +89,18 @@
             router.reporter.handle_reply(report, member.life, self.now)
 
     def exchange_digests(self) -> None:
-        """Send a digest from each member to each other one."""
+        """Send a digest from each member to each other one, all at the same time."""
+        sent: list[tuple[UsageAggregate, MemberDigest]] = []
         for sender in self.members:
             for receiver in self.members:
                 if sender is receiver or self.is_lost():
                     continue
                 pair = (sender.member, receiver.member)
                 known = self.accepted.get(pair, -1)
-                receiver.handle_digest(sender.digest_since(known, self.now), self.now)
+                sent.append((receiver, sender.digest_since(known, self.now)))
                 self.accepted[pair] = sender.number
+        for receiver, digest in sent:
+            receiver.handle_digest(digest, self.now)
 
     def watch(self, router: Router, member: UsageAggregate) -> None:
         """Tell a router what is new at its member."""
@@ -187,6 +191,20 @@
         network.run(CONTACT_SECONDS + 5)
         self.assertEqual(network.refusing(), [True] * 6)
 
+    # Members without room for all parts told each other for ten minutes, four times a
+    # second, of the parts that the other one had just dropped.
+    def test_members_without_room_come_to_rest(self) -> None:
+        network = make_network(1)
+        for number in range(MAX_SUSPECTED_PARTS):
+            for place in range(3):
+                quarantine = network.routers[place].quarantine
+                parts = [f"r{place}-{number}"]
+                quarantine.record_crash(f"e{place}", parts, network.now)
+        network.run(CONTACT_SECONDS)
+        states = [member.number for member in network.members]
+        network.run(CONTACT_SECONDS)
+        self.assertEqual([member.number for member in network.members], states)
+
     def test_release_reaches_all(self) -> None:
         network = make_network(1)
         for router in range(3):
