--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from anyio import CancelScope, create_task_group, move_on_after, sleep
+from anyio.lowlevel import checkpoint_if_cancelled
 from attrs import define, evolve, field, frozen
 
 from pistachiolever.core.verdict import Verdict
@@ -67,7 +68,8 @@
     `sent` is false if nothing was sent to the endpoint. `endpoint_at_fault` is false if
     the failure must not lower the endpoint's health. `is_local` is true if this process
     has no descriptor for another connection. `connection_ended` is true if the endpoint
-    closed or reset the connection before the response was complete.
+    closed or reset the connection before the response was complete, or ended a stream
+    without a length in that way, which is the same if it crashes.
     """
 
     verdict: Verdict
@@ -120,6 +122,9 @@
     progressed_at: float = float("-inf")
     is_sending: bool = False
     data_event_count: int = 0
+    sending_seconds: float = 0.0
+    run_seconds: float = 0.0
+    sound_recorded_at: float = float("-inf")
 
     async def run(self) -> AttemptResult:
         """Send the request and forward the response.
@@ -386,6 +391,8 @@
     ) -> AttemptResult:
         """Forward an event stream, in whole events if it is resumable."""
         while (data := await connection.read_chunk()) is not None:
+            # Events that come when the attempt is given up would count as sent.
+            await checkpoint_if_cancelled()
             events = self._accept_stream(data)
             if events:
                 await self._send_events(response, events)
@@ -401,7 +408,12 @@
             await self.sink.start(response.status, self._stream_headers(response))
         await self.sink.finish()
         await self._release_connection(response)
-        return AttemptResult(Verdict.RAN, answered=True, status=response.status)
+        return AttemptResult(
+            Verdict.RAN,
+            answered=True,
+            status=response.status,
+            connection_ended=response.framing is Framing.CLOSE,
+        )
 
     def _accept_stream(self, data: bytes) -> bytes:
         """Track received data; return what can be forwarded now.
@@ -452,7 +464,7 @@
 
     async def _send_events(self, response: ResponseHead, events: bytes) -> None:
         """Send events, preceded by the head if it was not sent yet."""
-        self._record_first_chunk()
+        self._record_run(self._record_first_chunk())
         # From here on the events count as sent, so they must not be left out.
         self.is_sending = True
         started_at = self.fleet.now()
@@ -463,7 +475,9 @@
             self.progressed_at = started_at
         await self.sink.send(events)
         self.is_sending = False
-        self.progressed_at += self.fleet.now() - started_at
+        sending_seconds = self.fleet.now() - started_at
+        self.progressed_at += sending_seconds
+        self.sending_seconds += sending_seconds
 
     def _stream_headers(self, response: ResponseHead) -> list[Header]:
         """Return a stream's headers; its length is dropped, as it may be resumed."""
@@ -471,12 +485,22 @@
 
     def has_run(self) -> bool:
         """Return whether the endpoint has sent events for some time."""
-        if self.first_chunk_at is None:
-            return False
-        return self.fleet.now() - self.first_chunk_at >= SOUND_RUN_SECONDS
+        return self.run_seconds >= SOUND_RUN_SECONDS
+
+    def _record_run(self, first_chunk_at: float) -> None:
+        """Record now and then that the prompt is sound, while it runs.
 
-    def _record_first_chunk(self) -> None:
-        """Record the time of the first chunk and report it to admission."""
+        Time in which the caller does not read is not the endpoint's.
+        """
+        now = self.fleet.now()
+        self.run_seconds = now - first_chunk_at - self.sending_seconds
+        if self.has_run() and now - self.sound_recorded_at >= SOUND_RUN_SECONDS:
+            self.sound_recorded_at = now
+            self.fleet.record_sound_run(self.request.shared_part_ids)
+
+    def _record_first_chunk(self) -> float:
+        """Return the time of the first chunk; report it to admission at first."""
         if self.first_chunk_at is None:
             self.first_chunk_at = self.fleet.now()
             self.handle.admission.report_start(self.bid_id)
+        return self.first_chunk_at
--- a/pistachiolever/quarantine/quarantine.py
+++ b/pistachiolever/quarantine/quarantine.py
@@ -197,15 +197,18 @@
         record = self.table.record_by_part.get(part_id)
         if record is None:
             return 0
-        crashes = record.crashes_since_sound()
+        crashes = record.counted_crashes()
         if len(crashes) < min(CRASHES_TO_STOP_REPEATS, CRASHES_TO_QUARANTINE):
             return len(crashes)
         return len(crashes - self.table.explained(part_ids))
 
     def _find_enough(self, now: float) -> None:
         """Note which parts have enough crashes against them, and since when."""
-        for part_id in self.table.record_by_part:
-            if self._count(part_id, [part_id]) >= CRASHES_TO_QUARANTINE:
+        explained = self.table.explanations()
+        for part_id, record in self.table.record_by_part.items():
+            own = int(record.is_condemned())
+            crashes = sum(explained[key] <= own for key in record.counted_crashes())
+            if crashes >= CRASHES_TO_QUARANTINE:
                 self.enough_since_by_part.setdefault(part_id, now)
             else:
                 self.enough_since_by_part.pop(part_id, None)
@@ -229,11 +232,11 @@
         That is one with more crashes, or with the same ones and deeper in prompts: what
         comes before it is common to more requests.
         """
-        crashes = record.crashes_since_sound()
+        crashes = record.counted_crashes()
         for other_id, other in self.table.record_by_part.items():
             if other_id == part_id or self._is_known_sound(other_id, now):
                 continue
-            others = other.crashes_since_sound()
+            others = other.counted_crashes()
             if others > crashes or (others == crashes and other.depth > record.depth):
                 return True
         return False
--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -1,11 +1,14 @@
 """Timeouts of an attempt that has not received its response."""
 
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
-from anyio import run
-from attrs import define, field
+from anyio import Event, run
+from anyio.lowlevel import checkpoint
+from attrs import define, evolve, field
 
+from pistachiolever.admission.models import PromptPart
 from pistachiolever.discovery.models import Announcement, EndpointState
 from pistachiolever.edge.peers import PeerClient
 from pistachiolever.gateway.attempt import Attempt
@@ -14,12 +17,15 @@
 from pistachiolever.gateway.header_format import HeaderFormat
 from pistachiolever.gateway.models import ProxyRequest, RequestMetadata
 from pistachiolever.gateway.settings import GatewaySettings
+from pistachiolever.http1.errors import PeerClosedError
 from pistachiolever.http1.models import Header, RequestHead, ResponseHead
 from tests.gateway.test_relay import CONFIGURATION, ROUTES
 from tests.registry.test_process import make_discarding_logger
 from tests.support.cases import CaseTest
 
 NOW = 100.0
+FIRST_EVENT = b"id: 1\ndata: x\n\n"
+SECOND_EVENT = b"id: 2\ndata: y\n\n"
 
 
 @define(eq=False)
@@ -51,6 +57,92 @@
         self.stalled.append(self.attempt._is_stalled())
 
 
+@define(eq=False)
+class RecordingSink:
+    """A caller that reads all the time."""
+
+    started: bool = False
+    received: bytes = b""
+
+    async def start(self, status: int, headers: list[Header]) -> None:
+        """Send the head of the response."""
+        await checkpoint()
+        self.started = True
+
+    async def send(self, data: bytes) -> None:
+        """Send a chunk of the body."""
+        await checkpoint()
+        self.received += data
+
+    async def finish(self) -> None:
+        """Complete the response."""
+
+    async def respond(self, status: int, headers: list[Header], body: bytes) -> None:
+        """Send a complete response."""
+
+
+@define(eq=False)
+class ResumingConnection:
+    """A connection whose endpoint goes on when another one grants the rest."""
+
+    fleet: FleetView
+    requests: int = 0
+    reads: int = 0
+    granted: Event = field(factory=Event)
+
+    async def exchange(self, head: RequestHead, body: bytes) -> ResponseHead:
+        """Return the head of the response."""
+        return ResponseHead(200, [(b"x-signature", b"s")])
+
+    async def read_chunk(self) -> bytes | None:
+        """Return the first event, and the second one after a long silence."""
+        self.reads += 1
+        if self.reads == 1:
+            return FIRST_EVENT
+        self.fleet.now = lambda: NOW + 10.0
+        await self.granted.wait()
+        return SECOND_EVENT
+
+    async def grant(self, is_stalled: Callable[[], bool]) -> bool:
+        """Let the endpoint go on in the turn in which another one grants the rest."""
+        self.granted.set()
+        return is_stalled()
+
+
+@define(eq=False)
+class SlowSink(RecordingSink):
+    """A caller that takes some time to read each event."""
+
+    seconds: float = 0.0
+    clock: list[float] = field(factory=lambda: [NOW])
+
+    async def send(self, data: bytes) -> None:
+        """Send a chunk of the body."""
+        self.clock[0] += self.seconds
+
+
+@define(eq=False)
+class BrokenConnection:
+    """A connection that ends after one event at each of some times."""
+
+    clock: list[float]
+    times: list[float]
+    requests: int = 0
+    sent: int = 0
+
+    async def exchange(self, head: RequestHead, body: bytes) -> ResponseHead:
+        """Return the head of the response."""
+        return ResponseHead(200, [(b"x-signature", b"s")])
+
+    async def read_chunk(self) -> bytes | None:
+        """Return the next event."""
+        if self.sent == len(self.times):
+            raise PeerClosedError("closed within an answer")
+        self.clock[0] = max(self.clock[0], NOW + self.times[self.sent])
+        self.sent += 1
+        return b"id: %d\ndata: x\n\n" % self.sent
+
+
 class ResponseTimeoutTest(CaseTest):
     """Long prefill of a large prompt must not count as an unresponsive endpoint.
 
@@ -154,6 +246,49 @@
         run(attempt._send_events, ResponseHead(200), events)
         self.assertEqual(attempt.sink.stalled, [False, False])
 
+    # The event counted as sent, so that the stream went on elsewhere without it.
+    def test_event_that_comes_when_its_stream_is_given_up_is_not_lost(self) -> None:
+        attempt = self.attempt(2, 0.0, -10.0)
+        other = Announcement("e2", 1, 1, EndpointState.READY, "s", "a:2", "n")
+        attempt.fleet.apply_announcements([other])
+        sink = attempt.sink = RecordingSink()
+        connection: Any = ResumingConnection(attempt.fleet)
+        attempt.find_successor = connection.grant
+        result = run(attempt._exchange_unless_stalled, connection)
+        self.assertEqual(result.reason, "silent within a stream")
+        self.assertEqual(sink.received, FIRST_EVENT)
+        self.assertEqual(attempt.splitter.last_id, 1)
+
+    def run_broken(self, times: list[float], sink: Any) -> Attempt:
+        """Return an attempt whose stream broke off, at a clock that the sink moves."""
+        attempt = self.attempt(3, 0.0, 1.0)
+        parts = [PromptPart("part", 10), PromptPart("own", 10)]
+        metadata = evolve(attempt.request.metadata, parts=parts)
+        attempt.request.metadata = metadata
+        attempt.fleet.now = lambda: sink.clock[0]
+        attempt.sink = sink
+        connection: Any = BrokenConnection(sink.clock, times)
+        with self.assertRaises(PeerClosedError):
+            run(attempt._exchange_unless_stalled, connection)
+        return attempt
+
+    # Only the end of a run counted: the parts of prompts whose streams were running
+    # could be suspected and quarantined.
+    def test_stream_shows_that_its_prompt_is_sound_while_it_runs(self) -> None:
+        for times, expected in (([0.0, 0.2, 0.4], False), ([0.0, 0.2, 0.6], True)):
+            with self.subTest(times=times):
+                attempt = self.run_broken(times, SlowSink())
+                sound = attempt.fleet.quarantine.sound_at_by_part
+                self.assertEqual("part" in sound, expected)
+
+    # The part under which an endpoint had crashed was taken for sound at all routers.
+    def test_time_of_a_slow_caller_does_not_show_that_a_prompt_is_sound(self) -> None:
+        for times in ([0.0], [0.0, 0.2], [0.0, 0.2, 0.4]):
+            with self.subTest(times=times):
+                attempt = self.run_broken(times, SlowSink(seconds=5.0))
+                self.assertFalse(attempt.has_run())
+                self.assertEqual(attempt.fleet.quarantine.sound_at_by_part, {})
+
     def test_overdue_response_is_kept_without_retry_budget(self) -> None:
         attempt = self.attempt(2, 0.0, 1.0)
         other = Announcement("e2", 1, 1, EndpointState.READY, "s", "a:2", "n")
--- a/tests/quarantine/test_spread.py
+++ b/tests/quarantine/test_spread.py
@@ -5,9 +5,11 @@
 from attrs import define, field
 
 from pistachiolever.admission.recent_service import RecentService
+from pistachiolever.quarantine.const import MAX_SUSPECTED_PARTS, SOUND_SECONDS
 from pistachiolever.quarantine.models import PartRecord, unpack_report
 from pistachiolever.quarantine.quarantine import Quarantine
 from pistachiolever.usage.aggregate import UsageAggregate
+from pistachiolever.usage.models import MemberDigest
 from pistachiolever.usage.reporter import UsageReporter
 from tests.support.cases import CaseTest
 
@@ -87,15 +89,18 @@
             router.reporter.handle_reply(report, member.life, self.now)
 
     def exchange_digests(self) -> None:
-        """Send a digest from each member to each other one."""
+        """Send a digest from each member to each other one, all at the same time."""
+        sent: list[tuple[UsageAggregate, MemberDigest]] = []
         for sender in self.members:
             for receiver in self.members:
                 if sender is receiver or self.is_lost():
                     continue
                 pair = (sender.member, receiver.member)
                 known = self.accepted.get(pair, -1)
-                receiver.handle_digest(sender.digest_since(known, self.now), self.now)
+                sent.append((receiver, sender.digest_since(known, self.now)))
                 self.accepted[pair] = sender.number
+        for receiver, digest in sent:
+            receiver.handle_digest(digest, self.now)
 
     def watch(self, router: Router, member: UsageAggregate) -> None:
         """Tell a router what is new at its member."""
@@ -148,6 +153,31 @@
         network.run(20)
         self.assertEqual(network.refusing(), [False] * 6)
 
+    # The part was quarantined everywhere at the end of an outage of 30 s, since the
+    # router that saw the crashes had not run it itself.
+    def test_crashes_soon_after_a_sound_run_elsewhere_never_count(self) -> None:
+        network = make_network(1)
+        network.routers[4].quarantine.record_sound(BAD, network.now)
+        network.run(1.0)
+        for number in range(3):
+            network.crash(0, f"e{number}")
+        network.run(SOUND_SECONDS + 5)
+        self.assertEqual(network.refusing(), [False] * 6)
+
+    # A router without contact quarantined a part that others were running, and all of
+    # them took its word.
+    def test_late_news_of_a_sound_run_ends_a_quarantine(self) -> None:
+        network = make_network(1)
+        network.routers[4].quarantine.record_sound(BAD, network.now)
+        network.lost_fraction = 1.0
+        for number in range(3):
+            network.crash(0, f"e{number}")
+        network.run(1.5)
+        self.assertEqual(network.refusing(), [True] + [False] * 5)
+        network.lost_fraction = 0.0
+        network.run(CONTACT_SECONDS)
+        self.assertEqual(network.refusing(), [False] * 6)
+
     def test_restarted_router_and_members_learn_of_a_quarantine(self) -> None:
         network = make_network(1)
         for router in range(3):
@@ -161,6 +191,20 @@
         network.run(CONTACT_SECONDS + 5)
         self.assertEqual(network.refusing(), [True] * 6)
 
+    # Members without room for all parts told each other for ten minutes, four times a
+    # second, of the parts that the other one had just dropped.
+    def test_members_without_room_come_to_rest(self) -> None:
+        network = make_network(1)
+        for number in range(MAX_SUSPECTED_PARTS):
+            for place in range(3):
+                quarantine = network.routers[place].quarantine
+                parts = [f"r{place}-{number}"]
+                quarantine.record_crash(f"e{place}", parts, network.now)
+        network.run(CONTACT_SECONDS)
+        states = [member.number for member in network.members]
+        network.run(CONTACT_SECONDS)
+        self.assertEqual([member.number for member in network.members], states)
+
     def test_release_reaches_all(self) -> None:
         network = make_network(1)
         for router in range(3):
