Serve all connections established before the listener is closed

Callers saw: a request was reset at a planned stop, in the moment in which the router closed its listener. Cause: pending connections were accepted, then the listener was closed; but closing it lets other tasks run first, and connections that came in this turn of the event loop were reset. It works since the socket is closed in the same turn as the last look for connections.

--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -573,8 +573,10 @@
 
         Closing alone would reset them, with the requests that they carry.
         """
-        # No other task runs in between, so the listener is closed before others come.
-        self._accept_raw(listener.extra(SocketAttribute.raw_socket), group)
+        raw_listener = listener.extra(SocketAttribute.raw_socket)
+        self._accept_raw(raw_listener, group)
+        # The listener lets other tasks run before it closes the socket.
+        raw_listener.close()
         await listener.aclose()
 
     async def _serve_connection(self, connection: ServerConnection) -> None:
--- a/tests/gateway/test_drain.py
+++ b/tests/gateway/test_drain.py
@@ -215,7 +215,9 @@
             self.assertGreater(router.statuses[b"200"], 100)
             self.assertEqual(set(router.statuses) - {b"200", b"503"}, set())
 
-        run(test)
+        for options in ({}, {"use_uvloop": True}):
+            with self.subTest(options):
+                run(test, backend_options=options)
 
     # It was closed without an answer when the process ended.
     def test_request_that_lasts_longer_than_the_drain_is_answered(self) -> None:
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -324,3 +324,46 @@
             return answer.partition(b"\r\n\r\n")[2]
 
         self.assertEqual(run(test), b"ok")
+
+
+class CloseTest(CaseTest):
+    """A listener is closed while clients connect."""
+
+    # Connections established between the last look for pending ones and the end of the
+    # listener were reset, with the requests that they carried.
+    def test_all_established_connections_are_served(self) -> None:
+        async def test() -> list[bytes]:
+            server = HttpServer(await free_address(), Echo().handle)
+            host, _, port = server.address.rpartition(":")
+            clients: list[socket] = []
+            async with create_task_group() as group:
+                group.start_soon(server.serve)
+                await sleep(0.05)
+                server.stop_listening()
+                while True:
+                    client = socket()
+                    if client.connect_ex((host, int(port))):
+                        client.close()
+                        break
+                    client.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+                    clients.append(client)
+                    await sleep(0)
+                answers = [await receive(client) for client in clients]
+                group.cancel_scope.cancel()
+            return answers
+
+        for options in ({}, {"use_uvloop": True}):
+            with self.subTest(options):
+                answers = run(test, backend_options=options)
+                self.assertGreater(len(answers), 0)
+                self.assertEqual({a[:12] for a in answers}, {b"HTTP/1.1 200"})
+
+
+async def receive(client: socket) -> bytes:
+    """Return the first bytes that a client receives, nothing after a reset."""
+    with fail_after(5), client:
+        await wait_readable(client)
+        try:
+            return client.recv(1000)
+        except ConnectionResetError:
+            return b""
