Name leaving endpoints as the cause of a refusal in explain

Operators saw "answered 503: no-room" for a request whose endpoints were all leaving or had left, although REQUEST_REFUSED lists them. Only a pause of all endpoints was named; leaving ones and partial pauses were not read at all.

explain now gives the notices as the cause if no endpoint refused the request or failed on it, and names them after any other cause, since they reduce the capacity that is left.

Evidence: test_refused_as_endpoints_leave, a table of refusals, failed before in all cases with such a notice and passes now.

--- a/pistachiolever/events/explain.py
+++ b/pistachiolever/events/explain.py
@@ -1,7 +1,7 @@
 """Reconstructs what happened to a request from the logs of all processes."""
 
 from collections.abc import Iterable
-from typing import Any
+from typing import Any, Final
 
 from attrs import define, field, frozen
 from orjson import JSONDecodeError, loads
@@ -10,6 +10,12 @@
 COMMON_FIELDS = frozenset({"ms", "n", "event", "name", "process", "request"})
 # Events that a router logs when a request ends.
 END_EVENTS = ("REQUEST_FINISHED", "REQUEST_REFUSED", "REQUEST_CANCELLED")
+# What the endpoints named in an input of a refusal had asked of the router.
+NOTICE_TEXTS: Final = {
+    "paused": "endpoints asked for a pause",
+    "left": "endpoints had left",
+    "leaving": "endpoints were leaving",
+}
 
 
 @frozen
@@ -116,9 +122,39 @@
         )
     if end_lines[-1].name == "REQUEST_CANCELLED":
         return f"caller left after {end.get('total')} s, {end.get('sends')} attempts"
+    return _refusal_cause(request_lines, end)
+
+
+def _refusal_cause(request_lines: list[LogLine], end: dict[str, Any]) -> str:
+    """Return why a request got no complete answer.
+
+    Endpoints that were leaving or paused are the cause if no endpoint refused the
+    request or failed; otherwise they are named after the cause.
+    """
     if end.get("reason") == "paused":
-        paused = ", ".join(end.get("paused", []))
-        return f"refused {end.get('status')}: endpoints asked for a pause: {paused}"
+        notices = _notices_text(end, ": ") or ": endpoints asked for a pause"
+        return f"refused {end.get('status')}{notices}"
+    tried = ("ATTEMPT_FAILED", "BID_REFUSED", "GRANT_REFUSED")
+    is_untried = not any(line.name in tried for line in request_lines)
+    if is_untried and end.get("reason") == "no-room":
+        notices = _notices_text(end, ": ")
+        if notices:
+            return f"refused {end.get('status')}{notices}"
+    return _failure_cause(request_lines, end) + _notices_text(end, "; ")
+
+
+def _notices_text(end: dict[str, Any], prefix: str) -> str:
+    """Return which endpoints had asked what, after a prefix; empty if none had."""
+    texts = [
+        f"{NOTICE_TEXTS[kind]}: {', '.join(end[kind])}"
+        for kind in NOTICE_TEXTS
+        if end.get(kind)
+    ]
+    return prefix + "; ".join(texts) if texts else ""
+
+
+def _failure_cause(request_lines: list[LogLine], end: dict[str, Any]) -> str:
+    """Return which endpoint failed on a request or refused it last."""
     failed = [line for line in request_lines if line.name == "ATTEMPT_FAILED"]
     if failed:
         last = failed[-1].inputs
--- a/tests/events/test_explain.py
+++ b/tests/events/test_explain.py
@@ -72,6 +72,71 @@
             ["the log of the agent that granted the request is not included"],
         )
 
+    # A refused request whose endpoints were leaving was explained as "no-room" only.
+    def test_refused_as_endpoints_leave(self) -> None:
+        left, leaving, paused = (
+            {"left": ["e1"]},
+            {"leaving": ["e2"]},
+            {"paused": ["e3"]},
+        )
+        refused_bid = (EventCode.BID_REFUSED, {"reason": "late"})
+        failure = {"reason": "reset", "endpoint": "e2", "attempt": 1, "verdict": "RAN"}
+        for events, status, reason, notices, expected in (
+            ([], 503, "no-room", left, "refused 503: endpoints had left: e1"),
+            ([], 503, "no-room", leaving, "refused 503: endpoints were leaving: e2"),
+            (
+                [],
+                503,
+                "no-room",
+                left | leaving,
+                "refused 503: endpoints had left: e1; endpoints were leaving: e2",
+            ),
+            (
+                [refused_bid],
+                503,
+                "no-room",
+                leaving | paused,
+                "answered 503: no-room; endpoints asked for a pause: e3; endpoints were"
+                " leaving: e2",
+            ),
+            (
+                [(EventCode.ATTEMPT_FAILED, failure)],
+                502,
+                "reset",
+                leaving,
+                "answered 502: reset at e2 on attempt 1 (RAN); endpoints were leaving:"
+                " e2",
+            ),
+            (
+                [],
+                503,
+                "paused",
+                left | paused,
+                "refused 503: endpoints asked for a pause: e3; endpoints had left: e1",
+            ),
+            (
+                [],
+                503,
+                "deadline",
+                left,
+                "answered 503: deadline; endpoints had left: e1",
+            ),
+            ([], 503, "no-room", {}, "answered 503: no-room"),
+            ([], 503, "paused", {}, "refused 503: endpoints asked for a pause"),
+        ):
+            with self.subTest(expected):
+                logs = Logs()
+                for code, inputs in events:
+                    logs.router.record(code, "r1", **inputs)
+                logs.router.record(
+                    EventCode.REQUEST_REFUSED,
+                    "r1",
+                    status=status,
+                    reason=reason,
+                    **notices,
+                )
+                self.assertEqual(logs.trace().cause, expected)
+
     def test_answered_and_unknown_request(self) -> None:
         logs = Logs()
         logs.router.record(
