Name endpoints in a refusal that have left and drain or are unreachable

Operators saw a refusal without any notice once the leaving endpoint was known to drain, or accepted no connection any more: the inputs of REQUEST_REFUSED listed only endpoints that still accept requests, and a leaving one soon does not.

All known endpoints of the service with a notice are listed now, so the refusal keeps its cause until discovery forgets the endpoint.

Evidence: test_refusals_name_an_endpoint_that_has_left failed before ({} in place of the two endpoints) and passes now.

--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -333,16 +333,21 @@
         return False
 
     def held_back(self, service_id: str) -> dict[str, list[str]]:
-        """Return the restricted endpoints of a service, by kind of restriction."""
+        """Return the restricted endpoints of a service, by kind of restriction.
+
+        An endpoint that is draining or unreachable by now is among them: it usually is
+        soon after it has said that it leaves.
+        """
         ids: dict[str, list[str]] = {}
         if not self.notices.by_incarnation:
             return ids
-        for handle in self._ready(service_id, set()):
-            restriction = self.notices.restriction(handle.endpoint, self.now())
+        now = self.now()
+        for endpoint_id, handle in self.handle_by_id.items():
+            if handle.endpoint.service_id != service_id:
+                continue
+            restriction = self.notices.restriction(handle.endpoint, now)
             if restriction is not Restriction.NONE:
-                ids.setdefault(restriction.value, []).append(
-                    handle.endpoint.endpoint_id
-                )
+                ids.setdefault(restriction.value, []).append(endpoint_id)
         return ids
 
     def pause_remaining(self, service_id: str) -> float | None:
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -104,6 +104,23 @@
         fleet.apply_announcements([evolve(first, sequence=10)])
         self.assertEqual(usable(fleet), {"e1"})
 
+    # Once it drained or accepted no connection, refusals no longer named its notice.
+    def test_refusals_name_an_endpoint_that_has_left(self) -> None:
+        clock = [100.0]
+        fleet = make_fleet(endpoints_of(2), clock)
+        notify(fleet, "e0", leaving=True)
+        notify(fleet, "e1", leaving=True)
+        self.assertEqual(fleet.held_back("s"), {"leaving": ["e0", "e1"]})
+        fleet.apply_announcements(
+            [evolve(endpoints_of(2)[0], sequence=2, state=EndpointState.DRAINING)]
+        )
+        fleet.record_unreachable(fleet.handle_by_id["e1"], "refused")
+        self.assertEqual(usable(fleet), set())
+        self.assertEqual(fleet.held_back("s"), {"leaving": ["e0", "e1"]})
+        self.assertEqual(fleet.held_back("other"), {})
+        clock[0] += DRAIN_SECONDS
+        self.assertEqual(fleet.held_back("s"), {"left": ["e0", "e1"]})
+
     def test_restart_is_a_new_endpoint(self) -> None:
         clock = [100.0]
         fleet = make_fleet(endpoints_of(2), clock)
