Name the quarantined part and the crashed endpoints in explain

Operators saw "answered 503: quarantined" for a request with a prompt part under which endpoints crash, and had to search the logs for the part.

explain did not know the reason. It now names the parts that the router had quarantined when the request ended, from the router's PART_* events, and the endpoints of PARTS_SUSPECTED, also when the request had failed on an endpoint before. It says so if the given logs do not contain the quarantine. With several quarantined parts it names those of the prompt if the request's attempts tell them, otherwise all as "one of".

Evidence: test_refused_for_a_quarantined_part and test_failed_and_not_sent_again_for_a_quarantined_part failed before and pass now.

--- a/pistachiolever/events/explain.py
+++ b/pistachiolever/events/explain.py
@@ -16,6 +16,8 @@
     "left": "endpoints had left",
     "leaving": "endpoints were leaving",
 }
+# Reason of a refusal: endpoints crashed under requests with a part of the prompt.
+QUARANTINED: Final = "quarantined"
 
 
 @frozen
@@ -91,7 +93,7 @@
     return RequestTrace(
         request_id,
         request_lines,
-        _cause(request_lines),
+        _cause(request_lines, lines),
         _missing(request_lines, lines, malformed),
     )
 
@@ -109,22 +111,93 @@
     )
 
 
-def _cause(request_lines: list[LogLine]) -> str:
+def _find_end(request_lines: list[LogLine]) -> LogLine | None:
+    """Return the line that a router logged at the end of the request."""
+    ends = [line for line in request_lines if line.name in END_EVENTS]
+    return ends[-1] if ends else None
+
+
+def _is_quarantined(end: LogLine) -> bool:
+    """Return whether a request ended since a part of its prompt is quarantined."""
+    return str(end.inputs.get("reason")).endswith(QUARANTINED)
+
+
+def _cause(request_lines: list[LogLine], lines: list[LogLine]) -> str:
     """Return in one line how the request ended and why."""
-    end_lines = [line for line in request_lines if line.name in END_EVENTS]
-    if not end_lines:
+    end_line = _find_end(request_lines)
+    if end_line is None:
         return "the logs do not contain the end of the request"
-    end = end_lines[-1].inputs
-    if end_lines[-1].name == "REQUEST_FINISHED":
+    end = end_line.inputs
+    if end_line.name == "REQUEST_FINISHED":
         return (
             f"answered {end.get('status')} by {end.get('endpoint')}, first chunk after "
             f"{end.get('first')} s, of which {end.get('queued')} s in the queue"
         )
-    if end_lines[-1].name == "REQUEST_CANCELLED":
+    if end_line.name == "REQUEST_CANCELLED":
         return f"caller left after {end.get('total')} s, {end.get('sends')} attempts"
+    if _is_quarantined(end_line):
+        return _quarantine_cause(end_line, request_lines, lines)
     return _refusal_cause(request_lines, end)
 
 
+def _quarantine_cause(
+    end: LogLine, request_lines: list[LogLine], lines: list[LogLine]
+) -> str:
+    """Return under which part of the prompt endpoints crashed, as the logs tell it."""
+    failed = [line for line in request_lines if line.name == "ATTEMPT_FAILED"]
+    if failed:
+        cause = f"{_failure_cause(request_lines, end.inputs)}; not sent again"
+    else:
+        cause = f"refused {end.inputs.get('status')}"
+    cause += ": endpoints crashed under requests with a part of this prompt"
+    texts: list[str] = []
+    for part_id, crashes in _quarantined_parts(end, request_lines, lines).items():
+        crashed = sorted(_crashed_endpoints(part_id, end.ms, lines))
+        names = f": {', '.join(crashed)}" if crashed else ""
+        texts.append(f"{part_id} ({crashes} crashes{names})")
+    if not texts:
+        return cause
+    one_of = "one of " if len(texts) > 1 else ""
+    return f"{cause}; {end.process} had quarantined {one_of}{', '.join(texts)}"
+
+
+def _quarantined_parts(
+    end: LogLine, request_lines: list[LogLine], lines: list[LogLine]
+) -> dict[str, int]:
+    """Return the known crashes of each part that may have prevented a request.
+
+    These are the parts that its router had quarantined at its end; of them, the ones in
+    its prompt if its attempts tell the prompt.
+    """
+    earlier = [
+        line
+        for line in lines
+        if line.process == end.process and line.sort_key <= end.sort_key
+    ]
+    crashes_by_part: dict[str, int] = {}
+    for line in sorted(earlier, key=lambda line: line.sort_key):
+        if line.name in ("PART_QUARANTINED", "PART_TESTED"):
+            crashes_by_part[line.inputs["part"]] = line.inputs["crashes"]
+        elif line.name == "PART_RELEASED":
+            crashes_by_part.pop(line.inputs["part"], None)
+        elif line.name == "PROCESS_STARTED":
+            crashes_by_part.clear()
+    own = {part for line in request_lines for part in line.inputs.get("parts", [])}
+    in_prompt = {part: n for part, n in crashes_by_part.items() if part in own}
+    return in_prompt or crashes_by_part
+
+
+def _crashed_endpoints(part_id: str, until_ms: int, lines: list[LogLine]) -> set[str]:
+    """Return the endpoints that crashed under a part up to a time."""
+    return {
+        line.inputs["endpoint"]
+        for line in lines
+        if line.name == "PARTS_SUSPECTED"
+        and line.ms <= until_ms
+        and part_id in line.inputs["parts"]
+    }
+
+
 def _refusal_cause(request_lines: list[LogLine], end: dict[str, Any]) -> str:
     """Return why a request got no complete answer.
 
@@ -205,6 +278,13 @@
         missing.append(f"{dropped} lines were left out: high load or a slow log reader")
     granted = {line.process for line in request_lines if line.name == "REQUEST_GRANTED"}
     agents = [line for line in request_lines if line.name.startswith("GRANT_")]
+    end = _find_end(request_lines)
+    if (
+        end is not None
+        and _is_quarantined(end)
+        and not _quarantined_parts(end, request_lines, lines)
+    ):
+        missing.append(f"the log of {end.process} does not contain the quarantine")
     if granted and not agents:
         missing.append("the log of the agent that granted the request is not included")
     return missing
--- a/tests/events/test_explain.py
+++ b/tests/events/test_explain.py
@@ -137,6 +137,96 @@
                 )
                 self.assertEqual(logs.trace().cause, expected)
 
+    # A request refused for a quarantined part was explained as "quarantined" only.
+    def test_refused_for_a_quarantined_part(self) -> None:
+        logs = Logs()
+        other = EventLogger("router-2", lambda: logs.now, logs.text.append)
+        for endpoint, parts, router in (
+            ("e2", ["aa", "bad"], logs.router),
+            ("e1", ["bad"], other),
+            ("e7", ["aa"], other),
+        ):
+            router.record(
+                EventCode.PARTS_SUSPECTED, "r0", endpoint=endpoint, born=1, parts=parts
+            )
+        self.record_refusal(logs, "r1")
+        refused = (
+            "refused 503: endpoints crashed under requests with a part of this prompt"
+        )
+        self.assertEqual(logs.trace().cause, refused)
+        self.assertEqual(
+            logs.trace().missing,
+            ["the log of router-1 does not contain the quarantine"],
+        )
+        had = f"{refused}; router-1 had quarantined"
+        for number, (code, part, crashes, expected) in enumerate(
+            (
+                (
+                    EventCode.PART_QUARANTINED,
+                    "bad",
+                    3,
+                    f"{had} bad (3 crashes: e1, e2)",
+                ),
+                (EventCode.PART_TESTED, "bad", 5, f"{had} bad (5 crashes: e1, e2)"),
+                (
+                    EventCode.PART_QUARANTINED,
+                    "new",
+                    4,
+                    f"{had} one of bad (5 crashes: e1, e2), new (4 crashes)",
+                ),
+                (EventCode.PART_RELEASED, "bad", 5, f"{had} new (4 crashes)"),
+            )
+        ):
+            with self.subTest(code=code, part=part):
+                logs.now += 10
+                other.record(EventCode.PART_QUARANTINED, part="elsewhere", crashes=3)
+                logs.router.record(code, part=part, crashes=crashes, seconds=9.0)
+                self.record_refusal(logs, f"r{number + 2}")
+                trace = logs.trace(f"r{number + 2}")
+                self.assertEqual(trace.cause, expected)
+                self.assertEqual(trace.missing, [])
+        # Later events and restarts do not change earlier causes.
+        logs.router.record(EventCode.PROCESS_STARTED)
+        self.record_refusal(logs, "r9")
+        # The clock of another process may be ahead.
+        logs.now += 10
+        other.record(EventCode.GRANT_MADE, "r9")
+        self.assertEqual(logs.trace("r9").cause, refused)
+        self.assertIn("bad (3 crashes", logs.trace("r2").cause)
+
+    def test_failed_and_not_sent_again_for_a_quarantined_part(self) -> None:
+        logs = Logs()
+        for part in ("bad", "new"):
+            logs.router.record(EventCode.PART_QUARANTINED, part=part, crashes=3)
+        logs.router.record(
+            EventCode.ATTEMPT_FAILED,
+            "r1",
+            endpoint="e3",
+            attempt=1,
+            verdict="MAY_HAVE_RUN",
+            reason="reset",
+            parts=["aa", "new"],
+        )
+        self.record_refusal(logs, "r1", "broken off: quarantined", status=0)
+        self.assertEqual(
+            logs.trace().cause,
+            "answered 0: reset at e3 on attempt 1 (MAY_HAVE_RUN); not sent again: "
+            "endpoints crashed under requests with a part of this prompt; router-1 had "
+            "quarantined new (3 crashes)",
+        )
+
+    def record_refusal(
+        self,
+        logs: Logs,
+        request_id: str,
+        reason: str = "quarantined",
+        status: int = 503,
+    ) -> None:
+        """Record the refusal of a request by the router."""
+        logs.router.record(
+            EventCode.REQUEST_REFUSED, request_id, status=status, reason=reason
+        )
+
     def test_answered_and_unknown_request(self) -> None:
         logs = Logs()
         logs.router.record(
