Test notices beside crashes, restarts, cuts and scale-in with random runs

What callers could have seen: requests to an endpoint that leaves or pauses, or none to a sound one, if a notice got lost, was undone by an old announcement or was taken over by another incarnation. The random runs so far knew notices, restarts and requests only.

The new runs add crashes, incarnations at the same id, address or both, routers cut off from control with announcements in any order afterwards, old announcements again, draining and scale-out, and responses of endpoints that are gone by then. A naive model tells which endpoints may, must and must not be used.

A notice is attributed to the incarnation that the router knew of when it sent the request, in the model too.

--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -1,15 +1,18 @@
 """Notices of endpoints that leave or ask for a pause, without network."""
 
+from collections import Counter
 from random import Random
 
-from attrs import evolve
+from attrs import define, evolve, field
 
+from pistachiolever.core.pause import PAUSE_RAMP_SECONDS
 from pistachiolever.discovery.models import Announcement, EndpointState
 from pistachiolever.edge.peers import PeerClient
 from pistachiolever.gateway.const import MAX_NOTICES
+from pistachiolever.gateway.endpoint_handle import EndpointHandle
 from pistachiolever.gateway.fleet import FleetView
 from pistachiolever.gateway.models import ResponseMetadata
-from pistachiolever.gateway.notices import EndpointNotices, Restriction
+from pistachiolever.gateway.notices import EndpointNotices, Incarnation, Restriction
 from pistachiolever.gateway.settings import GatewaySettings
 from tests.gateway.test_relay import CONFIGURATION
 from tests.registry.test_process import make_discarding_logger
@@ -270,6 +273,231 @@
                 fleet.notices.record_send(fleet.handle_by_id[other].endpoint, clock[0])
 
 
+@define
+class Platform:
+    """A router, its endpoints, what control tells of them, and a naive model.
+
+    While the router is cut off, announcements wait in `undelivered`. `newest_by_id` are
+    the announcements that control has, `sent` all of them. `leaving_at` and
+    `paused_until` hold the notices that the router was given, `ended` the incarnations
+    that it was told are gone, by id and birth. `in_flight` are the handles of
+    requests without a response yet, and their incarnations when they were sent.
+    """
+
+    rng: Random
+    clock: list[float] = field(factory=lambda: [100.0])
+    is_cut: bool = False
+    born: int = 100
+    newest_by_id: dict[str, Announcement] = field(factory=dict)
+    crashed_ids: set[str] = field(factory=set)
+    sent: list[Announcement] = field(factory=list)
+    undelivered: list[Announcement] = field(factory=list)
+    leaving_at: dict[Incarnation, float] = field(factory=dict)
+    paused_until: dict[Incarnation, float] = field(factory=dict)
+    ended: set[Incarnation] = field(factory=set)
+    in_flight: list[tuple[EndpointHandle, Incarnation]] = field(factory=list)
+    counts: Counter[str] = field(factory=Counter)
+    fleet: FleetView = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Start with four endpoints."""
+        self.fleet = make_fleet([], self.clock)
+        for _ in range(4):
+            self.scale_out()
+
+    def announce(self, announcement: Announcement) -> None:
+        """Let control know an announcement, and the router once it is in touch."""
+        self.newest_by_id[announcement.endpoint_id] = announcement
+        self.sent.append(announcement)
+        self.undelivered.append(announcement)
+        self.deliver()
+
+    def deliver(self) -> None:
+        """Give the router what it has missed, in any order, unless it is cut off."""
+        if self.is_cut:
+            return
+        self.rng.shuffle(self.undelivered)
+        for announcement in self.undelivered:
+            self.fleet.apply_announcements([announcement])
+            if announcement.state is EndpointState.GONE:
+                self.ended.add((announcement.endpoint_id, announcement.born_ms))
+        self.undelivered.clear()
+
+    def pick(self, *states: EndpointState) -> Announcement | None:
+        """Return a random endpoint in one of some states, crashed or not."""
+        known = [a for a in self.newest_by_id.values() if a.state in states]
+        return self.rng.choice(known) if known else None
+
+    # What happens to the endpoints and to the router.
+
+    def scale_out(self) -> None:
+        """Start an endpoint with an id and an address that were never used."""
+        self.born += 1
+        base = evolve(ENDPOINT, endpoint_id=f"e{self.born}", born_ms=self.born)
+        self.announce(evolve(base, address=f"10.0.0.{self.born}:80"))
+
+    def scale_in(self) -> None:
+        """Let control drain an endpoint, or forget a drained one."""
+        known = self.pick(EndpointState.READY, EndpointState.DRAINING)
+        if known is None or len(self.newest_by_id) < 3:
+            return
+        is_ready = known.state is EndpointState.READY
+        state = EndpointState.DRAINING if is_ready else EndpointState.GONE
+        self.announce(evolve(known, state=state, sequence=known.sequence + 1))
+
+    def crash(self) -> None:
+        """End an endpoint; control may notice, or only a later incarnation tells."""
+        known = self.pick(EndpointState.READY, EndpointState.DRAINING)
+        if known is None:
+            return
+        self.crashed_ids.add(known.endpoint_id)
+        if self.rng.random() < 0.3:
+            self.announce(evolve(known, state=EndpointState.GONE))
+
+    def restart(self) -> None:
+        """Start a new incarnation at the id, the address or both of a crashed one."""
+        if not self.crashed_ids:
+            return
+        known = self.newest_by_id[self.rng.choice(sorted(self.crashed_ids))]
+        self.crashed_ids.discard(known.endpoint_id)
+        self.born += 1
+        started = evolve(
+            known, born_ms=self.born, sequence=1, state=EndpointState.READY
+        )
+        kind = self.rng.choice(("both", "id", "address"))
+        if kind == "id":
+            started = evolve(started, address=f"10.0.0.{self.born}:80")
+        elif kind == "address":
+            del self.newest_by_id[known.endpoint_id]
+            started = evolve(started, endpoint_id=f"e{self.born}")
+        self.announce(started)
+
+    def cut_or_heal(self) -> None:
+        """Cut the router off from control, or end that."""
+        self.is_cut = not self.is_cut
+        self.deliver()
+
+    def repeat_old(self) -> None:
+        """Let the router get an old announcement again."""
+        self.fleet.apply_announcements([self.rng.choice(self.sent)])
+
+    def respond(self) -> None:
+        """End a request with notices, even if its endpoint is gone since."""
+        if not self.in_flight:
+            return
+        place = self.rng.randrange(len(self.in_flight))
+        handle, key = self.in_flight.pop(place)
+        leaving, seconds = self.rng.random() < 0.2, self.rng.choice((0.0, 0.4, 3.0))
+        value = f"{seconds:.1f}" if seconds else None
+        metadata = ResponseMetadata("r1", True, True, 0.0, leaving, value)
+        self.fleet.record_notices(handle, "r1", metadata)
+        now = self.clock[0]
+        if leaving:
+            self.leaving_at.setdefault(key, now)
+        if seconds:
+            self.paused_until[key] = max(self.paused_until.get(key, 0.0), now + seconds)
+
+    # What the router does.
+
+    def check(self, case: CaseTest) -> None:
+        """Compare the endpoints that may get a request with the model; send some."""
+        now = self.clock[0]
+        chosen = self.fleet.usable("s", set())
+        free, leaving = self._expected()
+        by_key = {_key(handle): handle for handle in chosen}
+        # After a pause the router may hold requests back for a little longer.
+        certain = {
+            key
+            for key in free
+            if now >= self.paused_until.get(key, 0.0) + PAUSE_RAMP_SECONDS
+        }
+        case.assertLessEqual(certain, by_key.keys())
+        if by_key.keys() & leaving:
+            # Others that may get a request now do not exist.
+            case.assertEqual(certain, set())
+            case.assertLessEqual(by_key.keys(), leaving)
+        else:
+            case.assertLessEqual(by_key.keys(), free)
+        case.assertEqual(self.ended & {_key(h) for h in chosen}, set())
+        for handle in chosen:
+            case.assertTrue(self.fleet.may_send(handle))
+        for candidate in self.fleet.candidates("s", set()):
+            case.assertIn(candidate.endpoint.endpoint_id, {key[0] for key in by_key})
+        if not chosen:
+            self.counts["none"] += 1
+            return
+        handle = self.rng.choice(chosen)
+        if handle.endpoint.endpoint_id in self.crashed_ids:
+            self.fleet.record_unreachable(handle, "refused")
+            self.counts["unreachable"] += 1
+            return
+        self.fleet.notices.record_send(handle.endpoint, now)
+        self.in_flight.append((handle, _key(handle)))
+        self.counts["leaving" if _key(handle) in leaving else "free"] += 1
+
+    def _expected(self) -> tuple[set[Incarnation], set[Incarnation]]:
+        """Return the incarnations without a notice in force, and those leaving.
+
+        These are ready and reachable ones of which the router knows. A pause also holds
+        for a leaving endpoint, which gets nothing once its drain time has passed.
+        """
+        now = self.clock[0]
+        free: set[Incarnation] = set()
+        leaving: set[Incarnation] = set()
+        for handle in self.fleet.handle_by_id.values():
+            is_ready = handle.endpoint.state is EndpointState.READY
+            if not is_ready or now < handle.health.ejected_until:
+                continue
+            key = _key(handle)
+            if now < self.paused_until.get(key, 0.0):
+                continue
+            if key not in self.leaving_at:
+                free.add(key)
+            elif now < self.leaving_at[key] + DRAIN_SECONDS:
+                leaving.add(key)
+        return free, leaving
+
+
+def _key(handle: EndpointHandle) -> Incarnation:
+    """Return the incarnation of a handle."""
+    return (handle.endpoint.endpoint_id, handle.endpoint.born_ms)
+
+
+class PlatformFuzzTest(CaseTest):
+    """Both notices hold through crashes, restarts, cuts and scale-in."""
+
+    # A notice that was lost, undone or taken over by another incarnation would send
+    # requests to an endpoint that wants none, or none to one that does.
+    def test_notices_beside_crashes_cuts_and_scale_in(self) -> None:
+        counts: Counter[str] = Counter()
+        for seed in range(40):
+            with self.subTest(seed):
+                platform = Platform(Random(seed))
+                self._run(platform)
+                counts += platform.counts
+        # No outcome is left untried.
+        for outcome in ("none", "unreachable", "leaving", "free"):
+            self.assertGreater(counts[outcome], 100)
+
+    def _run(self, platform: Platform) -> None:
+        """Run a random sequence of actions, with a check after each."""
+        weights = {
+            platform.respond: 40,
+            platform.crash: 4,
+            platform.restart: 6,
+            platform.cut_or_heal: 3,
+            platform.scale_in: 3,
+            platform.scale_out: 4,
+            platform.repeat_old: 10,
+        }
+        for _ in range(400):
+            platform.clock[0] += platform.rng.random() * 0.2
+            actions = list(weights)
+            (action,) = platform.rng.choices(actions, list(weights.values()))
+            action()
+            platform.check(self)
+
+
 class BoundTest(CaseTest):
     """Notices of endpoints that are gone do not accumulate."""
 
