Keep what was counted for a router until it has a new incarnation

Operators and accounts: after a router had been cut off from control for more than two hours, the service that it had published before was added to the totals a second time. Its accounts seemed to have had twice their service and waited behind all others until those had caught up.

Cause: the coordinator forgot a closed incarnation two hours after its last heartbeat. The returning router was then unknown, was asked for all of its counters, and these were taken for new service.

Now a closed incarnation is kept until its router has published with a later one; the two hours for late messages begin with its last heartbeat as before, but only a replaced incarnation is dropped. Routers keep their process id when they restart, so the records stay as many as there are routers, and the lives of the last two hours. A router that is gone for good keeps one record until the leader changes.

--- a/pistachiolever/control/coordinator.py
+++ b/pistachiolever/control/coordinator.py
@@ -46,7 +46,9 @@
             )
         is_known = self.totals.is_known(incarnation)
         self.totals.restore_lifts(heartbeat.lifts)
-        self.totals.merge_counters(incarnation, heartbeat.accounts, now)
+        self.totals.merge_counters(
+            heartbeat.sender.process_id, incarnation, heartbeat.accounts, now
+        )
         need_full = not is_known and not heartbeat.full
         return RouterHeartbeatReply(
             sender,
--- a/pistachiolever/fairness/const.py
+++ b/pistachiolever/fairness/const.py
@@ -6,7 +6,8 @@
 BACKLOG_GRACE_SECONDS: Final = 3.0
 # A router incarnation that published nothing for this time is closed.
 INCARNATION_EXPIRY_SECONDS: Final = 10.0
-# An expired incarnation is remembered for this time after its last counted message.
+# A closed incarnation that its router has replaced is remembered for this time after
+# its last counted message.
 TOMBSTONE_SECONDS: Final = 7200.0
 # Weight of a new cost in the moving average.
 ESTIMATE_SMOOTHING_FACTOR: Final = 0.2
--- a/pistachiolever/fairness/totals.py
+++ b/pistachiolever/fairness/totals.py
@@ -100,11 +100,16 @@
 
 @define
 class IncarnationRecord:
-    """The counters of one router incarnation, by service and account."""
+    """The counters of one router incarnation, by service and account.
+
+    `replaced` is true once a later incarnation of the same router has published.
+    """
 
     last_seen: float
+    router_id: str = ""
     served_by_service: dict[str, dict[str, float]] = field(factory=dict)
     expired: bool = False
+    replaced: bool = False
 
     def served(self, service_id: str, account_id: str) -> float:
         """Return the highest counter value that the router published."""
@@ -143,12 +148,16 @@
         return record is not None and record.expired
 
     def merge_counters(
-        self, incarnation: str, accounts: Iterable[AccountService], now: float
+        self,
+        router_id: str,
+        incarnation: str,
+        accounts: Iterable[AccountService],
+        now: float,
     ) -> None:
         """Merge a router's counters; duplicate or outdated values have no effect."""
-        record = self.record_by_incarnation.setdefault(
-            incarnation, IncarnationRecord(now)
-        )
+        record = self.record_by_incarnation.get(incarnation)
+        if record is None:
+            record = self._add_incarnation(router_id, incarnation, now)
         if record.expired:
             return
         record.last_seen = max(record.last_seen, now)
@@ -161,6 +170,17 @@
             if account.backlogged:
                 totals.record_backlog(account.account_id, now)
 
+    def _add_incarnation(
+        self, router_id: str, incarnation: str, now: float
+    ) -> IncarnationRecord:
+        """Add an incarnation, which replaces the earlier ones of its router."""
+        for known in self.record_by_incarnation.values():
+            if known.router_id == router_id:
+                known.replaced = True
+        record = IncarnationRecord(now, router_id)
+        self.record_by_incarnation[incarnation] = record
+        return record
+
     def restore_lifts(self, lifts: Iterable[AccountLift]) -> None:
         """Restore the lifts that an earlier leader computed."""
         for lift in lifts:
@@ -171,8 +191,9 @@
     def expire(self, now: float) -> list[str]:
         """Close incarnations that stopped publishing; their service stays counted.
 
-        A closed incarnation is remembered for TOMBSTONE_SECONDS, so that its router is
-        told to start a new one when it publishes again.
+        A closed incarnation is remembered until its router has started a new one,
+        however long that takes, because its counters would be counted again. After
+        that late messages may still arrive for TOMBSTONE_SECONDS.
         """
         closed = []
         for incarnation, record in list(self.record_by_incarnation.items()):
@@ -180,7 +201,7 @@
             if not record.expired and unseen_seconds > INCARNATION_EXPIRY_SECONDS:
                 record.expired = True
                 closed.append(incarnation)
-            if record.expired and unseen_seconds > TOMBSTONE_SECONDS:
+            if record.replaced and unseen_seconds > TOMBSTONE_SECONDS:
                 del self.record_by_incarnation[incarnation]
         return closed
 
