Tell watchers of endpoints that have timed out

Operators saw routers that went on trying an endpoint that had ended without a deregistration, for as long as they ran: the members of the registry removed it after 30 s, the routers kept its handle, its place in the index and its ejection, and tried it again after each. Callers saw attempts that could reach nobody.

Cause: the expiry of an endpoint removed its record without raising the number of changes of the directory, so the long polls of the routers were not answered, and a reply had no place for it.

Now an expiry is a change, and WatchReply.expired names the endpoint for ten minutes. It is not an end of the incarnation, which may only be cut off from control: a router goes on using the endpoint as long as it accepts connections and forgets it the first time that it does not, or at once if the last attempt to connect failed. Its next announcement is new to the member again, which tells it to the routers. A member that is out of touch with a quorum lets no endpoint time out, since it hears of none.

The listener in tests/registry/test_process.py gets the new method of its protocol; no check in it changes.

--- a/pistachiolever/discovery/const.py
+++ b/pistachiolever/discovery/const.py
@@ -3,9 +3,11 @@
 from typing import Final
 
 # An endpoint that sent no announcement for this long is removed; its next announcement
-# adds it again. Until then it is used as long as its responses are good, because the
+# adds it again. Routers go on using it as long as it accepts connections, because the
 # connection to the control processes may be what is down.
 ENDPOINT_EXPIRY_SECONDS: Final = 30.0
+# How long watchers are told of an endpoint that was removed in this way.
+EXPIRY_KEPT_SECONDS: Final = 600.0
 # How long the end of an incarnation is kept, so that announcements of it that arrive
 # late are rejected.
 TOMBSTONE_SECONDS: Final = 60.0
--- a/pistachiolever/discovery/directory.py
+++ b/pistachiolever/discovery/directory.py
@@ -4,6 +4,7 @@
 
 from pistachiolever.discovery.const import (
     ENDPOINT_EXPIRY_SECONDS,
+    EXPIRY_KEPT_SECONDS,
     TOMBSTONE_SECONDS,
     UNKNOWN_TOMBSTONE_SECONDS,
 )
@@ -26,11 +27,14 @@
 class EndpointDirectory:
     """Endpoints by id; `change_number` is incremented by each change.
 
+    `expired_by_id` holds the last announcements of endpoints that timed out.
+
     The result of merging does not depend on the order, so the directories of several
     processes converge when they exchange announcements.
     """
 
     record_by_id: dict[str, EndpointRecord] = field(factory=dict)
+    expired_by_id: dict[str, EndpointRecord] = field(factory=dict)
     change_number: int = 0
     _ids_by_address: dict[str, set[str]] = field(factory=dict)
 
@@ -80,9 +84,18 @@
         for endpoint_id, record in list(self.record_by_id.items()):
             gone = record.announcement.state is EndpointState.GONE
             limit = TOMBSTONE_SECONDS if gone else ENDPOINT_EXPIRY_SECONDS
-            if now - record.received_at > limit:
-                self.discard(endpoint_id)
-                removed.append(endpoint_id)
+            if now - record.received_at <= limit:
+                continue
+            self.discard(endpoint_id)
+            removed.append(endpoint_id)
+            if not gone:
+                self.change_number += 1
+                self.expired_by_id[endpoint_id] = EndpointRecord(
+                    record.announcement, now, self.change_number
+                )
+        for endpoint_id, record in list(self.expired_by_id.items()):
+            if now - record.received_at > EXPIRY_KEPT_SECONDS:
+                del self.expired_by_id[endpoint_id]
         return removed
 
     def changed_since(self, change_number: int) -> list[Announcement]:
@@ -93,6 +106,14 @@
             if record.change_number > change_number
         ]
 
+    def expired_since(self, change_number: int) -> list[Announcement]:
+        """Return the last announcements of endpoints that timed out since a change."""
+        return [
+            record.announcement
+            for record in self.expired_by_id.values()
+            if record.change_number > change_number
+        ]
+
     def active(self) -> list[Announcement]:
         """Return the announcements of the endpoints that are not gone."""
         return [
@@ -152,5 +173,6 @@
         announcement = record.announcement
         endpoint_id = announcement.endpoint_id
         self.discard(endpoint_id)
+        self.expired_by_id.pop(endpoint_id, None)
         self.record_by_id[endpoint_id] = record
         self._ids_by_address.setdefault(announcement.address, set()).add(endpoint_id)
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -66,7 +66,11 @@
 
 @define
 class FleetView:
-    """The configuration in force and the known endpoints, from registry updates."""
+    """The configuration in force and the known endpoints, from registry updates.
+
+    `expired_ids` are the endpoints that the registry has not heard of for long. They
+    are forgotten when they accept no connection.
+    """
 
     settings: GatewaySettings
     decode: ConfigurationDecoder
@@ -78,6 +82,7 @@
     policy: PlacementPolicy = PlacementPolicy()
     table: RouteTable | None = None
     directory: EndpointDirectory = field(factory=EndpointDirectory)
+    expired_ids: set[str] = field(factory=set)
     handle_by_id: dict[str, EndpointHandle] = field(factory=dict)
     handle_by_agent: dict[str, EndpointHandle] = field(factory=dict)
     index_by_service: dict[str, ServiceIndex] = field(factory=dict)
@@ -151,6 +156,7 @@
         """Merge announcements of endpoints."""
         now = self.now()
         for announcement in announcements:
+            self.expired_ids.discard(announcement.endpoint_id)
             if self.directory.merge(announcement, now):
                 self.events.record(
                     EventCode.ENDPOINT_CHANGED,
@@ -163,6 +169,26 @@
                 )
         self._sync_handles()
 
+    def apply_expired(self, announcements: list[Announcement]) -> None:
+        """Apply that the registry has not heard of endpoints for long.
+
+        Only their connection to the registry may be down, so those that accept
+        connections are used on.
+        """
+        for announcement in announcements:
+            handle = self.handle_by_id.get(announcement.endpoint_id)
+            if handle is None or handle.endpoint.born_ms > announcement.born_ms:
+                continue
+            self.expired_ids.add(announcement.endpoint_id)
+            if handle.health.unreachable_count:
+                self._forget(announcement.endpoint_id)
+
+    def _forget(self, endpoint_id: str) -> None:
+        """Forget an expired endpoint until it announces itself again."""
+        self.directory.discard(endpoint_id)
+        self._drop_handle(endpoint_id)
+        self.events.record(EventCode.ENDPOINT_DROPPED, endpoint=endpoint_id)
+
     def update_router_count(self, count: int) -> None:
         """Apply the number of routers, which share the retry budget.
 
@@ -230,11 +256,7 @@
             known = handle.endpoint
             self.index(known.service_id).discard(endpoint_id)
             if is_gone or announcement.born_ms != known.born_ms:
-                del self.handle_by_id[endpoint_id]
-                if self.handle_by_agent.get(known.agent) is handle:
-                    del self.handle_by_agent[known.agent]
-                handle.close()
-                self.gone_addresses.put(known.address)
+                self._drop_handle(endpoint_id)
                 handle = None
         if is_gone:
             return
@@ -247,6 +269,17 @@
         if announcement.state is EndpointState.READY:
             self.index(announcement.service_id).add(endpoint_id)
 
+    def _drop_handle(self, endpoint_id: str) -> None:
+        """Stop using an incarnation of an endpoint."""
+        handle = self.handle_by_id.pop(endpoint_id)
+        known = handle.endpoint
+        self.expired_ids.discard(endpoint_id)
+        self.index(known.service_id).discard(endpoint_id)
+        if self.handle_by_agent.get(known.agent) is handle:
+            del self.handle_by_agent[known.agent]
+        handle.close()
+        self.gone_addresses.put(known.address)
+
     def index(self, service_id: str) -> ServiceIndex:
         """Return the index of a service."""
         return self.index_by_service.setdefault(service_id, ServiceIndex())
@@ -563,3 +596,7 @@
             error=error,
             seconds=round(handle.health.ejected_until - self.now(), 2),
         )
+        endpoint_id = handle.endpoint.endpoint_id
+        is_current = self.handle_by_id.get(endpoint_id) is handle
+        if is_current and endpoint_id in self.expired_ids:
+            self._forget(endpoint_id)
--- a/pistachiolever/registry/endpoint_replicator.py
+++ b/pistachiolever/registry/endpoint_replicator.py
@@ -51,7 +51,8 @@
     """The directory of one member and the announcements it has yet to send.
 
     `peers` returns the addresses of the other members; `on_change` is called when
-    there are updates for watchers.
+    there are updates for watchers. Endpoints time out only while `may_expire` returns
+    true: a member that is cut off hears of none of them.
     """
 
     client: PeerClient
@@ -59,6 +60,7 @@
     now: Callable[[], float]
     peers: Callable[[], list[str]]
     on_change: Callable[[], None]
+    may_expire: Callable[[], bool] = lambda: True
     directory: EndpointDirectory = field(factory=EndpointDirectory)
     queue_by_peer: dict[str, PeerQueue] = field(factory=dict)
     sent_at_by_id: dict[str, float] = field(factory=dict)
@@ -67,7 +69,7 @@
         """Run until cancelled."""
         async with create_task_group() as group:
             group.start_soon(self._send_batches)
-            group.start_soon(self._expire)
+            group.start_soon(self._expire_regularly)
 
     async def announce(self, announcement: Announcement) -> None:
         """Merge an announcement from an endpoint.
@@ -234,13 +236,22 @@
         self._merge_all(reply.newer)
         return True
 
-    async def _expire(self) -> None:
+    def expire(self) -> None:
+        """Remove endpoints that timed out, and tell the watchers."""
+        if not self.may_expire():
+            return
+        removed = self.directory.expire(self.now())
+        for endpoint_id in removed:
+            self.sent_at_by_id.pop(endpoint_id, None)
+            self.events.record(EventCode.ENDPOINT_DROPPED, endpoint=endpoint_id)
+        if removed:
+            self.on_change()
+
+    async def _expire_regularly(self) -> None:
         """Remove endpoints that timed out."""
         while True:
             await sleep(EXPIRY_CHECK_SECONDS)
-            for endpoint_id in self.directory.expire(self.now()):
-                self.sent_at_by_id.pop(endpoint_id, None)
-                self.events.record(EventCode.ENDPOINT_DROPPED, endpoint=endpoint_id)
+            self.expire()
 
     def _record(self, announcement: Announcement, what: str) -> None:
         """Record a change of an endpoint."""
--- a/pistachiolever/registry/models.py
+++ b/pistachiolever/registry/models.py
@@ -116,8 +116,9 @@
     """Updates for a watcher; `document` is empty if it has the newest version.
 
     `life`, `change` and `members` are as in the request, `behind` as in ReportReply;
-    `routers` is the number of routers in the fleet. `usage` is what has changed in the
-    sums, None if the watcher does not want it.
+    `routers` is the number of routers in the fleet. `expired` are the last
+    announcements of endpoints that the member has not heard of for long. `usage` is
+    what has changed in the sums, None if the watcher does not want it.
     """
 
     life: str
@@ -129,3 +130,4 @@
     announcements: list[Announcement] = field(factory=list)
     usage: UsageUpdate | None = None
     behind: bool = False
+    expired: list[Announcement] = field(factory=list)
--- a/pistachiolever/registry/process.py
+++ b/pistachiolever/registry/process.py
@@ -145,6 +145,7 @@
             self.now,
             self._other_addresses,
             lambda: self.watches.directory_changed.set(),
+            lambda: not self.watches.is_behind(),
         )
         aggregate = UsageAggregate(
             self.settings.address, self.incarnation, self.settings.failure_domain
--- a/pistachiolever/registry/watch_service.py
+++ b/pistachiolever/registry/watch_service.py
@@ -113,6 +113,12 @@
             known = self._changes_since[change] = self.directory.changed_since(change)
         return known
 
+    def _expired_since(self, change: int) -> list[Announcement]:
+        """Return the endpoints that timed out since a watcher's last reply."""
+        if change >= self.published_change:
+            return []
+        return self.directory.expired_since(change)
+
     def _has_newer_configuration(self, request: WatchRequest) -> bool:
         """Return whether there is a configuration that may be sent to a watcher."""
         if self.state.configuration.version <= request.version:
@@ -138,4 +144,5 @@
             self._announcements_since(request.change if knows else -1),
             usage,
             self.is_behind(),
+            self._expired_since(request.change) if knows else [],
         )
--- a/pistachiolever/registry/watcher.py
+++ b/pistachiolever/registry/watcher.py
@@ -32,6 +32,9 @@
     def apply_announcements(self, announcements: list[Announcement]) -> None:
         """Merge announcements of endpoints."""
 
+    def apply_expired(self, announcements: list[Announcement]) -> None:
+        """Apply that the registry has not heard of endpoints for long."""
+
     def apply_usage(self, update: UsageUpdate) -> None:
         """Apply what has changed in the accounts' usage and the endpoints' loads."""
 
@@ -117,6 +120,8 @@
         """Pass the updates in a reply to the listener."""
         if reply.announcements:
             self.listener.apply_announcements(reply.announcements)
+        if reply.expired:
+            self.listener.apply_expired(reply.expired)
         if reply.document and reply.version > self.version:
             self.version = reply.version
             self.listener.apply_configuration(reply.version, reply.document)
--- a/tests/discovery/test_directory.py
+++ b/tests/discovery/test_directory.py
@@ -8,6 +8,8 @@
 
 from pistachiolever.discovery.const import (
     ENDPOINT_EXPIRY_SECONDS,
+    EXPIRY_KEPT_SECONDS,
+    TOMBSTONE_SECONDS,
     UNKNOWN_TOMBSTONE_SECONDS,
 )
 from pistachiolever.discovery.directory import EndpointDirectory
@@ -107,6 +109,46 @@
         self.assertEqual(directory.expire(1.0 + ENDPOINT_EXPIRY_SECONDS), [])
         self.assertEqual(directory.expire(1.5 + ENDPOINT_EXPIRY_SECONDS), ["e1"])
 
+    # Watchers that had been told of an endpoint never heard that it had expired.
+    def test_expiry_is_a_change(self) -> None:
+        directory = EndpointDirectory()
+        directory.merge(READY_ENDPOINT, 1.0)
+        number = directory.change_number
+        directory.expire(1.5 + ENDPOINT_EXPIRY_SECONDS)
+        self.assertGreater(directory.change_number, number)
+        self.assertEqual(directory.expired_since(number), [READY_ENDPOINT])
+        self.assertEqual(directory.changed_since(number), [])
+        self.assertEqual(directory.expired_since(directory.change_number), [])
+
+    # The same incarnation may have been out of touch only.
+    def test_expired_endpoint_that_announces_itself_again_is_new(self) -> None:
+        directory = EndpointDirectory()
+        directory.merge(READY_ENDPOINT, 1.0)
+        directory.expire(1.5 + ENDPOINT_EXPIRY_SECONDS)
+        number = directory.change_number
+        again = evolve(READY_ENDPOINT, sequence=2)
+        self.assertTrue(directory.merge(again, 2.0 + ENDPOINT_EXPIRY_SECONDS))
+        self.assertEqual(directory.changed_since(number), [again])
+        self.assertEqual(directory.expired_since(-1), [])
+
+    def test_expiries_are_forgotten_after_a_while(self) -> None:
+        directory = EndpointDirectory()
+        directory.merge(READY_ENDPOINT, 1.0)
+        expired_at = 1.5 + ENDPOINT_EXPIRY_SECONDS
+        directory.expire(expired_at)
+        directory.expire(expired_at + EXPIRY_KEPT_SECONDS)
+        self.assertEqual(directory.expired_since(-1), [READY_ENDPOINT])
+        directory.expire(expired_at + EXPIRY_KEPT_SECONDS + 1)
+        self.assertEqual(directory.expired_since(-1), [])
+
+    def test_end_of_an_incarnation_does_not_expire_twice(self) -> None:
+        directory = EndpointDirectory()
+        directory.merge(evolve(READY_ENDPOINT, state=GONE), 1.0)
+        number = directory.change_number
+        directory.expire(1.5 + TOMBSTONE_SECONDS)
+        self.assertEqual(directory.record_by_id, {})
+        self.assertEqual(directory.change_number, number)
+
 
 class SizeTest(CaseTest):
     """The time of a merge does not depend on the number of endpoints."""
--- a/tests/registry/test_endpoint_replicator.py
+++ b/tests/registry/test_endpoint_replicator.py
@@ -4,7 +4,9 @@
 
 from anyio import create_task_group, run
 from attrs import define, evolve, field
+from nose2.tools import params
 
+from pistachiolever.discovery.const import ENDPOINT_EXPIRY_SECONDS
 from pistachiolever.discovery.models import Announcement, EndpointState
 from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.peers import PeerClient
@@ -132,6 +134,30 @@
         self.assertEqual(run(test), 2)
 
 
+class ExpiryTest(CaseTest):
+    """Endpoints that stopped announcing themselves."""
+
+    # Watchers were not told, and a member that was cut off expired all endpoints.
+    @params((True, 1), (False, 0))
+    def test_watchers_are_told_unless_the_member_is_behind(
+        self, may_expire: bool, told: int
+    ) -> None:
+        clock, changes = [1.0], list[float]()
+        replicator = EndpointReplicator(
+            RecordingClient(),
+            make_discarding_logger("c"),
+            lambda: clock[0],
+            list,
+            lambda: changes.append(clock[0]),
+            lambda: may_expire,
+        )
+        replicator.directory.merge(ENDPOINT, 1.0)
+        clock[0] += ENDPOINT_EXPIRY_SECONDS + 1
+        replicator.expire()
+        self.assertEqual(len(changes), told)
+        self.assertEqual(len(replicator.directory.active()), 1 - told)
+
+
 class DeregisterTest(CaseTest):
     """A deregistration is acknowledged only if it ends an incarnation."""
 
--- a/tests/registry/test_process.py
+++ b/tests/registry/test_process.py
@@ -268,6 +268,11 @@
             self.state_by_id[announcement.endpoint_id] = announcement.state
             self.born_by_id[announcement.endpoint_id] = announcement.born_ms
 
+    def apply_expired(self, announcements: list[Announcement]) -> None:
+        """Forget endpoints."""
+        for announcement in announcements:
+            self.state_by_id.pop(announcement.endpoint_id, None)
+
     def apply_usage(self, update: UsageUpdate) -> None:
         """Store the number of the newest state of the sums."""
         self.usage_number = update.number
--- a/tests/registry/test_watch_service.py
+++ b/tests/registry/test_watch_service.py
@@ -6,6 +6,7 @@
 from attrs import evolve
 
 from pistachiolever.control.state import ControlState
+from pistachiolever.discovery.const import ENDPOINT_EXPIRY_SECONDS
 from pistachiolever.discovery.directory import EndpointDirectory
 from pistachiolever.discovery.models import EndpointState
 from pistachiolever.raft.core import RaftCore
@@ -104,6 +105,23 @@
 
         self.assertEqual(run(watch_while_syncing).announcements, [gone])
 
+    # Watchers kept an endpoint that had ended without a word.
+    def test_watcher_hears_of_an_expired_endpoint(self) -> None:
+        service = make_service([1.0])
+        service.directory.merge(ENDPOINT, 1.0)
+        service.publish_directory()
+        first = watch(service, WatchRequest("r", -1))
+        service.directory.expire(1.5 + ENDPOINT_EXPIRY_SECONDS)
+        service.publish_directory()
+        request = WatchRequest(
+            "r", 4, False, first.life, first.change, members=first.members
+        )
+        second = watch(service, request)
+        self.assertEqual((second.announcements, second.expired), ([], [ENDPOINT]))
+        self.assertGreater(second.change, first.change)
+        third = watch(service, WatchRequest("r2", -1))
+        self.assertEqual((third.announcements, third.expired), ([], []))
+
     # Each announcement woke all watchers: after all processes had been killed, 3,000
     # endpoints that announced themselves made 300 routers wait for 6.5 s.
     def test_changes_of_many_endpoints_come_together(self) -> None:
