Count the bytes of answers and inputs, not their characters

Operators: routers and sidecars used up to four times the memory that stream_buffer_bytes, max_answer_bytes, replay_bytes and the limits of queues allow, when callers wrote in scripts with more than one byte a character.

Cause: the sizes were lengths of str. They are now lengths in UTF-8, as the bytes are sent: buffers of slow callers, replay buffers and with them the size of an answer, answers of plain services, queued inputs, and outcomes.

An outcome is shortened by the leader before it is proposed. The replicated state keeps its own check, in characters, as it must decide alike in members of all builds and on logs that are already written.

Evidence: new tests with characters of one, three and four bytes in tests/router, tests/sidecar and tests/control.

--- a/pistachiolever/control/commands.py
+++ b/pistachiolever/control/commands.py
@@ -7,6 +7,7 @@
 from cattrs.strategies import configure_tagged_union
 from orjson import dumps, loads
 
+from pistachiolever.control.const import MAX_OUTCOME_BYTES
 from pistachiolever.core.verdict import Verdict
 
 
@@ -42,6 +43,11 @@
     at_ms: int
 
 
+def limit_outcome(sse: str) -> str:
+    """Return an answer as it is stored; empty if it is too long."""
+    return sse if len(sse.encode()) <= MAX_OUTCOME_BYTES else ""
+
+
 @frozen
 class StoreConfiguration:
     """Put a whole configuration in force if its version is the highest so far."""
--- a/pistachiolever/control/http.py
+++ b/pistachiolever/control/http.py
@@ -11,7 +11,7 @@
 from starlette.routing import Route
 
 from pistachiolever.const import OLDEST_PROTOCOL_VERSION
-from pistachiolever.control.commands import CloseClaim, OpenClaim
+from pistachiolever.control.commands import CloseClaim, OpenClaim, limit_outcome
 from pistachiolever.control.consensus import NotLeaderError, OutcomeUnknownError
 from pistachiolever.control.operators import OperatorApi
 from pistachiolever.control.process import ControlProcess
@@ -223,7 +223,10 @@
         )
         return await self.process.propose(
             CloseClaim(
-                message.attempt_id, message.verdict, message.outcome_sse, wall_ms()
+                message.attempt_id,
+                message.verdict,
+                limit_outcome(message.outcome_sse),
+                wall_ms(),
             )
         )
 
--- a/pistachiolever/control/state.py
+++ b/pistachiolever/control/state.py
@@ -222,6 +222,8 @@
         if claim.done and claim.verdict is Verdict.RAN:
             return ClaimClosed(True)
         sse = command.outcome_sse
+        # The leader limits the bytes (`limit_outcome`). Here all members, of all
+        # builds, must decide alike on what is in their logs.
         if len(sse) > MAX_OUTCOME_BYTES:
             sse = ""
         self.claim_by_key[key] = evolve(
--- a/pistachiolever/router/requests.py
+++ b/pistachiolever/router/requests.py
@@ -23,6 +23,11 @@
     stream: bool
     idempotency_key: str
 
+    @property
+    def size_bytes(self) -> int:
+        """Return the size of the input."""
+        return len(self.input.encode())
+
 
 class InvalidRequestError(Exception):
     """A caller's request is invalid; the refusal gives the reason."""
--- a/pistachiolever/router/streams.py
+++ b/pistachiolever/router/streams.py
@@ -38,7 +38,7 @@
     def deliver(self, sse: str, outcome: Outcome | None) -> bool:
         """Add events; return whether the buffer has just exceeded its limit."""
         self.parts.append(sse)
-        self.size_bytes += len(sse)
+        self.size_bytes += len(sse.encode())
         self.outcome = outcome
         self.updated.set()
         if outcome is not None:
--- a/pistachiolever/router/submit.py
+++ b/pistachiolever/router/submit.py
@@ -155,7 +155,7 @@
             submission.service.id,
             submission.input,
             submission.max_output_tokens,
-            len(submission.input),
+            submission.size_bytes,
             attempt_id,
         )
         self.process.context.recorder.record(
--- a/pistachiolever/sidecar/adapters.py
+++ b/pistachiolever/sidecar/adapters.py
@@ -173,10 +173,10 @@
         is_number = isinstance(result, int | float) and not isinstance(result, bool)
         if is_number and not _is_framed(response):
             raise InvalidResponseError("a number without a length may be cut short")
-        result_json = dumps(result).decode()
+        result_json = dumps(result)
         if len(result_json) > self.settings.max_answer_bytes:
             return _failed(dispatch.request_id, Verdict.RAN, "answer-too-large")
-        post(ResultReceived(dispatch.request_id, result_json))
+        post(ResultReceived(dispatch.request_id, result_json.decode()))
         return RunEnded(dispatch.request_id, Verdict.RAN, True)
 
 
--- a/pistachiolever/sidecar/replay.py
+++ b/pistachiolever/sidecar/replay.py
@@ -22,7 +22,7 @@
     def append(self, sse: str) -> int:
         """Append an event and return its number."""
         self.events.append(sse)
-        self.size_bytes += len(sse)
+        self.size_bytes += len(sse.encode())
         return len(self.events)
 
     def after(self, number: int) -> EventRange | None:
--- a/tests/control/test_state_machine.py
+++ b/tests/control/test_state_machine.py
@@ -4,6 +4,7 @@
 
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
+from nose2.tools import params
 
 from pistachiolever.control.commands import (
     ApplyDeclarations,
@@ -12,7 +13,9 @@
     OpenClaim,
     decode_command,
     encode_command,
+    limit_outcome,
 )
+from pistachiolever.control.const import MAX_OUTCOME_BYTES
 from pistachiolever.control.state import ControlState
 from pistachiolever.core.verdict import Verdict
 from pistachiolever.wire.models import ClaimAnswer
@@ -87,6 +90,17 @@
 ClaimMachineTest = ClaimMachine.TestCase
 
 
+class OutcomeTest(TestCase):
+    """Answers that are stored for their idempotency keys."""
+
+    # Characters of several bytes counted as one in the limit.
+    @params(("a", 1), ("\u0939", 3), ("\U0001f600", 4))
+    def test_limit_is_in_bytes(self, character: str, size: int) -> None:
+        fits = character * (MAX_OUTCOME_BYTES // size)
+        self.assertEqual(limit_outcome(fits), fits)
+        self.assertEqual(limit_outcome(fits + character), "")
+
+
 class RevisionTest(TestCase):
     """Concurrent, repeated and successive changes of the declarations."""
 
--- a/tests/router/test_requests.py
+++ b/tests/router/test_requests.py
@@ -37,6 +37,14 @@
 class RequestTest(TestCase):
     """Validation of request bodies, idempotency keys and event ids."""
 
+    # Queued requests in scripts with several bytes a character took more memory than
+    # the limits of the queue allow.
+    @params("a", "\u0939", "\U0001f600")
+    def test_size_of_the_input_is_in_bytes(self, character: str) -> None:
+        body = {"service": "planning", "input": character * 10, "max_output_tokens": 1}
+        submission = parse_submission(dumps(body), ACCOUNT, REVISION, "")
+        self.assertEqual(submission.size_bytes, 10 * len(character.encode()))
+
     @MANY
     @given(body=BODIES, key=st.text(max_size=140))
     def test_ten_thousand_malformed_bodies(self, body: bytes, key: str) -> None:
--- a/tests/sidecar/test_adapters.py
+++ b/tests/sidecar/test_adapters.py
@@ -102,6 +102,22 @@
         )
 
 
+class SizeTest(CaseTest):
+    """An answer of a plain service is limited in bytes."""
+
+    # Characters of several bytes counted as one.
+    def test_plain_answer_over_the_limit(self) -> None:
+        limit = SidecarSettings("e", "s", "http://x").max_answer_bytes
+        for character in ("a", "\u0939", "\U0001f600"):
+            size = len(character.encode())
+            for count, complete in ((limit // size - 9, True), (limit // size, False)):
+                with self.subTest(character=character, count=count):
+                    body = b'"%s"' % (character * count).encode()
+                    ended = adapter_inputs(ServiceKind.PLAIN, framed(body))[-1]
+                    assert isinstance(ended, RunEnded)
+                    self.assertIs(ended.complete, complete, ended.reason)
+
+
 class NoticeTest(CaseTest):
     """What an endpoint asks for in its responses reaches the core."""
 
--- a/tests/sidecar/test_sidecar_core.py
+++ b/tests/sidecar/test_sidecar_core.py
@@ -148,6 +148,22 @@
         send(core, Dispatch("q", "a", "x", 1), 2.0, "r2")
         self.assertEqual(run.base_cost, 0.75)
 
+    # Answers in scripts with several bytes a character kept up to four times the limit.
+    @params(("latin", "a", 1), ("devanagari", "\u0939", 3), ("emoji", "\U0001f600", 4))
+    def test_size_of_an_answer_is_in_bytes(
+        self, name: str, character: str, size: int
+    ) -> None:
+        core = make_core()
+        limit = core.settings.max_answer_bytes
+        send(core, Dispatch("q", "a", "x", 1))
+        text = character * (limit // size // 2)
+        core.handle(OutputReceived("q", text, 1), 1.5)
+        self.assertGreaterEqual(
+            core.runs.run_by_id["q"].buffer.size_bytes, len(text.encode()), name
+        )
+        second = core.handle(OutputReceived("q", text, 1), 1.6)
+        self.assertIn(CancelRun("q"), second, name)
+
     # A tombstone that was set again kept its place and held up the expiry of others.
     def test_tombstones_expire_in_order(self) -> None:
         core = make_core()
