Keep the log of a busy process going

Operators: a process of the platform with two or more times as many lines as it may write kept almost none of them within a few seconds (4 lines a second of 1,200, 12 of 3,200), so explain found no trace of nearly all requests of a busy time. At rates just above the limit the level fell and rose again every second.

Cause: the count of lines began again when the sampling level rose, and it counted lines that were left out. The left-out lines raised the level further, up to one request in 256, and what remained of the count decided whether a second had few lines.

The count is now of the lines written in the second and starts anew only with the next one. Both rules, too many and few, speak of written lines.

Evidence: tests/events/test_explain.py with twice, three times and eight times the limit for 20 s failed before (3, 4 and 12 lines a second) and passes now, between an eighth of the limit and the limit; a second with five lines too many lowered the level before and does not now. tests.events and tests.cli: 27 passed. Busy processes write more than before, up to the limit of 400 lines a second.

--- a/pistachiolever/events/logger.py
+++ b/pistachiolever/events/logger.py
@@ -108,7 +108,8 @@
 
     `wall_ms` returns the milliseconds since the epoch; `emit` writes a line. At high
     rates all lines of some requests are dropped. The choice depends only on the
-    request id, so that all processes keep the lines of the same requests.
+    request id, so that all processes keep the lines of the same requests. `line_count`
+    is the number of lines written in the current second.
     """
 
     process_id: str
@@ -123,10 +124,11 @@
     def record(self, code: EventCode, request: str = "", **fields: Any) -> None:
         """Log an event, unless its request is not sampled."""
         now_ms = self.wall_ms()
-        self._count_line(now_ms // 1000)
+        self._start_second(now_ms // 1000)
         if request and not self._is_sampled(request):
             self.dropped += 1
             return
+        self._count_line()
         self.sequence += 1
         line: dict[str, Any] = {
             "ms": now_ms,
@@ -146,20 +148,24 @@
             return True
         return crc32(request.encode()) % (1 << self.sampling_level) == 0
 
-    def _count_line(self, second: int) -> None:
-        """Count a line; adapt the sampling level and report dropped lines.
+    def _count_line(self) -> None:
+        """Count a written line; raise the sampling level if there are too many.
 
-        The level rises as soon as a second has too many lines. It falls by one at
-        the start of a second if the previous one had few.
+        In one second it rises again with each further LINES_PER_SECOND.
         """
         self.line_count += 1
+        if (
+            self.line_count % LINES_PER_SECOND == 0
+            and self.sampling_level < MAX_SAMPLING_LEVEL
+        ):
+            self.sampling_level += 1
+
+    def _start_second(self, second: int) -> None:
+        """Lower the sampling level after a second with few written lines.
+
+        Also report dropped lines.
+        """
         if second == self.current_second:
-            if (
-                self.line_count > LINES_PER_SECOND
-                and self.sampling_level < MAX_SAMPLING_LEVEL
-            ):
-                self.sampling_level += 1
-                self.line_count = 0
             return
         was_quiet = self.line_count < LINES_PER_SECOND // 4
         self.current_second, self.line_count = second, 0
--- a/tests/events/test_explain.py
+++ b/tests/events/test_explain.py
@@ -1,5 +1,6 @@
 """Tests of `explain` with complete and incomplete logs, and of event logging."""
 
+from nose2.tools import params
 from orjson import dumps
 
 from pistachiolever.events.const import EventCode
@@ -126,6 +127,37 @@
             reports[0].inputs["lines"] + len(text) - 2, LINES_PER_SECOND * 3
         )
 
+    # The count began again when the level rose, so that a second with too many lines
+    # passed for one with few, and the level fell and rose in turns.
+    def test_level_stays_after_a_second_with_many_lines(self) -> None:
+        text: list[str] = []
+        now = [1000]
+        events = EventLogger("a", lambda: now[0], text.append)
+        for number in range(LINES_PER_SECOND + 5):
+            events.record(EventCode.REQUEST_GRANTED, f"request-{number}")
+        self.assertEqual(events.sampling_level, 1)
+        now[0] = 2000
+        events.record(EventCode.REQUEST_GRANTED, "next")
+        self.assertEqual(events.sampling_level, 1)
+
+    # Lines that were left out counted too, so that a process with three times the lines
+    # that it may write wrote almost none.
+    @params(2, 3, 8)
+    def test_many_lines_do_not_silence_a_process(self, times: int) -> None:
+        text: list[str] = []
+        now = [0]
+        events = EventLogger("a", lambda: now[0], text.append)
+        counts = []
+        for second in range(20):
+            written = len(text)
+            for number in range(times * LINES_PER_SECOND):
+                now[0] = second * 1000 + number * 1000 // (times * LINES_PER_SECOND)
+                events.record(EventCode.REQUEST_GRANTED, f"request-{number}")
+            counts.append(len(text) - written)
+        for count in counts[5:]:
+            self.assertGreaterEqual(count, LINES_PER_SECOND // 8, counts)
+            self.assertLessEqual(count, LINES_PER_SECOND + 1, counts)
+
     def test_writes_contain_whole_lines(self) -> None:
         blocks: list[bytes] = []
 
