Log that control answers again

Operators saw E920 CONTROL_UNREACHABLE in the log of a router or sidecar, and nothing when control was back, so a log did not tell how long a process had been without it.

ControlClient recorded only the change to unreachable. It now records both changes; the new one is E924 CONTROL_FOUND and names the process that answered.

--- a/pistachiolever/edge/control_client.py
+++ b/pistachiolever/edge/control_client.py
@@ -56,7 +56,7 @@
                 reply = await self.client.call(
                     address, path, message, reply_type, seconds
                 )
-                self._set_reachable(True, "")
+                self._set_reachable(True, address)
                 return reply
             except PeerError as error:
                 may_have_arrived = may_have_arrived or error.may_have_arrived
@@ -93,10 +93,12 @@
             await apply(revision)
 
     def _set_reachable(self, reachable: bool, detail: str) -> None:
-        """Update `reachable`; record an event when control becomes unreachable."""
-        if self.reachable and not reachable:
-            self.context.recorder.record(EventCode.CONTROL_UNREACHABLE, detail=detail)
+        """Update `reachable`; record an event when it changes."""
+        if self.reachable == reachable:
+            return
         self.reachable = reachable
+        code = EventCode.CONTROL_FOUND if reachable else EventCode.CONTROL_UNREACHABLE
+        self.context.recorder.record(code, detail=detail)
 
 
 def heartbeat_timeout(settings: ProcessSettings) -> float:
--- /dev/null
+++ b/tests/edge/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package edge."""
