Let operators' commands reach control processes that serve with TLS

Operators could not run plan, apply, preset, rollback, history, export, status or claims against control processes whose settings name a certificate (tls.certificate_file, docs/CONFIGURATION.md): they called them without TLS.

A decorator adds the three options of the client to the commands in place of two options and a constructor at each of eight.

--- a/pistachiolever/cli/declarations.py
+++ b/pistachiolever/cli/declarations.py
@@ -11,10 +11,9 @@
 
 from pistachiolever.cli.const import EXIT_CONFLICT, EXIT_INVALID
 from pistachiolever.cli.operator_client import (
-    CONTROL_OPTION,
     JSON_OPTION,
-    KEY_OPTION,
     OperatorClient,
+    with_operator_client,
 )
 from pistachiolever.cli.output import CommandFailedError, InvalidInputError, show
 from pistachiolever.control.commands import ChangeResult
@@ -66,16 +65,15 @@
 
 @command()
 @FOLDER_ARGUMENT
-@CONTROL_OPTION
-@KEY_OPTION
+@with_operator_client
 @JSON_OPTION
-def plan(folder: Path, addresses: tuple[str, ...], key: str, as_json: bool) -> None:
+def plan(folder: Path, client: OperatorClient, as_json: bool) -> None:
     """Show how a folder of declarations differs from the revision in force.
 
     Example: pistachiolever plan examples/bengal --control 127.0.0.1:7100
     """
     declarations = read_declarations(folder)
-    current = OperatorClient(addresses, key).current()
+    current = client.current()
     differences = _differences(current, declarations)
     lines = [f"changes to revision {current.number}:"]
     lines.extend(str(entry) for entry in differences)
@@ -87,8 +85,7 @@
 
 @command()
 @FOLDER_ARGUMENT
-@CONTROL_OPTION
-@KEY_OPTION
+@with_operator_client
 @CHANGE_OPTION
 @option(
     "--base",
@@ -99,8 +96,7 @@
 @JSON_OPTION
 def apply(
     folder: Path,
-    addresses: tuple[str, ...],
-    key: str,
+    client: OperatorClient,
     change_id: str,
     base: int | None,
     as_json: bool,
@@ -110,24 +106,19 @@
     Example: pistachiolever apply examples/bengal --control 127.0.0.1:7100
     """
     declarations = read_declarations(folder)
-    client = OperatorClient(addresses, key)
     _submit(client, declarations, change_id, base, as_json)
 
 
 @command()
 @argument("name")
-@CONTROL_OPTION
-@KEY_OPTION
+@with_operator_client
 @CHANGE_OPTION
 @JSON_OPTION
-def preset(
-    name: str, addresses: tuple[str, ...], key: str, change_id: str, as_json: bool
-) -> None:
+def preset(name: str, client: OperatorClient, change_id: str, as_json: bool) -> None:
     """Switch to another preset.
 
     Example: pistachiolever preset peak --control 127.0.0.1:7100
     """
-    client = OperatorClient(addresses, key)
     current = client.current()
     declarations = from_text(current.document)
     known = [entry.id for entry in declarations.presets]
@@ -142,18 +133,16 @@
 
 @command()
 @argument("revision", type=int)
-@CONTROL_OPTION
-@KEY_OPTION
+@with_operator_client
 @CHANGE_OPTION
 @JSON_OPTION
 def rollback(
-    revision: int, addresses: tuple[str, ...], key: str, change_id: str, as_json: bool
+    revision: int, client: OperatorClient, change_id: str, as_json: bool
 ) -> None:
     """Apply the declarations of an older revision again, as a new revision.
 
     Example: pistachiolever rollback 12 --control 127.0.0.1:7100
     """
-    client = OperatorClient(addresses, key)
     retained = {entry.number: entry for entry in _history(client)}
     if revision not in retained:
         allowed = f"{min(retained, default=0)} to {max(retained, default=0)}"
@@ -165,15 +154,14 @@
 
 
 @command()
-@CONTROL_OPTION
-@KEY_OPTION
+@with_operator_client
 @JSON_OPTION
-def history(addresses: tuple[str, ...], key: str, as_json: bool) -> None:
+def history(client: OperatorClient, as_json: bool) -> None:
     """List the retained revisions.
 
     Example: pistachiolever history --control 127.0.0.1:7100
     """
-    revisions = _history(OperatorClient(addresses, key))
+    revisions = _history(client)
     lines = [
         f"{entry.number} {entry.change_id} at_ms={entry.at_ms}" for entry in revisions
     ]
@@ -181,14 +169,13 @@
 
 
 @command()
-@CONTROL_OPTION
-@KEY_OPTION
-def export(addresses: tuple[str, ...], key: str) -> None:
+@with_operator_client
+def export(client: OperatorClient) -> None:
     """Print the declarations in force as one JSON document.
 
     Example: pistachiolever export --control 127.0.0.1:7100 > fleet/fleet.json
     """
-    echo(pretty(from_text(OperatorClient(addresses, key).current().document)))
+    echo(pretty(from_text(client.current().document)))
 
 
 def _history(client: OperatorClient) -> list[RevisionText]:
--- a/pistachiolever/cli/fleet.py
+++ b/pistachiolever/cli/fleet.py
@@ -8,10 +8,9 @@
 
 from pistachiolever.cli.const import EXIT_FAILED, FLEET_SECRET_VARIABLE
 from pistachiolever.cli.operator_client import (
-    CONTROL_OPTION,
     JSON_OPTION,
-    KEY_OPTION,
     OperatorClient,
+    with_operator_client,
 )
 from pistachiolever.cli.output import CommandFailedError, show
 from pistachiolever.control.operators import ClaimStatus, FleetStatus
@@ -21,15 +20,14 @@
 
 
 @command()
-@CONTROL_OPTION
-@KEY_OPTION
+@with_operator_client
 @JSON_OPTION
-def status(addresses: tuple[str, ...], key: str, as_json: bool) -> None:
+def status(client: OperatorClient, as_json: bool) -> None:
     """Show the live processes and which lag behind the revision in force.
 
     Example: pistachiolever status --control 127.0.0.1:7100
     """
-    fleet = OperatorClient(addresses, key).get("/ops/status", FleetStatus)
+    fleet = client.get("/ops/status", FleetStatus)
     lines = [f"leader {fleet.leader}, revision {fleet.revision}, preset {fleet.preset}"]
     for process in fleet.processes:
         lag = " LAGS" if process.process_id in fleet.laggards else ""
@@ -41,15 +39,14 @@
 
 
 @command()
-@CONTROL_OPTION
-@KEY_OPTION
+@with_operator_client
 @JSON_OPTION
-def claims(addresses: tuple[str, ...], key: str, as_json: bool) -> None:
+def claims(client: OperatorClient, as_json: bool) -> None:
     """List idempotency keys whose outcome is pending or unknown.
 
     Example: pistachiolever claims --control 127.0.0.1:7100
     """
-    claim_list = OperatorClient(addresses, key).get("/ops/claims", list[ClaimStatus])
+    claim_list = client.get("/ops/claims", list[ClaimStatus])
     lines = [
         f"{claim.state:<14} {claim.key} attempt={claim.attempt_id}"
         for claim in claim_list
