Let the fault DUPLICATE of the stand-in engine duplicate

Whoever tested a fleet against duplicated output set the fault "duplicate" and got keep-alive comments: each token came once, so the test showed nothing.

DUPLICATE now sends each token twice. The comments have a fault of their own, KEEP_ALIVE ("keep-alive").

--- a/stand_ins/engine.py
+++ b/stand_ins/engine.py
@@ -142,6 +142,8 @@
         if fault is FaultKind.GARBAGE:
             yield b"data: {not json\n\n"
         if fault is FaultKind.DUPLICATE:
+            yield _token_line(sequence.tokens[sent])
+        if fault is FaultKind.KEEP_ALIVE:
             yield b": keep-alive\n\n"
 
     async def resume(self, request: Request) -> Response:
--- a/stand_ins/faults.py
+++ b/stand_ins/faults.py
@@ -8,9 +8,9 @@
 class FaultKind(Enum):
     """The kind of an injected fault.
 
-    DUPLICATE sends a keep-alive comment before each token; SLOW delays each token, or a
-    booking. PAUSE refuses the call and asks for a pause of a second; LEAVING serves it
-    and says that the endpoint is leaving.
+    In a stream DUPLICATE sends each token twice and KEEP_ALIVE a comment before each;
+    SLOW delays each token, or a booking. PAUSE refuses the call and asks for a pause
+    of a second; LEAVING serves it and says that the endpoint is leaving.
     """
 
     NONE = "none"
@@ -19,6 +19,7 @@
     SLOW = "slow"
     GARBAGE = "garbage"
     DUPLICATE = "duplicate"
+    KEEP_ALIVE = "keep-alive"
     OVERLOAD = "overload"
     ERROR = "error"
     PAUSE = "pause"
