Keep one sender of Raft messages for both kinds of control

No change for callers or operators. control.process and registry.process had the same class with another client, path and reply; control.raft_sender holds it once and takes the call as an argument. member_id of one of them was never read.

--- a/pistachiolever/control/process.py
+++ b/pistachiolever/control/process.py
@@ -1,5 +1,7 @@
 """A control process: its storage, its Raft messages to peers and its state."""
 
+from functools import partial
+
 from anyio import Event, create_task_group, sleep
 from attrs import define, field
 
@@ -9,12 +11,11 @@
 from pistachiolever.control.const import PROPOSE_TIMEOUT_SECONDS
 from pistachiolever.control.coordinator import FleetCoordinator
 from pistachiolever.control.directory import Directory
+from pistachiolever.control.raft_sender import RaftSender
 from pistachiolever.control.state import ControlState, Result
 from pistachiolever.control.storage import Identity, LogStorage
-from pistachiolever.core.mailbox import Mailbox
 from pistachiolever.edge.client import FleetClient
 from pistachiolever.edge.context import ProcessContext
-from pistachiolever.edge.errors import PeerError
 from pistachiolever.events.const import EventCode
 from pistachiolever.raft.const import RAFT_TICK_SECONDS
 from pistachiolever.raft.core import RaftCore
@@ -23,26 +24,6 @@
 from pistachiolever.wire.const import RAFT_PATH
 
 
-@define
-class RaftSender:
-    """Sends Raft messages to one other member."""
-
-    member_id: str
-    address: str
-    client: FleetClient
-    outbox: Mailbox[RaftEnvelope] = field(factory=Mailbox)
-
-    async def run(self) -> None:
-        """Send queued messages; Raft tolerates lost ones."""
-        while envelopes := await self.outbox.get_all():
-            try:
-                await self.client.call(
-                    self.address, RAFT_PATH, envelopes, bool, PROPOSE_TIMEOUT_SECONDS
-                )
-            except PeerError:
-                continue
-
-
 @define
 class ControlProcess:
     """One control process: a Raft member that coordinates the fleet while it leads."""
@@ -82,7 +63,8 @@
         )
         self.notified_revision = self._revision()
         self.sender_by_member = {
-            address: RaftSender(address, address, self.client) for address in others
+            address: RaftSender(partial(self._call_member, address))
+            for address in others
         }
         self.context.recorder.record(
             EventCode.LOG_RECOVERED,
@@ -165,6 +147,12 @@
         """Queue a message for the task that sends to its receiver."""
         self.sender_by_member[envelope.receiver].outbox.put(envelope)
 
+    async def _call_member(self, address: str, envelopes: list[RaftEnvelope]) -> None:
+        """Send Raft messages to another member."""
+        await self.client.call(
+            address, RAFT_PATH, envelopes, bool, PROPOSE_TIMEOUT_SECONDS
+        )
+
     # ConsensusListener.
 
     def applied(self) -> None:
--- a/pistachiolever/registry/process.py
+++ b/pistachiolever/registry/process.py
@@ -1,6 +1,7 @@
 """One member of the registry: consensus, endpoint directory and watchers."""
 
 from collections.abc import Callable
+from functools import partial
 from random import Random
 from typing import Protocol
 
@@ -13,6 +14,7 @@
     NotLeaderError,
     OutcomeUnknownError,
 )
+from pistachiolever.control.raft_sender import RaftSender
 from pistachiolever.control.state import ControlState
 from pistachiolever.control.storage import Identity, LogStorage
 from pistachiolever.core.ids import new_id
@@ -74,25 +76,6 @@
         """Return the version; raise InvalidConfigurationError."""
 
 
-@define
-class RaftSender:
-    """Sends Raft messages to one other member."""
-
-    address: str
-    client: PeerClient
-    outbox: Mailbox[RaftEnvelope] = field(factory=Mailbox)
-
-    async def run(self) -> None:
-        """Send queued messages; Raft tolerates lost ones."""
-        while envelopes := await self.outbox.get_all():
-            try:
-                await self.client.call(
-                    self.address, RAFT_PATH, envelopes, Accepted, RAFT_CALL_SECONDS
-                )
-            except PeerError:
-                continue
-
-
 @define
 class RegistryProcess:
     """One member of the registry.
@@ -332,11 +315,18 @@
         """Queue a message for the task that sends to its receiver."""
         sender = self.sender_by_member.get(envelope.receiver)
         if sender is None:
-            sender = RaftSender(address_of(envelope.receiver), self.client)
+            address = address_of(envelope.receiver)
+            sender = RaftSender(partial(self._call_member, address))
             self.sender_by_member[envelope.receiver] = sender
             self.new_senders.put(sender)
         sender.outbox.put(envelope)
 
+    async def _call_member(self, address: str, envelopes: list[RaftEnvelope]) -> None:
+        """Send Raft messages to another member."""
+        await self.client.call(
+            address, RAFT_PATH, envelopes, Accepted, RAFT_CALL_SECONDS
+        )
+
     async def _join_when_needed(self) -> None:
         """Send join requests while this member is a learner or has lost its leader."""
         while True:
