Keep one error for calls that a handler refuses

No change for callers or operators. edge.peers and control.http had a CallRefusedError each; edge.errors holds the one with a detail.

--- a/pistachiolever/control/http.py
+++ b/pistachiolever/control/http.py
@@ -17,6 +17,7 @@
 from pistachiolever.control.process import ControlProcess
 from pistachiolever.core.clock import wall_ms
 from pistachiolever.core.errors import ProtocolError
+from pistachiolever.edge.errors import CallRefusedError
 from pistachiolever.edge.server import (
     BodyTooLargeError,
     is_fleet_call,
@@ -68,15 +69,6 @@
     )
 
 
-class CallRefusedError(Exception):
-    """Raised by a handler to respond with an error status instead of a reply."""
-
-    def __init__(self, status: int) -> None:
-        """Initialize with the HTTP status."""
-        super().__init__(str(status))
-        self.status = status
-
-
 @define
 class FleetApi:
     """API for routers, sidecars and other control processes."""
--- a/pistachiolever/edge/errors.py
+++ b/pistachiolever/edge/errors.py
@@ -13,3 +13,13 @@
         super().__init__(detail)
         self.may_have_arrived = may_have_arrived
         self.status = status
+
+
+class CallRefusedError(Exception):
+    """Raised by a handler to respond with an error status instead of a reply."""
+
+    def __init__(self, status: int, detail: str = "") -> None:
+        """Store the HTTP status and the detail."""
+        super().__init__(detail or str(status))
+        self.status = status
+        self.detail = detail
--- a/pistachiolever/edge/peers.py
+++ b/pistachiolever/edge/peers.py
@@ -8,7 +8,7 @@
 
 from pistachiolever.core.errors import ProtocolError
 from pistachiolever.edge.const import JSON_CONTENT_TYPE
-from pistachiolever.edge.errors import PeerError
+from pistachiolever.edge.errors import CallRefusedError, PeerError
 from pistachiolever.edge.keys import bearer_key, same_key
 from pistachiolever.http1.client import ClientConnection, open_connection
 from pistachiolever.http1.errors import PeerClosedError
@@ -158,16 +158,6 @@
                 await connection.close()
 
 
-class CallRefusedError(Exception):
-    """Raised by a handler to respond with an error status instead of a reply."""
-
-    def __init__(self, status: int, detail: str = "") -> None:
-        """Store the HTTP status and the detail."""
-        super().__init__(detail or str(status))
-        self.status = status
-        self.detail = detail
-
-
 @define
 class PeerRoute:
     """The handler of a path and the type of message it expects."""
--- a/pistachiolever/registry/process.py
+++ b/pistachiolever/registry/process.py
@@ -19,8 +19,8 @@
 from pistachiolever.control.storage import Identity, LogStorage
 from pistachiolever.core.ids import new_id
 from pistachiolever.core.mailbox import Mailbox
-from pistachiolever.edge.errors import PeerError
-from pistachiolever.edge.peers import CallRefusedError, PeerApi, PeerClient
+from pistachiolever.edge.errors import CallRefusedError, PeerError
+from pistachiolever.edge.peers import PeerApi, PeerClient
 from pistachiolever.events.const import EventCode
 from pistachiolever.events.logger import EventLogger
 from pistachiolever.metrics.instruments import Instruments
