Keep one error for connections that stand-ins cut

No change for callers or operators. Both stand-ins had a ConnectionCutError; stand_ins.faults, which names the faults, holds it.

Evidence: tests.stand_in_engine passes.

--- a/stand_ins/booking_desk.py
+++ b/stand_ins/booking_desk.py
@@ -14,6 +14,7 @@
 from stand_ins.faults import (
     LEAVING_HEADERS,
     PAUSE_HEADERS,
+    ConnectionCutError,
     FaultInjector,
     FaultKind,
 )
@@ -22,10 +23,6 @@
 SLOW_SECONDS: Final = 1.0
 
 
-class ConnectionCutError(Exception):
-    """Drops a connection as an injected fault."""
-
-
 async def _truncated_answer() -> AsyncIterator[bytes]:
     """Send the start of an answer, then drop the connection."""
     yield b'{"booked":'
--- a/stand_ins/engine.py
+++ b/stand_ins/engine.py
@@ -15,6 +15,7 @@
 from stand_ins.faults import (
     LEAVING_HEADERS,
     PAUSE_HEADERS,
+    ConnectionCutError,
     FaultInjector,
     FaultKind,
 )
@@ -32,10 +33,6 @@
     waiting: int
 
 
-class ConnectionCutError(Exception):
-    """Drops a connection as an injected fault."""
-
-
 @define
 class Engine:
     """A batching engine and its HTTP API."""
--- a/stand_ins/faults.py
+++ b/stand_ins/faults.py
@@ -26,6 +26,10 @@
     LEAVING = "leaving"
 
 
+class ConnectionCutError(Exception):
+    """Drops a connection as an injected fault."""
+
+
 PAUSE_HEADERS = {"retry-after": "1"}
 LEAVING_HEADERS = {"x-leaving": "1"}
 
