Remove a type, a field and a method that nothing uses

No change for callers or operators. RoleRunner stood in cli.processes and in cli.roles, which alone uses it; RouterEndpointState.disconnected_at and SidecarCore.has_router were never read.

--- a/pistachiolever/cli/processes.py
+++ b/pistachiolever/cli/processes.py
@@ -1,6 +1,5 @@
 """Runs the server and tasks of one role until it is stopped and drained."""
 
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Protocol
 
@@ -23,8 +22,6 @@
 from pistachiolever.sidecar.models import NewRevision
 from pistachiolever.sidecar.tasks import SidecarProcess
 
-RoleRunner = Callable[[ProcessSettings, Event], Awaitable[None]]
-
 
 class RoleProcess(Protocol):
     """Interface that the process of every role implements."""
--- a/pistachiolever/router/endpoints.py
+++ b/pistachiolever/router/endpoints.py
@@ -23,7 +23,6 @@
     in_flight_count: int = 0
     consecutive_failures: int = 0
     ejected_until: float = 0.0
-    disconnected_at: float = 0.0
     bids_sent: list[Bid] = field(factory=list)
 
     def is_available(self) -> bool:
--- a/pistachiolever/sidecar/core.py
+++ b/pistachiolever/sidecar/core.py
@@ -141,10 +141,6 @@
         ramp = (self.now - self.paused_until) / PAUSE_RAMP_SECONDS
         return allowed if ramp >= 1 else max(1, int(allowed * ramp))
 
-    def has_router(self, router_id: str) -> bool:
-        """Return whether the router has a session."""
-        return router_id in self.credits_by_router
-
     def status(self, request_id: str, account_id: str) -> RunStatus:
         """Return the status of an account's request; other accounts find nothing."""
         run = self.runs.run_by_id.get(request_id)
