Keep one free_address of the tests

No change for callers or operators. tests.http1.test_server and tests.system.fleet each chose addresses of servers, the latter possibly the same one twice before its server started; tests.support.addresses holds one that needs no event loop. Only imports and calls change in the tests; no check does.

--- a/tests/cli/test_unreachable.py
+++ b/tests/cli/test_unreachable.py
@@ -9,8 +9,8 @@
 
 from pistachiolever.cli.const import EXIT_FAILED
 from pistachiolever.cli.main import cli
+from tests.support.addresses import free_address
 from tests.support.cases import CaseTest
-from tests.system.fleet import free_address
 
 FOLDER = "examples/bengal"
 
--- a/tests/gateway/test_crashing_prompts.py
+++ b/tests/gateway/test_crashing_prompts.py
@@ -32,8 +32,8 @@
     respond,
     value,
 )
-from tests.http1.test_server import free_address
 from tests.registry.test_process import make_discarding_logger
+from tests.support.addresses import free_address
 from tests.support.cases import CaseTest
 
 BAD_PART = b"bad0"
@@ -101,7 +101,7 @@
 
 async def start_fleet(group: TaskGroup) -> Fleet:
     """Start a router and ENDPOINTS endpoints."""
-    front, ready = await free_address(), await free_address()
+    front, ready = free_address(), free_address()
     settings = GatewaySettings("r", "north", front, ready, "/ready", 2, 1, 10, 99)
     events = make_discarding_logger("r")
     view = FleetView(
--- a/tests/gateway/test_drain.py
+++ b/tests/gateway/test_drain.py
@@ -37,8 +37,9 @@
     id_of,
     respond,
 )
-from tests.http1.test_server import free_address, read_all
+from tests.http1.test_server import read_all
 from tests.registry.test_process import make_discarding_logger
+from tests.support.addresses import free_address
 from tests.support.cases import CaseTest
 
 GRACE_SECONDS = 6.0
@@ -86,8 +87,8 @@
         self.settings = GatewaySettings(
             "r",
             "north",
-            await free_address(),
-            await free_address(),
+            free_address(),
+            free_address(),
             "/ready",
             GRACE_SECONDS,
             1,
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -36,8 +36,8 @@
     WeightedService,
 )
 from pistachiolever.routing.table import RouteTable
-from tests.http1.test_server import free_address
 from tests.registry.test_process import make_discarding_logger
+from tests.support.addresses import free_address
 from tests.support.cases import CaseTest
 
 LONG_BYTES = 256 * 65_536
@@ -377,8 +377,8 @@
     settings = GatewaySettings(
         "r",
         "north",
-        await free_address(),
-        await free_address(),
+        free_address(),
+        free_address(),
         "/ready",
         2,
         retry_ratio,
--- a/tests/http1/test_descriptors.py
+++ b/tests/http1/test_descriptors.py
@@ -20,7 +20,8 @@
 from pistachiolever.edge.peers import ConnectionPool
 from pistachiolever.http1.errors import PeerClosedError
 from pistachiolever.http1.server import HttpServer
-from tests.http1.test_server import Echo, free_address, read_all
+from tests.http1.test_server import Echo, read_all
+from tests.support.addresses import free_address
 from tests.support.cases import CaseTest
 
 REQUEST: Final = b"GET /1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
@@ -78,7 +79,7 @@
     # ended the process.
     def test_server_survives_exhausted_descriptors(self) -> None:
         async def test() -> None:
-            address = await free_address()
+            address = free_address()
             with Popen(
                 [sys.executable, "-m", "tests.http1.test_descriptors", address],
                 cwd=Path(__file__).parents[2],
@@ -103,7 +104,7 @@
         async def test() -> None:
             reports: list[tuple[str, int]] = []
             server = HttpServer(
-                await free_address(),
+                free_address(),
                 Echo().handle,
                 max_connections=3,
                 report_limit=lambda reason, count: reports.append((reason, count)),
@@ -129,7 +130,7 @@
     def test_clients_wait_while_all_connections_are_in_use(self) -> None:
         async def test() -> None:
             echo = Echo(delay_seconds=0.3)
-            server = HttpServer(await free_address(), echo.handle, max_connections=4)
+            server = HttpServer(free_address(), echo.handle, max_connections=4)
             statuses: list[bytes] = []
 
             async def call() -> None:
@@ -155,7 +156,7 @@
 
     def test_idle_connections_make_room(self) -> None:
         async def test() -> None:
-            servers = [HttpServer(await free_address(), Echo().handle) for _ in "abc"]
+            servers = [HttpServer(free_address(), Echo().handle) for _ in "abc"]
             pool = ConnectionPool(max_open=2)
             async with create_task_group() as group:
                 for server in servers:
@@ -182,7 +183,7 @@
         async def test() -> int:
             pool = ConnectionPool()
             with self.assertRaises(PeerClosedError):
-                await pool.acquire(await free_address(), 1.0)
+                await pool.acquire(free_address(), 1.0)
             return pool.open_count
 
         self.assertEqual(run(test), 0)
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -1,7 +1,6 @@
 """Tests of the HTTP server: invalid requests, reused connections, disconnects."""
 
 from collections.abc import Callable
-from random import SystemRandom
 from socket import SO_LINGER, SOL_SOCKET, socket
 from struct import pack
 from time import sleep as pause_process
@@ -10,7 +9,6 @@
     EndOfStream,
     connect_tcp,
     create_task_group,
-    create_tcp_listener,
     fail_after,
     run,
     sleep,
@@ -21,35 +19,13 @@
 
 from pistachiolever.http1.models import HttpLimits
 from pistachiolever.http1.server import Exchange, HttpServer
+from tests.support.addresses import free_address
 from tests.support.cases import CaseTest
 
 BURST = 200
 LIMITS = HttpLimits(2000, 1000, 0.3, 0.5)
 
 
-# Below the range from which the system takes the ports of outgoing connections, which
-# could use an address between its choice and the start of its server.
-PORTS = range(12_000, 32_000)
-_used_ports: set[int] = set()
-
-
-async def free_address() -> str:
-    """Return an unused address, a different one at each call."""
-    while True:
-        port = SystemRandom().choice(PORTS)
-        if port in _used_ports:
-            continue
-        try:
-            listener = await create_tcp_listener(
-                local_host="127.0.0.1", local_port=port
-            )
-        except OSError:
-            continue
-        await listener.aclose()
-        _used_ports.add(port)
-        return f"127.0.0.1:{port}"
-
-
 @define
 class Echo:
     """A handler that responds with the request body and records its requests."""
@@ -109,7 +85,7 @@
 
 async def send_raw(echo: Echo, sent: bytes, then_close: bool = False) -> bytes:
     """Send bytes to a server; return its output until it closes the connection."""
-    server = HttpServer(await free_address(), echo.handle, lambda: LIMITS)
+    server = HttpServer(free_address(), echo.handle, lambda: LIMITS)
     answer = b""
     with fail_after(5):
         async with create_task_group() as group:
@@ -184,7 +160,7 @@
     def test_request_of_a_client_that_has_left_is_not_handled(self) -> None:
         async def test() -> int:
             echo = Echo()
-            server = HttpServer(await free_address(), echo.handle, lambda: LIMITS)
+            server = HttpServer(free_address(), echo.handle, lambda: LIMITS)
             async with create_task_group() as group:
                 group.start_soon(server.serve)
                 await sleep(0.05)
@@ -203,7 +179,7 @@
     # sending the requests which it refused.
     def test_refusal_reaches_a_client_that_is_still_sending(self) -> None:
         async def test() -> bytes:
-            server = HttpServer(await free_address(), Refusing().handle)
+            server = HttpServer(free_address(), Refusing().handle)
             async with create_task_group() as group:
                 group.start_soon(server.serve)
                 await sleep(0.05)
@@ -241,7 +217,7 @@
 
     async def exchange(self, close: Callable[[HttpServer], None]) -> list[bytes]:
         """Send two requests, the second while the server does not run for a while."""
-        server = HttpServer(await free_address(), Echo().handle, lambda: LIMITS)
+        server = HttpServer(free_address(), Echo().handle, lambda: LIMITS)
         answers: list[bytes] = []
         async with create_task_group() as group:
             group.start_soon(server.serve)
@@ -278,7 +254,7 @@
     def test_burst_is_accepted_within_a_few_turns(self) -> None:
         async def test() -> int:
             turns = 0
-            server = HttpServer(await free_address(), Echo().handle)
+            server = HttpServer(free_address(), Echo().handle)
 
             async def count_turns() -> None:
                 nonlocal turns
@@ -306,7 +282,7 @@
     # accept loop, and with it the process and all requests that it was serving.
     def test_connection_reset_before_its_setup_ends_no_process(self) -> None:
         async def test() -> bytes:
-            server = HttpServer(await free_address(), Echo().handle)
+            server = HttpServer(free_address(), Echo().handle)
             async with create_task_group() as group:
                 group.start_soon(server.serve)
                 await sleep(0.05)
--- a/tests/metrics/test_exposition.py
+++ b/tests/metrics/test_exposition.py
@@ -10,8 +10,9 @@
 from pistachiolever.http1.server import HttpServer
 from pistachiolever.metrics.exposition import MetricsApi
 from pistachiolever.metrics.instruments import GAUGES, Instruments
-from tests.http1.test_server import free_address, read_all
+from tests.http1.test_server import read_all
 from tests.registry.test_process import make_discarding_logger
+from tests.support.addresses import free_address
 from tests.support.cases import CaseTest
 
 
@@ -25,7 +26,7 @@
 
 async def scrape(instruments: Instruments) -> bytes:
     """Return the raw response to a scrape."""
-    server = HttpServer(await free_address(), MetricsApi("/m", instruments).handle)
+    server = HttpServer(free_address(), MetricsApi("/m", instruments).handle)
     async with create_task_group() as group:
         group.start_soon(server.serve)
         await sleep(0.05)
--- a/tests/registry/test_process.py
+++ b/tests/registry/test_process.py
@@ -23,7 +23,7 @@
 from pistachiolever.registry.watcher import RegistryWatcher
 from pistachiolever.routing.errors import InvalidConfigurationError
 from pistachiolever.usage.models import UsageUpdate
-from tests.http1.test_server import free_address
+from tests.support.addresses import free_address
 from tests.support.cases import CaseTest
 
 LIMITS = HttpLimits(max_body_bytes=1024 * 1024)
@@ -81,7 +81,7 @@
     async def start_founders(self, names: str = "abc") -> None:
         """Start the initial members."""
         for name in names:
-            self.address_by_name[name] = await free_address()
+            self.address_by_name[name] = free_address()
         self.seeds = list(self.address_by_name.values())
         for name in names:
             self.start(name, founder=True)
@@ -233,7 +233,7 @@
             await fleet.start_founders()
             await fleet.store(document(1))
             for version, (old, new) in enumerate(zip("abc", "def", strict=True), 2):
-                fleet.address_by_name[new] = await free_address()
+                fleet.address_by_name[new] = free_address()
                 fleet.start(new)
                 await fleet.until(lambda new=new: fleet.is_voter(new))  # type: ignore[misc]
                 await fleet.stop(old)
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -2,13 +2,11 @@
 
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
 from collections.abc import Callable
 from pathlib import Path
-from random import SystemRandom
 from tempfile import TemporaryDirectory
 from typing import Any, Final
 
@@ -23,29 +21,12 @@
 from pistachiolever.declarations.codec import to_text
 from pistachiolever.declarations.models import Declarations
 from pistachiolever.edge.keys import key_digest
+from tests.support.addresses import free_address
 
 WAIT_SECONDS: Final = 20.0
 HALDIA: Final = "demo-key-haldia"
 DEPOT: Final = "demo-key-depot"
 ROOT: Final = Path(__file__).parents[2]
-# Below the range from which the system takes the ports of outgoing connections.
-PORTS: Final = range(12_000, 32_000)
-
-
-def free_address() -> str:
-    """Return a loopback address whose port is free now.
-
-    Ports of outgoing connections are not used: one of these could take the address
-    before its server has started.
-    """
-    while True:
-        port = SystemRandom().choice(PORTS)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        return f"127.0.0.1:{port}"
 
 
 def wait_until(check: Callable[[], bool], condition: str) -> None:
