--- a/pistachiolever/control/http.py
+++ b/pistachiolever/control/http.py
@@ -11,12 +11,13 @@
 from starlette.routing import Route
 
 from pistachiolever.const import OLDEST_PROTOCOL_VERSION
-from pistachiolever.control.commands import CloseClaim, OpenClaim
+from pistachiolever.control.commands import CloseClaim, OpenClaim, limit_outcome
 from pistachiolever.control.consensus import NotLeaderError, OutcomeUnknownError
 from pistachiolever.control.operators import OperatorApi
 from pistachiolever.control.process import ControlProcess
 from pistachiolever.core.clock import wall_ms
 from pistachiolever.core.errors import ProtocolError
+from pistachiolever.edge.errors import CallRefusedError
 from pistachiolever.edge.server import (
     BodyTooLargeError,
     is_fleet_call,
@@ -68,15 +69,6 @@
     )
 
 
-class CallRefusedError(Exception):
-    """Raised by a handler to respond with an error status instead of a reply."""
-
-    def __init__(self, status: int) -> None:
-        """Initialize with the HTTP status."""
-        super().__init__(str(status))
-        self.status = status
-
-
 @define
 class FleetApi:
     """API for routers, sidecars and other control processes."""
@@ -223,7 +215,10 @@
         )
         return await self.process.propose(
             CloseClaim(
-                message.attempt_id, message.verdict, message.outcome_sse, wall_ms()
+                message.attempt_id,
+                message.verdict,
+                limit_outcome(message.outcome_sse),
+                wall_ms(),
             )
         )
 
--- a/stand_ins/engine.py
+++ b/stand_ins/engine.py
@@ -15,6 +15,7 @@
 from stand_ins.faults import (
     LEAVING_HEADERS,
     PAUSE_HEADERS,
+    ConnectionCutError,
     FaultInjector,
     FaultKind,
 )
@@ -32,10 +33,6 @@
     waiting: int
 
 
-class ConnectionCutError(Exception):
-    """Drops a connection as an injected fault."""
-
-
 @define
 class Engine:
     """A batching engine and its HTTP API."""
@@ -142,6 +139,8 @@
         if fault is FaultKind.GARBAGE:
             yield b"data: {not json\n\n"
         if fault is FaultKind.DUPLICATE:
+            yield _token_line(sequence.tokens[sent])
+        if fault is FaultKind.KEEP_ALIVE:
             yield b": keep-alive\n\n"
 
     async def resume(self, request: Request) -> Response:
