Tell of quarantines again also while there is other news

After a restart of the members, restarted routers would have sent requests with a quarantined part to endpoints again.

Cause: a router repeats its quarantines every 5 s, but looked whether that is due only if it had nothing else to report. A router that decides for endpoints itself has other news nearly always.

Evidence: in the new test all members and five of six routers restart, and the sixth has other news in each report. Before, the five sent the part; now all refuse it. The members of both tests now restart only once the quarantine is no news any more; before, that alone told of it.

It works since the interval is looked at before each report.

--- a/pistachiolever/usage/reporter.py
+++ b/pistachiolever/usage/reporter.py
@@ -60,10 +60,11 @@
 
     def _has_news(self, load: Load | None, now: float) -> bool:
         """Return whether there is something to report."""
-        if self.service.changed_accounts or self.seen_loads:
-            return True
+        # Asked in any case, since it also repeats what others may have forgotten.
         if self.quarantine is not None and self.quarantine.has_reports(now):
             return True
+        if self.service.changed_accounts or self.seen_loads:
+            return True
         if load is None:
             return False
         if not self.member_life or self.reported_load is None:
--- a/tests/quarantine/test_spread.py
+++ b/tests/quarantine/test_spread.py
@@ -4,12 +4,13 @@
 
 from attrs import define, field
 
+from pistachiolever.admission.models import Load
 from pistachiolever.admission.recent_service import RecentService
 from pistachiolever.quarantine.const import MAX_SUSPECTED_PARTS, SOUND_SECONDS
 from pistachiolever.quarantine.models import PartRecord, unpack_report
 from pistachiolever.quarantine.quarantine import Quarantine
 from pistachiolever.usage.aggregate import UsageAggregate
-from pistachiolever.usage.models import MemberDigest
+from pistachiolever.usage.models import MeasuredLoad, MemberDigest
 from pistachiolever.usage.reporter import UsageReporter
 from tests.support.cases import CaseTest
 
@@ -32,13 +33,17 @@
 
 @define
 class Network:
-    """Routers and members that exchange messages, of which some are lost."""
+    """Routers and members that exchange messages, of which some are lost.
+
+    While `busy`, routers have other news in each report.
+    """
 
     rng: Random
     routers: list[Router] = field(factory=list)
     members: list[UsageAggregate] = field(factory=list)
     accepted: dict[tuple[str, str], int] = field(factory=dict)
     lost_fraction: float = 0.0
+    busy: bool = False
     now: float = 100.0
     lives: int = 0
 
@@ -78,6 +83,9 @@
 
     def report(self, router: Router, member: UsageAggregate) -> None:
         """Send what a router has to tell; a reply may be lost, too."""
+        if self.busy:
+            load = MeasuredLoad(Load(), self.now)
+            router.reporter.record_seen_load("agent", load)
         report = router.reporter.next_report(self.now)
         if report is None:
             return
@@ -179,11 +187,22 @@
         self.assertEqual(network.refusing(), [False] * 6)
 
     def test_restarted_router_and_members_learn_of_a_quarantine(self) -> None:
+        self.check_restarts(make_network(1))
+
+    # Routers told of their quarantines again only if they had no other news.
+    def test_restarted_router_learns_of_a_quarantine_from_a_busy_one(self) -> None:
         network = make_network(1)
+        network.busy = True
+        self.check_restarts(network)
+
+    def check_restarts(self, network: Network) -> None:
+        """Check that one router is enough to tell the others after a restart."""
         for router in range(3):
             network.crash(router, f"e{router}")
         network.run(CONTACT_SECONDS)
         self.assertEqual(network.refusing(), [True] * 6)
+        # The quarantine is no news any more.
+        network.run(CONTACT_SECONDS)
         for place in range(3):
             network.add_member(place)
         for place in range(5):
