Forget each crash after its time, not only whole records

Cause: crashes count for ten minutes, but a record was forgotten as a whole ten minutes after its newest crash, and only when its router had something to report.

It works since old crashes are dropped before one is added or heard of.

--- a/pistachiolever/quarantine/evidence.py
+++ b/pistachiolever/quarantine/evidence.py
@@ -24,6 +24,7 @@
         changed: list[str] = []
         for part_id, report in reports.items():
             other = unpack_report(report, now)
+            other.forget_crashes(now - EVIDENCE_SECONDS)
             if not _is_expired(other, now) and self._merge_record(part_id, other):
                 changed.append(part_id)
         self._limit()
@@ -31,6 +32,7 @@
 
     def add_crash(self, part_id: str, depth: int, incarnation: str, now: float) -> bool:
         """Record that an endpoint crashed under a part; return whether it is news."""
+        self.expire(now)
         is_news = self._merge_record(part_id, PartRecord({incarnation: now}, depth))
         self._limit()
         return is_news
@@ -42,6 +44,7 @@
     def expire(self, now: float) -> None:
         """Forget old crashes, and quarantines that ended long ago."""
         for part_id, record in list(self.record_by_part.items()):
+            record.forget_crashes(now - EVIDENCE_SECONDS)
             if _is_expired(record, now):
                 del self.record_by_part[part_id]
 
--- a/pistachiolever/quarantine/models.py
+++ b/pistachiolever/quarantine/models.py
@@ -58,6 +58,12 @@
             changed = True
         return changed
 
+    def forget_crashes(self, before: float) -> None:
+        """Forget old crashes."""
+        for incarnation, at in list(self.crashed_at.items()):
+            if at < before:
+                del self.crashed_at[incarnation]
+
     def counted_crashes(self) -> set[str]:
         """Return the endpoint incarnations that crashed long after a sound run.
 
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -7,6 +7,7 @@
 
 from pistachiolever.quarantine.const import (
     CRASHES_TO_QUARANTINE,
+    EVIDENCE_SECONDS,
     MAX_SUSPECTED_PARTS,
     QUARANTINE_FACTOR,
     QUARANTINE_SECONDS,
@@ -14,6 +15,7 @@
     SOUND_SECONDS,
     TEST_SPREAD_SECONDS,
 )
+from pistachiolever.quarantine.models import PartReport
 from pistachiolever.quarantine.quarantine import Change, Quarantine
 from tests.support.cases import CaseTest
 
@@ -61,6 +63,19 @@
         quarantine.record_crash("e1", BAD, NOW)
 
 
+def crashes_long_apart(quarantine: Quarantine) -> None:
+    """The crashes before the last one are forgotten."""
+    for number in range(CRASHES_TO_QUARANTINE):
+        at = NOW - (CRASHES_TO_QUARANTINE - number) * (EVIDENCE_SECONDS - 1)
+        quarantine.record_crash(f"e{number}", BAD, at)
+
+
+def told_of_crashes_long_apart(quarantine: Quarantine) -> None:
+    """The same, as another router tells it."""
+    crashes = {f"e{n}": n * int(EVIDENCE_SECONDS) * 700 for n in range(3)}
+    quarantine.apply({"bad": PartReport(crashes, 1)}, NOW)
+
+
 def sound_between(quarantine: Quarantine) -> None:
     """The part has a sound run between the crashes."""
     crash(quarantine, BAD, 2)
@@ -103,6 +118,9 @@
             Case(nothing_is_sound, "bad"),
             Case(too_few_crashes, ""),
             Case(the_same_crash, ""),
+            # Crashes of different days added up.
+            Case(crashes_long_apart, ""),
+            Case(told_of_crashes_long_apart, ""),
             Case(sound_between, ""),
             Case(sound_after, ""),
             Case(sound_long_ago, "bad"),
