Drop what a client sends after its request was refused

A router without processor time could have run out of memory, and with it all of its requests.

Cause: a router that refuses a request before it has read the body reads on for 0.3 s, so that the caller gets the answer. What came in that time was kept in the buffer of the protocol, past the limit of unprocessed input, for each refused caller.

Evidence: in the new test a caller sends 4,000,000 bytes of body. Before, the connection kept all of them; now less than 500,000.

It works since no request follows on such a connection.

--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -95,6 +95,7 @@
     served_count: int = 0
     opened_at: float = field(factory=current_time)
     _unprocessed_bytes: int = 0
+    _is_lingering: bool = False
     _input_arrived: Event = field(factory=Event)
     _reading_resumed: Event = field(factory=Event)
     _request_scope: CancelScope | None = None
@@ -140,6 +141,8 @@
             except (EndOfStream, BrokenResourceError, ClosedResourceError):
                 self._handle_disconnect()
                 return
+            if self._is_lingering:
+                continue
             try:
                 self.protocol.receive_data(data)
             except RuntimeError:
@@ -302,15 +305,16 @@
     async def _linger(self) -> None:
         """Read on for a while after a response, so that its client receives it.
 
-        Closing with unread input would reset the connection.
+        Closing with unread input would reset the connection. What comes is dropped.
         """
         try:
             await self.stream.send_eof()
         except (BrokenResourceError, ClosedResourceError):
             return
+        self._is_lingering = True
+        self._reading_resumed.set()
         with move_on_after(LINGER_SECONDS):
             while not self.disconnected:
-                self._reading_resumed.set()
                 self._input_arrived = Event()
                 await self._input_arrived.wait()
 
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -221,6 +221,28 @@
 
         self.assertEqual(run(test)[:12], b"HTTP/1.1 503")
 
+    # A router without processor time kept the bodies of all requests that it refused.
+    def test_body_of_a_refused_request_is_not_kept(self) -> None:
+        async def test() -> int:
+            server = HttpServer(await free_address(), Refusing().handle)
+            async with create_task_group() as group:
+                group.start_soon(server.serve)
+                await sleep(0.05)
+                host, _, port = server.address.rpartition(":")
+                async with await connect_tcp(host, int(port)) as stream:
+                    await stream.send(b"POST / HTTP/1.1\r\nHost: x\r\n")
+                    await stream.send(b"Content-Length: 4000000\r\n\r\n")
+                    with fail_after(2):
+                        for _ in range(40):
+                            await stream.send(b"x" * 100_000)
+                    await sleep(0.05)
+                    (connection,) = server.connections
+                    kept = len(connection.protocol.trailing_data[0])
+                group.cancel_scope.cancel()
+            return kept
+
+        self.assertLess(run(test), 500_000)
+
     # The caller got no answer at all.
     def test_unexpected_error_of_a_handler_is_answered(self) -> None:
         for extra in (b"", b"Content-Length: 1\r\n"):
