Keep the connection of a check whether an endpoint is there

Each endpoint that closed a connection before a run had lasted cost two new connections: one to see whether it is still there, which was closed at once, and one for the next request.

Cause: the pool takes back only connections that have completed an exchange.

Evidence: in the new test the pool is given an unused connection. Before, it closed that one and opened another; now the next request gets it.

It works since a connection on which nothing was sent can be used like a new one, within its keep-alive time and unless its peer has closed it.

--- a/pistachiolever/http1/client.py
+++ b/pistachiolever/http1/client.py
@@ -17,6 +17,7 @@
 from h11 import (
     CLIENT,
     DONE,
+    IDLE,
     NEED_DATA,
     Connection,
     ConnectionClosed,
@@ -228,10 +229,12 @@
     def prepare_reuse(self, keep_alive_seconds: float) -> bool:
         """Prepare for the next request; return whether the connection can be reused."""
         self._read_ahead = None
-        is_done = self.protocol.our_state is DONE and self.protocol.their_state is DONE
-        if self.broken or not is_done or self.protocol.trailing_data[0]:
+        states = (self.protocol.our_state, self.protocol.their_state)
+        is_usable = states in ((DONE, DONE), (IDLE, IDLE))
+        if self.broken or not is_usable or self.protocol.trailing_data[0]:
             return False
-        self.protocol.start_next_cycle()
+        if states == (DONE, DONE):
+            self.protocol.start_next_cycle()
         self.idle_since = current_time()
         self.keep_alive_seconds = keep_alive_seconds
         return True
--- a/tests/http1/test_descriptors.py
+++ b/tests/http1/test_descriptors.py
@@ -19,6 +19,7 @@
 
 from pistachiolever.edge.peers import ConnectionPool
 from pistachiolever.http1.errors import PeerClosedError
+from pistachiolever.http1.models import RequestHead
 from pistachiolever.http1.server import HttpServer
 from tests.http1.test_server import Echo, free_address, read_all
 from tests.support.cases import CaseTest
@@ -178,6 +179,26 @@
 
         run(test)
 
+    # Each check whether an endpoint is still there cost the next request a connection.
+    def test_unused_connection_is_kept(self) -> None:
+        async def test() -> None:
+            server = HttpServer(await free_address(), Echo().handle)
+            pool = ConnectionPool()
+            async with create_task_group() as group:
+                group.start_soon(server.serve)
+                await sleep(0.05)
+                opened = await pool.open(server.address, 1.0)
+                await pool.release(opened, 1.0)
+                acquired = await pool.acquire(server.address, 1.0)
+                self.assertIs(acquired, opened)
+                head = RequestHead(b"GET", b"/", [(b"host", b"x")])
+                response = await acquired.exchange(head, b"")
+                self.assertEqual(response.status, 200)
+                await acquired.close()
+                group.cancel_scope.cancel()
+
+        run(test)
+
     def test_failed_connection_is_not_counted(self) -> None:
         async def test() -> int:
             pool = ConnectionPool()
