Tell of a suspected part's sound runs now and then

Each router and member of a large fleet would have received hundreds of parts each second for ten minutes after endpoints had crashed.

Cause: a sound run of a suspected part was told again once a second, by the router that ran it to all others, though it counts for 30 s.

Evidence: in the new test all routers run a part in which one endpoint has crashed. A router that starts in that time learns that the part is sound.

It works since a run is told at once only if a crash counts against the part or it is quarantined, otherwise every 10 s.

--- a/pistachiolever/quarantine/const.py
+++ b/pistachiolever/quarantine/const.py
@@ -13,6 +13,8 @@
 SOUND_RUN_SECONDS: Final = 0.5
 # After a sound run a part is not suspected for this long.
 SOUND_SECONDS: Final = 30.0
+# Interval at which the sound runs of a part are told again, if no crash counts.
+SOUND_REPEAT_SECONDS: Final = 10.0
 # The first quarantine, the factor for each further one, and the longest.
 QUARANTINE_SECONDS: Final = 120.0
 QUARANTINE_FACTOR: Final = 4.0
--- a/pistachiolever/quarantine/quarantine.py
+++ b/pistachiolever/quarantine/quarantine.py
@@ -14,6 +14,7 @@
     MAX_SOUND_PARTS,
     REPEAT_REPORT_SECONDS,
     SETTLE_SECONDS,
+    SOUND_REPEAT_SECONDS,
     SOUND_SECONDS,
     TEST_SPREAD_SECONDS,
     TIME_TOLERANCE_SECONDS,
@@ -259,9 +260,11 @@
         """Add a sound run of this router to the evidence, if the others lack it."""
         record = self.table.record_by_part[part_id]
         sound_at = self.sound_at_by_part.get(part_id, -inf)
-        if sound_at <= record.sound_at + TIME_TOLERANCE_SECONDS:
-            return
         was_condemned = record.is_condemned()
+        is_cleared = not was_condemned and not record.counted_crashes()
+        interval = SOUND_REPEAT_SECONDS if is_cleared else TIME_TOLERANCE_SECONDS
+        if sound_at <= record.sound_at + interval:
+            return
         record.sound_at = sound_at
         self.unreported.add(part_id)
         self.enough_since_by_part.pop(part_id, None)
--- a/tests/quarantine/test_spread.py
+++ b/tests/quarantine/test_spread.py
@@ -224,6 +224,27 @@
         network.run(CONTACT_SECONDS)
         self.assertEqual([member.number for member in network.members], states)
 
+    # Each router and member heard of each part once a second for ten minutes.
+    def test_sound_runs_of_a_suspected_part_are_told_now_and_then(self) -> None:
+        network = make_network(1)
+        network.crash(0, "e0")
+        network.run(CONTACT_SECONDS)
+        states = 0
+        for tick in range(200):
+            for router in network.routers:
+                router.quarantine.record_sound(BAD, network.now)
+            network.run(TICK_SECONDS)
+            if tick == 20:
+                states = network.members[0].number
+        told = network.members[0].number - states
+        self.assertLessEqual(told, 15)
+        for router in network.routers:
+            self.assertEqual(router.quarantine.suspects(BAD, network.now), [])
+        network.add_router(0)
+        network.run(CONTACT_SECONDS)
+        suspects = network.routers[0].quarantine.suspects(BAD, network.now)
+        self.assertEqual(suspects, [])
+
     def test_release_reaches_all(self) -> None:
         network = make_network(1)
         for router in range(3):
