Test a quarantined part only with a request that is sent

A sound part that had been quarantined would have been refused for 8 minutes more, then 32, without having been tested, while its endpoints could not be reached. Besides, a request that waited up to a second for its connection was sent although its part had been quarantined meanwhile.

Cause: the test began, and the decision was taken, before the connection to the endpoint was opened.

Evidence: in the new test the only endpoint refuses connections. Before, the next request was refused as quarantined; now it is the test.

It works since the decision is taken on the open connection, as it is for the notices of endpoints.

--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -18,6 +18,7 @@
     MIN_RESPONSE_TIMEOUT_SECONDS,
     MIN_STREAM_TIMEOUT_SECONDS,
     PREFILL_TIMEOUT_FACTOR,
+    QUARANTINED,
     RESPONSE_TIMEOUT_TARGET_FRACTION,
     STALL_CHECK_SECONDS,
     TAKE_OVER_RETRY_SECONDS,
@@ -145,9 +146,11 @@
             self.fleet.record_unreachable(self.handle, error.detail)
             return AttemptResult(Verdict.NOT_RUN, sent=False, reason="unreached")
         try:
-            # A notice may have arrived while the connection was opened.
+            # News may have arrived while the connection was opened.
             if not self.fleet.may_send(self.handle):
                 return AttemptResult(Verdict.NOT_RUN, sent=False, reason="held-back")
+            if not self.fleet.may_send_parts(self.request.shared_part_ids):
+                return AttemptResult(Verdict.NOT_RUN, sent=False, reason=QUARANTINED)
             self.fleet.notices.record_send(self.handle.endpoint, self.fleet.now())
             with move_on_after(
                 self.request.remaining_seconds(self.fleet.now())
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -1,7 +1,6 @@
 """Processes a caller's request: grants, attempts, retries and the final response."""
 
 from collections.abc import Callable
-from typing import Final
 
 from anyio import CancelScope, move_on_after
 from attrs import define, field
@@ -19,6 +18,7 @@
 from pistachiolever.gateway.const import (
     DEFAULT_RETRY_AFTER_SECONDS,
     MIN_ATTEMPT_SECONDS,
+    QUARANTINED,
     RETRY_AFTER_FRACTION,
 )
 from pistachiolever.gateway.endpoint_handle import EndpointHandle
@@ -40,9 +40,6 @@
 )
 from pistachiolever.routing.models import RequestKind
 
-# Reason of a refusal: endpoints crashed under requests with a part of this prompt.
-QUARANTINED: Final = "quarantined"
-
 
 @define(eq=False)
 class RequestProcessor:
@@ -100,14 +97,10 @@
             if handle is None:
                 await self._fail(self._no_grant_reason())
                 return
-            if not self.fleet.may_send_parts(request.shared_part_ids):
-                handle.admission.report_end(request.bid_id, 0)
-                await self._fail(QUARANTINED)
-                return
             result = await self._send_attempt(handle)
             if result.answered:
                 return
-            if not self._may_retry(result):
+            if result.reason == QUARANTINED or not self._may_retry(result):
                 await self._fail(result.reason)
                 return
 
--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -16,9 +16,11 @@
 from pistachiolever.gateway.fleet import FleetView
 from pistachiolever.gateway.header_format import HeaderFormat
 from pistachiolever.gateway.models import ProxyRequest, RequestMetadata
+from pistachiolever.gateway.request_processor import RequestProcessor
 from pistachiolever.gateway.settings import GatewaySettings
 from pistachiolever.http1.errors import PeerClosedError
 from pistachiolever.http1.models import Header, RequestHead, ResponseHead
+from pistachiolever.quarantine.models import PartReport
 from tests.gateway.test_relay import CONFIGURATION, ROUTES
 from tests.registry.test_process import make_discarding_logger
 from tests.support.cases import CaseTest
@@ -289,6 +291,22 @@
                 self.assertFalse(attempt.has_run())
                 self.assertEqual(attempt.fleet.quarantine.sound_at_by_part, {})
 
+    # The quarantine went on for four times as long, though nothing had been tested.
+    def test_request_that_reaches_no_endpoint_does_not_use_up_a_test(self) -> None:
+        attempt = self.attempt(3, 0.0, 1.0, 0)
+        fleet, request, now = attempt.fleet, attempt.request, NOW
+        unreachable = Announcement(
+            "e", 1, 2, EndpointState.READY, "s", "127.0.0.1:1", "n"
+        )
+        fleet.apply_announcements([unreachable])
+        parts = [PromptPart("part", 10), PromptPart("own", 10)]
+        request.metadata = evolve(request.metadata, parts=parts)
+        fleet.quarantine.apply({"part": PartReport({}, 0, -1, 300_000, 1)}, now)
+        run(RequestProcessor(fleet, HeaderFormat(), request, RecordingSink()).run)
+        self.assertEqual(request.attempt_count, 0)
+        self.assertTrue(fleet.quarantine.try_send(["part"], now))
+        self.assertFalse(fleet.quarantine.try_send(["part"], now))
+
     def test_overdue_response_is_kept_without_retry_budget(self) -> None:
         attempt = self.attempt(2, 0.0, 1.0)
         other = Announcement("e2", 1, 1, EndpointState.READY, "s", "a:2", "n")
