Look at the age of crashes before a part is quarantined

Callers could have got 503 for a sound prompt part under which three endpoints had crashed at once, long ago.

Cause: that a part has enough crashes against it was noted once and looked at again only with further evidence. A router without any went on to hold it, though crashes count for ten minutes only.

Evidence: in the new case no request comes for ten minutes after three crashes. Before, the first one began a quarantine; now it does not.

It works since old crashes are dropped, and the rest is counted, when a quarantine would begin.

--- a/pistachiolever/quarantine/quarantine.py
+++ b/pistachiolever/quarantine/quarantine.py
@@ -206,13 +206,13 @@
     def _find_enough(self, now: float) -> None:
         """Note which parts have enough crashes against them, and since when."""
         explained = self.table.explanations()
+        enough_since: dict[str, float] = {}
         for part_id, record in self.table.record_by_part.items():
             own = int(record.is_condemned())
             crashes = sum(explained[key] <= own for key in record.counted_crashes())
             if crashes >= CRASHES_TO_QUARANTINE:
-                self.enough_since_by_part.setdefault(part_id, now)
-            else:
-                self.enough_since_by_part.pop(part_id, None)
+                enough_since[part_id] = self.enough_since_by_part.get(part_id, now)
+        self.enough_since_by_part = enough_since
 
     def _quarantine_guilty(self, part_ids: Sequence[str], now: float) -> None:
         """Quarantine the last part of a prompt that has enough evidence against it."""
@@ -223,7 +223,12 @@
                 continue
             if now - since < SETTLE_SECONDS or self._is_known_sound(part_id, now):
                 continue
-            if not self._has_better_suspect(part_id, record, now):
+            if self._has_better_suspect(part_id, record, now):
+                continue
+            # Some of the crashes may have become too old.
+            self.table.expire(now)
+            self._find_enough(now)
+            if part_id in self.enough_since_by_part:
                 self._begin(part_id, record, Change.QUARANTINED, now)
                 self._find_enough(now)
 
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -76,6 +76,11 @@
     quarantine.apply({"bad": PartReport(crashes, 1)}, NOW)
 
 
+def crashes_long_ago(quarantine: Quarantine) -> None:
+    """No request has come since, and nothing else happened."""
+    crash(quarantine, BAD, at=NOW - EVIDENCE_SECONDS - 10)
+
+
 def sound_between(quarantine: Quarantine) -> None:
     """The part has a sound run between the crashes."""
     crash(quarantine, BAD, 2)
@@ -121,6 +126,7 @@
             # Crashes of different days added up.
             Case(crashes_long_apart, ""),
             Case(told_of_crashes_long_apart, ""),
+            Case(crashes_long_ago, ""),
             Case(sound_between, ""),
             Case(sound_after, ""),
             Case(sound_long_ago, "bad"),
