--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -7,6 +7,7 @@
 
 from pistachiolever.quarantine.const import (
     CRASHES_TO_QUARANTINE,
+    EVIDENCE_SECONDS,
     MAX_SUSPECTED_PARTS,
     QUARANTINE_FACTOR,
     QUARANTINE_SECONDS,
@@ -14,6 +15,7 @@
     SOUND_SECONDS,
     TEST_SPREAD_SECONDS,
 )
+from pistachiolever.quarantine.models import PartReport
 from pistachiolever.quarantine.quarantine import Change, Quarantine
 from tests.support.cases import CaseTest
 
@@ -61,6 +63,24 @@
         quarantine.record_crash("e1", BAD, NOW)
 
 
+def crashes_long_apart(quarantine: Quarantine) -> None:
+    """The crashes before the last one are forgotten."""
+    for number in range(CRASHES_TO_QUARANTINE):
+        at = NOW - (CRASHES_TO_QUARANTINE - number) * (EVIDENCE_SECONDS - 1)
+        quarantine.record_crash(f"e{number}", BAD, at)
+
+
+def told_of_crashes_long_apart(quarantine: Quarantine) -> None:
+    """The same, as another router tells it."""
+    crashes = {f"e{n}": n * int(EVIDENCE_SECONDS) * 700 for n in range(3)}
+    quarantine.apply({"bad": PartReport(crashes, 1)}, NOW)
+
+
+def crashes_long_ago(quarantine: Quarantine) -> None:
+    """No request has come since, and nothing else happened."""
+    crash(quarantine, BAD, at=NOW - EVIDENCE_SECONDS - 10)
+
+
 def sound_between(quarantine: Quarantine) -> None:
     """The part has a sound run between the crashes."""
     crash(quarantine, BAD, 2)
@@ -103,6 +123,10 @@
             Case(nothing_is_sound, "bad"),
             Case(too_few_crashes, ""),
             Case(the_same_crash, ""),
+            # Crashes of different days added up.
+            Case(crashes_long_apart, ""),
+            Case(told_of_crashes_long_apart, ""),
+            Case(crashes_long_ago, ""),
             Case(sound_between, ""),
             Case(sound_after, ""),
             Case(sound_long_ago, "bad"),
@@ -191,11 +215,11 @@
     # routers held up the whole router for 50 ms and more.
     def test_time_for_the_evidence_of_many_parts(self) -> None:
         quarantine = Quarantine("r", 350)
+        started_at = process_time()
         for number in range(MAX_SUSPECTED_PARTS):
             for crash_number in range(3):
                 incarnation = f"e{(7 * number + 13 * crash_number) % 60}"
                 quarantine.table.add_crash(f"p{number}", 1, incarnation, NOW)
-        started_at = process_time()
         for number in range(10):
             quarantine.record_crash(f"new{number}", ["p1"], NOW)
         self.assertLess(process_time() - started_at, 0.1)
