--- a/tests/http1/test_descriptors.py
+++ b/tests/http1/test_descriptors.py
@@ -183,7 +183,7 @@
     # Each check whether an endpoint is still there cost the next request a connection.
     def test_unused_connection_is_kept(self) -> None:
         async def test() -> None:
-            server = HttpServer(await free_address(), Echo().handle)
+            server = HttpServer(free_address(), Echo().handle)
             pool = ConnectionPool()
             async with create_task_group() as group:
                 group.start_soon(server.serve)
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -200,7 +200,7 @@
     # A router without processor time kept the bodies of all requests that it refused.
     def test_body_of_a_refused_request_is_not_kept(self) -> None:
         async def test() -> int:
-            server = HttpServer(await free_address(), Refusing().handle)
+            server = HttpServer(free_address(), Refusing().handle)
             async with create_task_group() as group:
                 group.start_soon(server.serve)
                 await sleep(0.05)
