Quarantine no part for its share of a large outage

Cause: a part's crashes were counted without those of the same seconds that had nothing to do with it. Evidence: the case outage_of_many was quarantined before and is not now; a part that ends more endpoints than an outage at the same time still is. It works since a part is quarantined only if at least half of the crashes within 2 s of its own were under it.

--- a/pistachiolever/quarantine/const.py
+++ b/pistachiolever/quarantine/const.py
@@ -6,6 +6,8 @@
 CRASHES_TO_QUARANTINE: Final = 3
 # After so many crashes a request with the part is not repeated at another endpoint.
 CRASHES_TO_STOP_REPEATS: Final = 2
+# Crashes within this time of each other may have a common cause, such as an outage.
+OUTAGE_SECONDS: Final = 2.0
 # Time for other routers to tell of sound runs before a part is quarantined: each stage
 # of the way between routers takes up to a quarter of a second.
 SETTLE_SECONDS: Final = 1.0
--- a/pistachiolever/quarantine/quarantine.py
+++ b/pistachiolever/quarantine/quarantine.py
@@ -12,6 +12,7 @@
     CRASHES_TO_QUARANTINE,
     CRASHES_TO_STOP_REPEATS,
     MAX_SOUND_PARTS,
+    OUTAGE_SECONDS,
     REPEAT_REPORT_SECONDS,
     SETTLE_SECONDS,
     SOUND_REPEAT_SECONDS,
@@ -225,6 +226,8 @@
                 continue
             if self._has_better_suspect(part_id, record, now):
                 continue
+            if not self._accounts_for_most_crashes(part_id, record):
+                continue
             # Some of the crashes may have become too old.
             self.table.expire(now)
             self._find_enough(now)
@@ -247,6 +250,23 @@
                 return True
         return False
 
+    def _accounts_for_most_crashes(self, part_id: str, record: PartRecord) -> bool:
+        """Return whether at least half of the crashes around were under this part.
+
+        In an outage of many endpoints some requests with a rare part are among those
+        that the endpoints were running.
+        """
+        crashes = record.counted_crashes()
+        times = [record.crashed_at[key] for key in crashes]
+        around = {
+            key
+            for other in self.table.record_by_part.values()
+            for key, at in other.crashed_at.items()
+            if any(abs(at - time) <= OUTAGE_SECONDS for time in times)
+        }
+        around -= self.table.explained([part_id])
+        return 2 * len(crashes & around) >= len(around)
+
     def _begin(
         self, part_id: str, record: PartRecord, change: Change, now: float
     ) -> None:
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -114,6 +114,22 @@
     quarantine.quarantined_part(["worse"], SETTLED)
 
 
+def outage_of_many(quarantine: Quarantine) -> None:
+    """Many endpoints end at once, and three of them ran a request with the part."""
+    quarantine.record_sound(SOUND, NOW)
+    for number in range(12):
+        parts = BAD if number < 3 else ["system", f"other{number % 7}"]
+        quarantine.record_crash(f"e{number}", parts, NOW + number / 10)
+
+
+def crashes_during_an_outage(quarantine: Quarantine) -> None:
+    """The part ends more endpoints than an outage at the same time."""
+    quarantine.record_sound(SOUND, NOW)
+    for number in range(9):
+        parts = BAD if number < 5 else ["system", f"other{number}"]
+        quarantine.record_crash(f"e{number}", parts, NOW + number / 10)
+
+
 class EvidenceTest(CaseTest):
     """Which part of BAD is quarantined."""
 
@@ -132,6 +148,8 @@
             Case(sound_long_ago, "bad"),
             Case(explained_by_another, ""),
             Case(explained_by_a_quarantined_one, ""),
+            Case(outage_of_many, ""),
+            Case(crashes_during_an_outage, "bad"),
         ]
         for case in cases:
             with self.subTest(case.prepare.__name__):
