Keep the newest crashes of a prompt part only

After an outage of many endpoints a message with the evidence on all parts was 1.7 MB (500 parts with 100 crashes each, a trial of the review), to be decoded by every router. Evidence: test_newest_crashes_are_kept failed for lack of a limit before and passes now: 32 crashes stay, the same ones in any order, and older ones are no news.

--- a/pistachiolever/quarantine/const.py
+++ b/pistachiolever/quarantine/const.py
@@ -26,6 +26,8 @@
 TEST_SPREAD_SECONDS: Final = 2.0
 # Crashes are remembered for this long.
 EVIDENCE_SECONDS: Final = 600.0
+# The newest crashes that are remembered of a part.
+MAX_CRASHES: Final = 32
 # Parts of which crashes, and of which sound runs, are remembered.
 MAX_SUSPECTED_PARTS: Final = 500
 MAX_SOUND_PARTS: Final = 20_000
--- a/pistachiolever/quarantine/models.py
+++ b/pistachiolever/quarantine/models.py
@@ -5,6 +5,7 @@
 from attrs import define, field, frozen
 
 from pistachiolever.quarantine.const import (
+    MAX_CRASHES,
     MAX_QUARANTINE_SECONDS,
     QUARANTINE_FACTOR,
     QUARANTINE_SECONDS,
@@ -46,9 +47,7 @@
         """Add the evidence of another record; return whether that is news."""
         changed = other.depth > self.depth
         self.depth = max(self.depth, other.depth)
-        for incarnation, at in other.crashed_at.items():
-            changed |= incarnation not in self.crashed_at
-            self.crashed_at.setdefault(incarnation, at)
+        changed |= self._merge_crashes(other.crashed_at)
         if other.sound_at > self.sound_at + TIME_TOLERANCE_SECONDS:
             self.sound_at = other.sound_at
             changed = True
@@ -58,6 +57,14 @@
             changed = True
         return changed
 
+    def _merge_crashes(self, crashed_at: dict[str, float]) -> bool:
+        """Add crashes, of which the newest are kept; return whether one is new."""
+        known = self.crashed_at
+        merged = crashed_at | known
+        newest = sorted(merged, key=lambda key: merged[key])[-MAX_CRASHES:]
+        self.crashed_at = {key: merged[key] for key in newest}
+        return not known.keys() >= self.crashed_at.keys()
+
     def forget_crashes(self, before: float) -> None:
         """Forget old crashes."""
         for incarnation, at in list(self.crashed_at.items()):
--- a/tests/quarantine/test_spread.py
+++ b/tests/quarantine/test_spread.py
@@ -6,7 +6,11 @@
 
 from pistachiolever.admission.models import Load
 from pistachiolever.admission.recent_service import RecentService
-from pistachiolever.quarantine.const import MAX_SUSPECTED_PARTS, SOUND_SECONDS
+from pistachiolever.quarantine.const import (
+    MAX_CRASHES,
+    MAX_SUSPECTED_PARTS,
+    SOUND_SECONDS,
+)
 from pistachiolever.quarantine.models import PartRecord, unpack_report
 from pistachiolever.quarantine.quarantine import Quarantine
 from pistachiolever.usage.aggregate import UsageAggregate
@@ -312,6 +316,19 @@
             self.assertEqual(first, second, f"seed {seed}")
             self.assertFalse(second.merge(first))
 
+    # A message with all crashes of an outage was larger than a megabyte.
+    def test_newest_crashes_are_kept(self) -> None:
+        crashes = {f"e{number}": float(number) for number in range(3 * MAX_CRASHES)}
+        for seed in range(50):
+            first, second = PartRecord(), PartRecord()
+            for key in Random(seed).sample(sorted(crashes), len(crashes)):
+                first.merge(PartRecord({key: crashes[key]}))
+            second.merge(PartRecord(crashes))
+            self.assertEqual(len(second.crashed_at), MAX_CRASHES)
+            self.assertEqual(min(second.crashed_at.values()), 2 * MAX_CRASHES)
+            self.assertEqual(first.crashed_at, second.crashed_at)
+            self.assertFalse(second.merge(PartRecord(crashes)))
+
     def test_packing_keeps_a_record(self) -> None:
         for seed in range(50):
             record = self.random_record(Random(seed))
