--- a/pistachiolever/edge/peers.py
+++ b/pistachiolever/edge/peers.py
@@ -11,9 +11,9 @@
 from pistachiolever.edge.errors import CallRefusedError, PeerError
 from pistachiolever.edge.keys import bearer_key, same_key
 from pistachiolever.http1.client import ClientConnection, open_connection
+from pistachiolever.http1.connection import Exchange
 from pistachiolever.http1.errors import PeerClosedError
 from pistachiolever.http1.models import Header, RequestHead, ResponseHead
-from pistachiolever.http1.server import Exchange
 from pistachiolever.wire.codec import decode, encode
 from pistachiolever.wire.const import MAX_INNER_BODY_BYTES
 
--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -22,8 +22,9 @@
 from pistachiolever.gateway.overload import Overload, OverloadGuard
 from pistachiolever.gateway.request_processor import RequestProcessor
 from pistachiolever.gateway.settings import GatewaySettings
+from pistachiolever.http1.connection import Exchange
 from pistachiolever.http1.models import Header, HttpLimits
-from pistachiolever.http1.server import Exchange, HttpServer
+from pistachiolever.http1.server import HttpServer
 from pistachiolever.metrics.instruments import REQUESTS, SHED
 from pistachiolever.registry.watcher import RegistryWatcher
 from pistachiolever.routing.models import ProxyAccount, ProxyRoute, RequestKind
--- a/pistachiolever/metrics/exposition.py
+++ b/pistachiolever/metrics/exposition.py
@@ -10,7 +10,7 @@
 from anyio import current_time, sleep, to_thread
 from attrs import define
 
-from pistachiolever.http1.server import Exchange
+from pistachiolever.http1.connection import Exchange
 from pistachiolever.metrics.instruments import (
     BUCKET_SECONDS,
     COUNTERS,
--- a/pistachiolever/platform/control.py
+++ b/pistachiolever/platform/control.py
@@ -5,7 +5,7 @@
 
 from pistachiolever.edge.peers import JSON_HEADER
 from pistachiolever.events.const import EventCode
-from pistachiolever.http1.server import Exchange
+from pistachiolever.http1.connection import Exchange
 from pistachiolever.metrics.instruments import (
     ANNOUNCEMENTS,
     CONFIGURATIONS,
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -17,8 +17,9 @@
 from anyio.abc import SocketStream
 from attrs import define, field
 
+from pistachiolever.http1.connection import Exchange
 from pistachiolever.http1.models import HttpLimits
-from pistachiolever.http1.server import Exchange, HttpServer
+from pistachiolever.http1.server import HttpServer
 from tests.support.addresses import free_address
 from tests.support.cases import CaseTest
 
