--- a/pistachiolever/quarantine/evidence.py
+++ b/pistachiolever/quarantine/evidence.py
@@ -51,21 +51,21 @@
                 del self.record_by_part[part_id]
 
     def explanations(self) -> Counter[str]:
-        """Return the number of condemned parts that have caused each crash."""
+        """Return the number of faulty parts that have caused each crash."""
         return Counter(
             incarnation
             for record in self.record_by_part.values()
-            if record.is_condemned()
+            if record.is_faulty()
             for incarnation in record.crashed_at
         )
 
     def explained(self, part_ids: Iterable[str]) -> set[str]:
-        """Return the crashes that condemned parts other than these have caused."""
+        """Return the crashes that faulty parts other than these have caused."""
         others = self.record_by_part.keys() - set(part_ids)
         crashes: set[str] = set()
         for part_id in others:
             record = self.record_by_part[part_id]
-            if record.is_condemned():
+            if record.is_faulty():
                 crashes.update(record.crashed_at)
         return crashes
 
@@ -79,13 +79,13 @@
     def _limit(self) -> None:
         """Drop the parts that are unchanged for longest above the limit.
 
-        Condemned ones stay for as long as there are others.
+        Faulty ones stay for as long as there are others.
         """
         excess = len(self.record_by_part) - MAX_SUSPECTED_PARTS
         if excess <= 0:
             return
         oldest = sorted(
-            self.record_by_part, key=lambda p: self.record_by_part[p].is_condemned()
+            self.record_by_part, key=lambda p: self.record_by_part[p].is_faulty()
         )
         for part_id in oldest[:excess]:
             del self.record_by_part[part_id]
@@ -94,6 +94,6 @@
 def _is_expired(record: PartRecord, now: float) -> bool:
     """Return whether nothing in a record counts any more."""
     kept_until = record.newest_at() + EVIDENCE_SECONDS
-    if record.is_condemned():
+    if record.is_faulty():
         kept_until = max(kept_until, record.ends_at() + EVIDENCE_SECONDS)
     return kept_until < now or kept_until == -inf
--- a/pistachiolever/quarantine/models.py
+++ b/pistachiolever/quarantine/models.py
@@ -79,7 +79,7 @@
         counted_from = self.sound_at + SOUND_SECONDS
         return {key for key, at in self.crashed_at.items() if at >= counted_from}
 
-    def is_condemned(self) -> bool:
+    def is_faulty(self) -> bool:
         """Return whether the part was quarantined, without a sound run since.
 
         Nor shortly before: news of that may come only after the quarantine has begun.
--- a/pistachiolever/quarantine/quarantine.py
+++ b/pistachiolever/quarantine/quarantine.py
@@ -98,12 +98,12 @@
 
     def apply(self, reports: dict[str, PartReport], now: float) -> None:
         """Add the evidence of other routers."""
-        condemned = self._condemned()
+        faulty = self._faulty_parts()
         for part_id in self.table.merge(reports, now):
             self._tell_sound(part_id)
         if reports:
             self._find_enough(now)
-            self._record_condemned(condemned, now)
+            self._record_faulty(faulty, now)
 
     # Decisions.
 
@@ -111,10 +111,10 @@
         """Return a part that must not be sent now; empty if there is none."""
         if not self.table.record_by_part:
             return ""
-        self._quarantine_guilty(part_ids, now)
+        self._quarantine_faulty(part_ids, now)
         for part_id in part_ids:
             record = self.table.record_by_part.get(part_id)
-            if record is None or not record.is_condemned():
+            if record is None or not record.is_faulty():
                 continue
             if now < self._tested_at(part_id, record):
                 return part_id
@@ -130,7 +130,7 @@
             return False
         for part_id in part_ids:
             record = self.table.record_by_part.get(part_id)
-            if record is not None and record.is_condemned():
+            if record is not None and record.is_faulty():
                 self._begin(part_id, record, Change.TESTED, now)
         return True
 
@@ -153,7 +153,7 @@
     def quarantined_count(self, now: float) -> int:
         """Return the number of quarantined parts."""
         records = self.table.record_by_part.values()
-        return sum(r.is_condemned() and now < r.ends_at() for r in records)
+        return sum(r.is_faulty() and now < r.ends_at() for r in records)
 
     # Reports.
 
@@ -164,7 +164,7 @@
         if now - self.repeated_at < REPEAT_REPORT_SECONDS:
             return False
         self.repeated_at = now
-        self.unreported.update(self._condemned())
+        self.unreported.update(self._faulty_parts())
         return bool(self.unreported)
 
     def pop_reports(self, now: float) -> dict[str, PartReport]:
@@ -209,18 +209,18 @@
         explained = self.table.explanations()
         enough_since: dict[str, float] = {}
         for part_id, record in self.table.record_by_part.items():
-            own = int(record.is_condemned())
+            own = int(record.is_faulty())
             crashes = sum(explained[key] <= own for key in record.counted_crashes())
             if crashes >= CRASHES_TO_QUARANTINE:
                 enough_since[part_id] = self.enough_since_by_part.get(part_id, now)
         self.enough_since_by_part = enough_since
 
-    def _quarantine_guilty(self, part_ids: Sequence[str], now: float) -> None:
+    def _quarantine_faulty(self, part_ids: Sequence[str], now: float) -> None:
         """Quarantine the last part of a prompt that has enough evidence against it."""
         for part_id in reversed(part_ids):
             since = self.enough_since_by_part.get(part_id)
             record = self.table.record_by_part.get(part_id)
-            if since is None or record is None or record.is_condemned():
+            if since is None or record is None or record.is_faulty():
                 continue
             if now - since < SETTLE_SECONDS or self._is_known_sound(part_id, now):
                 continue
@@ -285,29 +285,29 @@
         """Add a sound run of this router to the evidence, if the others lack it."""
         record = self.table.record_by_part[part_id]
         sound_at = self.sound_at_by_part.get(part_id, -inf)
-        was_condemned = record.is_condemned()
-        is_cleared = not was_condemned and not record.counted_crashes()
+        was_faulty = record.is_faulty()
+        is_cleared = not was_faulty and not record.counted_crashes()
         interval = SOUND_REPEAT_SECONDS if is_cleared else TIME_TOLERANCE_SECONDS
         if sound_at <= record.sound_at + interval:
             return
         record.sound_at = sound_at
         self.unreported.add(part_id)
         self.enough_since_by_part.pop(part_id, None)
-        if was_condemned and not record.is_condemned():
+        if was_faulty and not record.is_faulty():
             self._record_change(part_id, record, Change.RELEASED, sound_at)
 
-    def _condemned(self) -> set[str]:
+    def _faulty_parts(self) -> set[str]:
         """Return the parts that are or were quarantined without a sound run since."""
         records = self.table.record_by_part
-        return {part_id for part_id in records if records[part_id].is_condemned()}
+        return {part_id for part_id in records if records[part_id].is_faulty()}
 
-    def _record_condemned(self, known: set[str], now: float) -> None:
+    def _record_faulty(self, known: set[str], now: float) -> None:
         """Record what other routers have quarantined or released."""
-        condemned = self._condemned()
-        for part_id in condemned - known:
+        faulty = self._faulty_parts()
+        for part_id in faulty - known:
             record = self.table.record_by_part[part_id]
             self._record_change(part_id, record, Change.QUARANTINED, now)
-        for part_id in known - condemned:
+        for part_id in known - faulty:
             released = self.table.record_by_part.get(part_id)
             if released is not None:
                 self._record_change(part_id, released, Change.RELEASED, now)
