Log the request rate that an endpoint names

The logs could not tell whether routers see the limit at all. The header is read now and its changes are logged (E127); nothing is decided by it yet. It is no longer forwarded to callers.

--- a/pistachiolever/gateway/endpoint_handle.py
+++ b/pistachiolever/gateway/endpoint_handle.py
@@ -17,7 +17,8 @@
 
     The admission client is made when it is first used. `bidding_tokens` are the prompt
     tokens of this router's undecided bids for it; cancelling `bid_scopes` withdraws
-    these bids. `told_load` is the load that the registry told last.
+    these bids. `told_load` is the load that the registry told last, `rate_limit` the
+    requests a second that the endpoint accepts, None without a limit.
     """
 
     endpoint: Announcement
@@ -27,6 +28,7 @@
     bid_scopes: set[CancelScope] = field(factory=set)
     told_load: Load = Load()
     told_at: float = float("-inf")
+    rate_limit: float | None = None
     _admission: AdmissionClient | None = None
 
     @property
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -330,6 +330,15 @@
     ) -> None:
         """Record what an endpoint asks of this router in a response."""
         endpoint, now = handle.endpoint, self.now()
+        if metadata.rate_limit != handle.rate_limit:
+            handle.rate_limit = metadata.rate_limit
+            self.events.record(
+                EventCode.ENDPOINT_LIMITED,
+                request_id,
+                endpoint=endpoint.endpoint_id,
+                born=endpoint.born_ms,
+                rate=metadata.rate_limit,
+            )
         if metadata.leaving and self.notices.record_leaving(endpoint, now):
             self.events.record(
                 EventCode.ENDPOINT_LEAVING,
--- a/pistachiolever/gateway/header_format.py
+++ b/pistachiolever/gateway/header_format.py
@@ -1,5 +1,6 @@
 """Header names that callers and endpoints use, and the parsing of their values."""
 
+from math import inf
 from typing import Final
 
 from attrs import field, frozen
@@ -63,6 +64,7 @@
     not_run: bytes = b"x-not-run"
     load: bytes = b"x-load"
     leaving: bytes = b"x-leaving"
+    rate_limit: bytes = b"x-rate-limit"
     internal_request_headers: frozenset[bytes] = field(factory=frozenset)
     internal_response_headers: frozenset[bytes] = field(factory=frozenset)
 
@@ -135,6 +137,7 @@
             (head.value(self.leaving) or b"0").strip() != b"0",
             _retry_after(head),
             _parse_load(head.value(self.load)),
+            _parse_rate(head.value(self.rate_limit)),
         )
 
     def response_headers(self, head: ResponseHead, whole: bool) -> list[Header]:
@@ -143,7 +146,7 @@
         The length of a `whole` response is set anew, so the endpoint's one is dropped.
         """
         dropped = HOP_HEADERS | self.internal_response_headers
-        dropped |= {self.load, self.not_run, self.leaving}
+        dropped |= {self.load, self.not_run, self.leaving, self.rate_limit}
         if not whole:
             dropped = dropped - {b"content-length"}
         return [header for header in head.headers if header[0] not in dropped]
@@ -164,6 +167,18 @@
     return Load(running=running, waiting=waiting, slots=max(1, slots))
 
 
+def _parse_rate(value: bytes | None) -> float | None:
+    """Return the requests a second that an endpoint accepts; None if it names none.
+
+    A value that is not a finite number of at least 0 counts as none.
+    """
+    try:
+        rate = float(value or b"nan")
+    except ValueError:
+        return None
+    return rate if 0 <= rate < inf else None
+
+
 def keep_alive_seconds(head: ResponseHead) -> float:
     """Return how long to keep a connection after a response; 0 to close it."""
     for name, value in head.headers:
--- a/pistachiolever/platform/names.py
+++ b/pistachiolever/platform/names.py
@@ -26,6 +26,7 @@
     not_run=b"not-run",
     load=b"server-load",
     leaving=b"server-leaving",
+    rate_limit=b"server-limit",
     internal_request_headers=frozenset(
         {
             b"expect-version",
