Keep to the request rate that an endpoint names

Cause: nobody read the limit. It concerns all routers together, so the fix is where requests are granted for all of them: a token bucket in the admission core, told by the bids; routers that decide alone have an equal part of it.

--- a/pistachiolever/admission/const.py
+++ b/pistachiolever/admission/const.py
@@ -50,3 +50,11 @@
 # Factors of the prefill fraction, applied at each report of the engine.
 THROTTLE_DECREASE_FACTOR: Final = 0.9
 THROTTLE_INCREASE_FACTOR: Final = 1.04
+# A rate that an endpoint names counts as at least this many requests a second, so that
+# it is asked again now and then.
+MIN_REQUESTS_PER_SECOND: Final = 0.1
+# Requests that are granted at once, if fewer came before: those of this time.
+RATE_BURST_SECONDS: Final = 1.0
+# Without a request for this long, a process saves no more than its part of a burst:
+# callers that were refused have come back by then.
+IDLE_RATE_SECONDS: Final = MAX_RETRY_AFTER_SECONDS
--- a/pistachiolever/admission/core.py
+++ b/pistachiolever/admission/core.py
@@ -38,6 +38,7 @@
     Refused,
 )
 from pistachiolever.admission.policy import AdmissionPolicy
+from pistachiolever.admission.rate_limit import RateLimit
 from pistachiolever.admission.recent_service import DecayingSum, RecentService
 from pistachiolever.admission.throttle import (
     PrefillThrottle,
@@ -129,11 +130,13 @@
     within_share_demand: DecayingSum = field(factory=DecayingSum)
     run_ends: DecayingSum = field(factory=DecayingSum)
     run_seconds: DecayingSum = field(factory=DecayingSum)
+    rate: RateLimit = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Start with an empty cache and an unthrottled engine."""
         self.cache = PrefixCache(self.capacity.memory_tokens)
         self.throttle = PrefillThrottle(self.policy)
+        self.rate = RateLimit(self.rng)
 
     def set_policy(self, policy: AdmissionPolicy) -> None:
         """Apply another policy to later decisions; reset the throttle."""
@@ -148,6 +151,7 @@
             return []
         if len(self.queued_by_id) >= MAX_QUEUED_REQUESTS:
             return [Refused(bid.bid_id, "queue-full", self._retry_after(1.0))]
+        self.rate.update(bid.rate, now)
         self.capacity.slots = bid.slots
         self.event_tokens = bid.event_tokens
         self.capacity.memory_tokens = bid.memory_tokens
@@ -271,6 +275,7 @@
     def handle_restart(self, now: float) -> list[AdmissionAction]:
         """End all runs and clear the cache: the engine has restarted."""
         self.cache.clear()
+        self.rate.reset(now)
         actions: list[AdmissionAction] = []
         for bid_id in list(self.run_by_id):
             actions.extend(self.handle_end(bid_id, 0, now))
@@ -278,6 +283,7 @@
 
     def load(self, now: float) -> Load:
         """Return the current load of the endpoint."""
+        self.rate.refill(now)
         return Load(
             self.pending_prefill_tokens(now),
             sum(queued.prefill_tokens for queued in self.queued_by_id.values()),
@@ -286,6 +292,7 @@
             self.capacity.slots,
             max(0.0, self._memory_limit() - self.reserved_tokens),
             self.prefill_tokens_per_second(),
+            self.rate.wait_seconds(len(self.queued_by_id)),
         )
 
     def prefill_tokens_per_second(self) -> float:
@@ -298,6 +305,7 @@
         """Grant what fits, in fair order, and refuse what would be late."""
         if not self.queued_by_id:
             return []
+        self.rate.record_demand(now)
         demand_ratio = self._demand_ratio(self.demand, now)
         limits_over_share = demand_ratio > self.policy.gate_demand
         queue = FairQueue(self.service, self.policy, now, limits_over_share)
@@ -330,7 +338,7 @@
         A request that does not fit into memory is overtaken by later ones only for
         `pass_share` of its target, so that large requests are not starved.
         """
-        if not scheduled or self._is_full():
+        if not scheduled or self._is_full() or not self.rate.allows():
             return None
         if (
             self.prefilling_ids
@@ -408,6 +416,7 @@
             bid, now, prefill_tokens, queued.cost, queued.deadline_at
         )
         self.throttle.consume(prefill_tokens)
+        self.rate.consume()
         if not self.prefilling_ids:
             self.prefill_started_at = now
         self.prefilling_ids.append(bid.bid_id)
@@ -444,10 +453,14 @@
         between_ends = self._seconds_between_ends(now)
         wait_fraction = self._wait_fraction(now)
         actions: list[AdmissionAction] = []
+        waiting_count = 0
         for entry in scheduled:
             queued = entry.queued
             blocked_count += is_full or not self._fits(queued)
             wait = max(ahead / rate, blocked_count * between_ends)
+            limit_wait = self.rate.wait_seconds(waiting_count)
+            is_limited = limit_wait > wait
+            wait = max(wait, limit_wait)
             start = now + wait + FIRST_CHUNK_SECONDS
             target = queued.bid.target_seconds
             max_fraction = wait_fraction
@@ -461,11 +474,13 @@
             if start + own_prefill_seconds - queued.arrived_at > max_fraction * target:
                 del self.queued_by_id[queued.bid.bid_id]
                 reason = "beyond-share" if entry.over_share else "late"
+                reason = "limited" if is_limited else reason
                 actions.append(
                     Refused(queued.bid.bid_id, reason, self._retry_after(wait))
                 )
                 continue
             ahead += queued.prefill_tokens
+            waiting_count += 1
         return actions
 
     def _wait_fraction(self, now: float) -> float:
--- a/pistachiolever/admission/models.py
+++ b/pistachiolever/admission/models.py
@@ -2,6 +2,8 @@
 
 from attrs import field, frozen
 
+from pistachiolever.admission.rate_limit import NamedRate
+
 
 @frozen
 class PromptPart:
@@ -23,7 +25,7 @@
     is the highest. `asks_again` is true if there was an earlier bid for the request, so
     that its demand is not counted again. `slots`, `memory_tokens` and `event_tokens`
     are the endpoint's configured capacity and the maximum number of tokens in one event
-    of its streams.
+    of its streams, `rate` is the request rate that the endpoint named last.
     """
 
     bid_id: str
@@ -43,6 +45,7 @@
     slots: int = 1
     memory_tokens: int = 0
     event_tokens: int = 1
+    rate: NamedRate | None = None
 
 
 @frozen
@@ -50,7 +53,8 @@
     """Load of an endpoint, in tokens; `speed` is the prefill rate in tokens a second.
 
     `unread_tokens` are pending prefill tokens at the engine, `queued_tokens` those of
-    the `waiting` requests, which have no grant yet.
+    the `waiting` requests, which have no grant yet. `limit_seconds` is the time until
+    the rate that the endpoint named allows another request.
     """
 
     unread_tokens: float = 0.0
@@ -60,6 +64,7 @@
     slots: int = 1
     free_memory_tokens: float = 0.0
     speed: float = 0.0
+    limit_seconds: float = 0.0
 
 
 @frozen
--- a/pistachiolever/gateway/admission_clients.py
+++ b/pistachiolever/gateway/admission_clients.py
@@ -77,9 +77,10 @@
 class LocalAdmission:
     """Grants requests in this process, for an endpoint without an agent.
 
-    `fraction` returns the part of the endpoint's capacity that this router may use as
-    long as nothing is known of the others. `read_total` returns an account's service
-    over the whole fleet. `others` are the requests of other routers at the endpoint, as
+    `fraction` returns this router's part of what all routers share: the capacity of an
+    engine, as long as nothing is known of the others, and the rate that an endpoint
+    named. `read_total` returns an account's service over the whole fleet; a plain
+    endpoint has none. `others` are the requests of other routers at the endpoint, as
     it told of itself at `others_at`.
     """
 
@@ -91,8 +92,8 @@
     task: BackgroundTask = field(factory=BackgroundTask)
 
     def __attrs_post_init__(self) -> None:
-        """Let each review of the queue see the current estimate of the others."""
-        self.controller.before_review = self._update_others
+        """Let each review of the queue reckon with the other routers."""
+        self.controller.before_review = self._update_shared
 
     async def run(self) -> None:
         """Review the queue until the client is closed."""
@@ -108,7 +109,7 @@
 
     def load(self) -> Load:
         """Return the load by this router, and by the others as far as it is known."""
-        self._update_others()
+        self._update_shared()
         return self.controller.load()
 
     def update_load(self, load: Load, measured_at: float) -> None:
@@ -124,12 +125,12 @@
 
     async def acquire(self, bid: Bid) -> BidReply:
         """Wait for a grant within the capacity that the other routers leave."""
-        fraction = self.fraction()
+        fraction = self._capacity_fraction()
         if self._knows_others():
             fraction = max(fraction, 1.0 - self._others_now() / max(1, bid.slots))
         slots = bid.slots if self._knows_others() else round(bid.slots * fraction)
         total = self.read_total(bid.account_id) if self.read_total else bid.total
-        self._update_others()
+        self._update_shared()
         return await self.controller.acquire(
             evolve(
                 bid,
@@ -139,6 +140,13 @@
             )
         )
 
+    def _capacity_fraction(self) -> float:
+        """Return the part of the endpoint's capacity that this router may grant.
+
+        Plain endpoints refuse what exceeds their capacity, so each may use all of it.
+        """
+        return 1.0 if self.read_total is None else self.fraction()
+
     def _knows_others(self) -> bool:
         """Return whether the endpoint has told of its load recently.
 
@@ -152,10 +160,11 @@
         age = max(0.0, self.controller.now() - self.others_at)
         return self.others * exp(-age / OTHERS_DECAY_SECONDS)
 
-    def _update_others(self) -> None:
-        """Let the decisions reckon with the requests of the others."""
+    def _update_shared(self) -> None:
+        """Let the decisions reckon with the other routers."""
         others = round(self._others_now()) if self._knows_others() else 0
         self.controller.core.untracked_running = others
+        self.controller.core.rate.fraction = self.fraction()
 
     def report_start(self, bid_id: str) -> None:
         """Report the first chunk of a granted request."""
--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -119,6 +119,7 @@
     first_chunk_at: float | None = None
     framing: Framing | None = None
     boundary: EventBoundary = field(factory=EventBoundary)
+    sent_at: float = 0.0
     first_due_at: float = 0.0
     progressed_at: float = float("-inf")
     is_sending: bool = False
@@ -151,7 +152,8 @@
                 return AttemptResult(Verdict.NOT_RUN, sent=False, reason="held-back")
             if not self.fleet.may_send_parts(self.request.shared_part_ids):
                 return AttemptResult(Verdict.NOT_RUN, sent=False, reason=QUARANTINED)
-            self.fleet.notices.record_send(self.handle.endpoint, self.fleet.now())
+            self.sent_at = self.fleet.now()
+            self.fleet.notices.record_send(self.handle.endpoint, self.sent_at)
             with move_on_after(
                 self.request.remaining_seconds(self.fleet.now())
             ) as deadline:
@@ -241,7 +243,9 @@
         metadata = self.header_format.parse_response(response)
         # Status 421 comes from another endpoint, which has taken over the address.
         if response.status != 421:
-            self.fleet.record_notices(self.handle, request.request_id, metadata)
+            self.fleet.record_notices(
+                self.handle, request.request_id, metadata, self.sent_at
+            )
             if metadata.load is not None:
                 self.fleet.record_seen_load(self.handle, metadata.load)
         if metadata.not_run or response.status == 421:
--- a/pistachiolever/gateway/endpoint_handle.py
+++ b/pistachiolever/gateway/endpoint_handle.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 
 from pistachiolever.admission.models import Load
+from pistachiolever.admission.rate_limit import RateNotice
 from pistachiolever.discovery.models import Announcement
 from pistachiolever.gateway.admission_clients import AdmissionClient
 from pistachiolever.gateway.health import EndpointHealth
@@ -17,8 +18,8 @@
 
     The admission client is made when it is first used. `bidding_tokens` are the prompt
     tokens of this router's undecided bids for it; cancelling `bid_scopes` withdraws
-    these bids. `told_load` is the load that the registry told last, `rate_limit` the
-    requests a second that the endpoint accepts, None without a limit.
+    these bids. `told_load` is the load that the registry told last, `rate` the
+    request rate that the endpoint named.
     """
 
     endpoint: Announcement
@@ -28,7 +29,7 @@
     bid_scopes: set[CancelScope] = field(factory=set)
     told_load: Load = Load()
     told_at: float = float("-inf")
-    rate_limit: float | None = None
+    rate: RateNotice = field(factory=RateNotice)
     _admission: AdmissionClient | None = None
 
     @property
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -293,7 +293,7 @@
             local = make_local_admission(
                 self.rng,
                 self.now,
-                lambda: self._endpoint_fraction(announcement),
+                self._router_fraction,
                 self.reporter.service if is_engine else None,
                 self._read_total if is_engine else None,
             )
@@ -315,23 +315,25 @@
         """
         return self.shares.told_total(account_id, self.now())
 
-    def _endpoint_fraction(self, announcement: Announcement) -> float:
-        """Return the fraction of an endpoint's capacity that this router may grant.
-
-        Routers divide the capacity of an engine whose agent is unresponsive. Plain
-        endpoints refuse what exceeds their capacity, so a router may use all of it.
-        """
-        return 1.0 / max(1, self.budget.router_count) if announcement.agent else 1.0
+    def _router_fraction(self) -> float:
+        """Return this router's part of what all routers share without an agent."""
+        return 1.0 / max(1, self.budget.router_count)
 
     # Notices of endpoints.
 
     def record_notices(
-        self, handle: EndpointHandle, request_id: str, metadata: ResponseMetadata
+        self,
+        handle: EndpointHandle,
+        request_id: str,
+        metadata: ResponseMetadata,
+        sent_at: float,
     ) -> None:
-        """Record what an endpoint asks of this router in a response."""
+        """Record what an endpoint asks of this router in a response.
+
+        `sent_at` is when its request was sent.
+        """
         endpoint, now = handle.endpoint, self.now()
-        if metadata.rate_limit != handle.rate_limit:
-            handle.rate_limit = metadata.rate_limit
+        if handle.rate.observe(metadata.rate_limit, sent_at, now):
             self.events.record(
                 EventCode.ENDPOINT_LIMITED,
                 request_id,
--- a/pistachiolever/gateway/placement.py
+++ b/pistachiolever/gateway/placement.py
@@ -168,6 +168,7 @@
         is_full = load.running + load.waiting >= load.slots
         if is_full or load.free_memory_tokens < plan.prompt_tokens:
             wait += FULL_PENALTY_SECONDS
+        wait = max(wait, load.limit_seconds)
         cached = plan.cached_by_endpoint.get(endpoint.endpoint_id, 0)
         if endpoint.endpoint_id == preferred_id:
             cached = plan.shared_tokens
--- a/pistachiolever/usage/models.py
+++ b/pistachiolever/usage/models.py
@@ -79,10 +79,14 @@
 
 
 def pack_load(load: Load) -> PackedLoad:
-    """Return the numbers of a load."""
+    """Return the numbers of a load.
+
+    The wait for the rate of an endpoint is added to its queue: processes of earlier
+    versions read no further number.
+    """
     return [
         round(load.unread_tokens),
-        round(load.queued_tokens),
+        round(load.queued_tokens + load.limit_seconds * load.speed),
         load.waiting,
         load.running,
         load.slots,
--- a/pistachiolever/usage/reporter.py
+++ b/pistachiolever/usage/reporter.py
@@ -105,5 +105,6 @@
 
 
 def _wait_seconds(load: Load) -> float:
-    """Return the time to prefill what is pending."""
-    return (load.unread_tokens + load.queued_tokens) / max(1.0, load.speed)
+    """Return the time to prefill what is pending, and until the rate allows more."""
+    pending = load.unread_tokens + load.queued_tokens
+    return pending / max(1.0, load.speed) + load.limit_seconds
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -55,7 +55,7 @@
 ) -> None:
     """Record the notices of one response."""
     metadata = ResponseMetadata("r1", True, True, 0.0, leaving, retry_after)
-    fleet.record_notices(fleet.handle_by_id[endpoint_id], "r1", metadata)
+    fleet.record_notices(fleet.handle_by_id[endpoint_id], "r1", metadata, fleet.now())
 
 
 def usable(fleet: FleetView) -> set[str]:
@@ -390,7 +390,7 @@
         leaving, seconds = self.rng.random() < 0.2, self.rng.choice((0.0, 0.4, 3.0))
         value = f"{seconds:.1f}" if seconds else None
         metadata = ResponseMetadata("r1", True, True, 0.0, leaving, value)
-        self.fleet.record_notices(handle, "r1", metadata)
+        self.fleet.record_notices(handle, "r1", metadata, self.fleet.now())
         now = self.clock[0]
         if leaving:
             self.leaving_at.setdefault(key, now)
