Log what identifies the content of a failed request

The logs could not tell whether several endpoints ended under the same request, since request ids are new each time. ATTEMPT_FAILED names a digest of caller, path and body now; nothing is decided by it yet.

--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -47,6 +47,8 @@
 CRASH_CHECK_KEEP_ALIVE_SECONDS: Final = 1.0
 # Reason of a refusal: endpoints crashed under requests with a part of this prompt.
 QUARANTINED: Final = "quarantined"
+# Bytes of the digest that identifies the content of a request.
+CONTENT_DIGEST_BYTES: Final = 8
 # Incarnations whose notices are remembered.
 MAX_NOTICES: Final = 20_000
 # Time that a leaving endpoint serves on unless the settings name one.
--- a/pistachiolever/gateway/models.py
+++ b/pistachiolever/gateway/models.py
@@ -1,9 +1,12 @@
 """Requests in the gateway, and the metadata of requests and responses."""
 
+from hashlib import blake2b
+
 from attrs import define, field, frozen
 
 from pistachiolever.admission.const import OUTPUT_TOKEN_WEIGHT
 from pistachiolever.admission.models import Load, PromptPart
+from pistachiolever.gateway.const import CONTENT_DIGEST_BYTES
 from pistachiolever.http1.models import RequestHead
 from pistachiolever.routing.models import ProxyRoute, ProxyService
 
@@ -68,6 +71,23 @@
     bid_id: str = ""
     tried_endpoint_ids: set[str] = field(factory=set)
     may_have_run: bool = False
+    _content_id: str = ""
+
+    @property
+    def content_id(self) -> str:
+        """Return what identifies the content of a request, under whatever request id.
+
+        That is a digest of account, method, host, target and body. No prompt part can
+        have the same id, as its id has no colon.
+        """
+        if not self._content_id:
+            host = self.head.value(b"host") or b""
+            account = self.account_id.encode()
+            digest = blake2b(digest_size=CONTENT_DIGEST_BYTES)
+            for value in (account, self.head.method, host, self.head.target, self.body):
+                digest.update(b"%d:%s" % (len(value), value))
+            self._content_id = f"content:{digest.hexdigest()}"
+        return self._content_id
 
     @property
     def request_id(self) -> str:
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -417,6 +417,7 @@
             tokens=tokens,
             left=round(request.remaining_seconds(now), 3),
             parts=[] if result.answered else request.shared_part_ids,
+            content="" if result.answered else request.content_id,
         )
 
     def _may_retry(self, result: AttemptResult) -> bool:
