Quarantine requests under which endpoints crash, whatever their prompt

The content of a request is now one more suspected part, the last one: one mechanism for all requests that end what runs them.

Why it works: crashes are recorded by content under whatever request id, are told to all routers, and after the third and one second no router sends that content; with three crashes of a new content a bad prompt part is found as before.

--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -150,7 +150,7 @@
             # News may have arrived while the connection was opened.
             if not self.fleet.may_send(self.handle):
                 return AttemptResult(Verdict.NOT_RUN, sent=False, reason="held-back")
-            if not self.fleet.may_send_parts(self.request.shared_part_ids):
+            if not self.fleet.may_send_parts(self.request.suspect_ids):
                 return AttemptResult(Verdict.NOT_RUN, sent=False, reason=QUARANTINED)
             self.sent_at = self.fleet.now()
             self.fleet.notices.record_send(self.handle.endpoint, self.sent_at)
@@ -298,7 +298,7 @@
         service_id, now = request.service.service_id, fleet.now()
         if fleet.budget.remaining(service_id, now) < 1.0:
             return False
-        if not fleet.quarantine.may_repeat(request.shared_part_ids, now):
+        if not fleet.quarantine.may_repeat(request.suspect_ids, now):
             return False
         return fleet.has_usable(service_id, request.tried_endpoint_ids)
 
@@ -503,7 +503,7 @@
         self.run_seconds = now - first_chunk_at - self.sending_seconds
         if self.has_run() and now - self.sound_recorded_at >= SOUND_RUN_SECONDS:
             self.sound_recorded_at = now
-            self.fleet.record_sound_run(self.request.shared_part_ids)
+            self.fleet.record_sound_run(self.request.suspect_ids)
 
     def _record_first_chunk(self) -> float:
         """Return the time of the first chunk; report it to admission at first."""
--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -45,7 +45,7 @@
 # may be used if the endpoint is there.
 CRASH_CHECK_SECONDS: Final = 0.3
 CRASH_CHECK_KEEP_ALIVE_SECONDS: Final = 1.0
-# Reason of a refusal: endpoints crashed under requests with a part of this prompt.
+# Reason of a refusal: endpoints crashed under this request, or a part of its prompt.
 QUARANTINED: Final = "quarantined"
 # Bytes of the digest that identifies the content of a request.
 CONTENT_DIGEST_BYTES: Final = 8
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -428,10 +428,10 @@
                 seconds=round(pause.seconds, 3),
             )
 
-    # Prompt parts under which endpoints crash.
+    # Parts of requests under which endpoints crash.
 
     def quarantined_part(self, part_ids: list[str]) -> str:
-        """Return a part of a prompt that must not be sent now; empty if none."""
+        """Return a part of a request that must not be sent now; empty if none."""
         part_id = self.quarantine.quarantined_part(part_ids, self.now())
         self._record_part_changes()
         return part_id
--- a/pistachiolever/gateway/models.py
+++ b/pistachiolever/gateway/models.py
@@ -102,6 +102,14 @@
         """
         return [part.part_id for part in self.metadata.parts[:-1]]
 
+    @property
+    def suspect_ids(self) -> list[str]:
+        """Return the ids of all that could make an endpoint crash.
+
+        The content, of which a prompt's parts are common to more requests, is the last.
+        """
+        return [*self.shared_part_ids, self.content_id]
+
     @property
     def output_tokens(self) -> int:
         """Return the expected output in tokens.
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -72,7 +72,7 @@
         """Process the request; return once its response is complete or broken off."""
         request = self.request
         self.fleet.budget.record_request(request.service.service_id, self.fleet.now())
-        if self.fleet.quarantined_part(request.shared_part_ids):
+        if self.fleet.quarantined_part(request.suspect_ids):
             await self._fail(QUARANTINED)
             return
         if request.service.engine:
@@ -342,10 +342,10 @@
             # A caller that has its whole response may leave at once.
             with CancelScope(shield=True):
                 is_there = await fleet.check_crash(
-                    handle, request.request_id, request.shared_part_ids
+                    handle, request.request_id, request.suspect_ids
                 )
             if result.answered and is_there:
-                fleet.record_sound_run(request.shared_part_ids)
+                fleet.record_sound_run(request.suspect_ids)
         if not result.sent:
             request.attempt_count -= 1
         elif result.verdict is not Verdict.NOT_RUN:
@@ -371,7 +371,7 @@
         fleet, request = self.fleet, self.request
         now = fleet.now()
         if attempt.has_run() or (result.answered and not result.connection_ended):
-            fleet.record_sound_run(request.shared_part_ids)
+            fleet.record_sound_run(request.suspect_ids)
         if result.answered:
             handle.health.record_success(now)
             fleet.placement.prefix_affinity.record_use(
@@ -435,7 +435,7 @@
             return False
         if request.remaining_seconds(now) < MIN_ATTEMPT_SECONDS:
             return False
-        if not self.fleet.quarantine.may_repeat(request.shared_part_ids, now):
+        if not self.fleet.quarantine.may_repeat(request.suspect_ids, now):
             return False
         return self.successor is not None or self._use_retry_budget(result.reason)
 
@@ -511,10 +511,10 @@
     def _retry_after_header(self) -> Header:
         """Return a Retry-After header that the caller can still honour.
 
-        While all endpoints pause, or a part of the prompt is quarantined, it names the
+        While all endpoints pause, or the request is quarantined, it names the
         end of that, as an earlier retry would be refused again.
         """
-        part_id = self.fleet.quarantined_part(self.request.shared_part_ids)
+        part_id = self.fleet.quarantined_part(self.request.suspect_ids)
         if part_id:
             seconds = self.fleet.quarantine.remaining_seconds(part_id, self.fleet.now())
             return (b"retry-after", b"%.2f" % seconds)
--- a/pistachiolever/quarantine/__init__.py
+++ b/pistachiolever/quarantine/__init__.py
@@ -1,1 +1,4 @@
-"""Quarantine of prompt parts under which endpoints crash."""
+"""Quarantine of parts of requests under which endpoints crash.
+
+A part is a shared part of a prompt, or the content of the request as a whole.
+"""
--- a/pistachiolever/quarantine/const.py
+++ b/pistachiolever/quarantine/const.py
@@ -1,4 +1,4 @@
-"""Constants of the quarantine of prompt parts; times are in seconds."""
+"""Constants of the quarantine of parts of requests; times are in seconds."""
 
 from typing import Final
 
--- a/pistachiolever/quarantine/evidence.py
+++ b/pistachiolever/quarantine/evidence.py
@@ -79,13 +79,16 @@
     def _limit(self) -> None:
         """Drop the parts that are unchanged for longest above the limit.
 
-        Faulty ones stay for as long as there are others.
+        Faulty ones stay for as long as there are others, then those with several
+        crashes: an outage adds one crash to the content of each request it breaks off.
         """
         excess = len(self.record_by_part) - MAX_SUSPECTED_PARTS
         if excess <= 0:
             return
+        records = self.record_by_part
         oldest = sorted(
-            self.record_by_part, key=lambda p: self.record_by_part[p].is_faulty()
+            records,
+            key=lambda p: (records[p].is_faulty(), len(records[p].crashed_at) > 1),
         )
         for part_id in oldest[:excess]:
             del self.record_by_part[part_id]
--- a/pistachiolever/quarantine/models.py
+++ b/pistachiolever/quarantine/models.py
@@ -1,4 +1,4 @@
-"""What is known of prompt parts under which endpoints have crashed."""
+"""What is known of parts of requests under which endpoints have crashed."""
 
 from math import inf
 
@@ -18,7 +18,7 @@
 class PartReport:
     """The evidence on one part as it is sent; ages are in milliseconds.
 
-    `crashes` are the ages by endpoint incarnation, `depth` the part's place in prompts.
+    `crashes` are the ages by endpoint incarnation, `depth` its place in requests.
     `sound` is the age of the last sound run, `quarantined` that of the last quarantine,
     -1 for none; `quarantines` is their number.
     """
@@ -32,7 +32,7 @@
 
 @define
 class PartRecord:
-    """The evidence on one part of prompts; times are of this process's clock.
+    """The evidence on one part of requests; times are of this process's clock.
 
     Records of different processes can be merged in any order and more than once.
     """
--- a/pistachiolever/quarantine/quarantine.py
+++ b/pistachiolever/quarantine/quarantine.py
@@ -1,4 +1,4 @@
-"""Decides in a router which prompt parts are sent to endpoints, without I/O."""
+"""Decides in a router which parts of requests are sent to endpoints, without I/O."""
 
 from collections import OrderedDict
 from collections.abc import Sequence
@@ -195,7 +195,7 @@
         return now - sound_at < SOUND_SECONDS
 
     def _count(self, part_id: str, part_ids: Sequence[str]) -> int:
-        """Return the number of crashes that count against a part of a prompt."""
+        """Return the number of crashes that count against a part of a request."""
         record = self.table.record_by_part.get(part_id)
         if record is None:
             return 0
@@ -216,7 +216,7 @@
         self.enough_since_by_part = enough_since
 
     def _quarantine_faulty(self, part_ids: Sequence[str], now: float) -> None:
-        """Quarantine the last part of a prompt that has enough evidence against it."""
+        """Quarantine the last part of a request that has enough evidence against it."""
         for part_id in reversed(part_ids):
             since = self.enough_since_by_part.get(part_id)
             record = self.table.record_by_part.get(part_id)
@@ -238,8 +238,8 @@
     def _has_better_suspect(self, part_id: str, record: PartRecord, now: float) -> bool:
         """Return whether another part explains the same crashes better.
 
-        That is one with more crashes, or with the same ones and deeper in prompts: what
-        comes before it is common to more requests.
+        That is one with more crashes, or with the same ones and deeper in requests:
+        what comes before it is common to more requests.
         """
         crashes = record.counted_crashes()
         for other_id, other in self.table.record_by_part.items():
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -175,6 +175,52 @@
             quarantine.record_crash(f"e{count}", BAD, NOW)
 
 
+class ContentTest(CaseTest):
+    """The content of a request is a part like others, the last one."""
+
+    def test_rare_prompt_part_of_a_bad_request_is_not_quarantined(self) -> None:
+        quarantine = Quarantine("r")
+        bad = ["rare", "content:bad"]
+        crash(quarantine, bad)
+        self.assertEqual(quarantine.quarantined_part(bad, SETTLED), "content:bad")
+        sound = ["rare", "content:other"]
+        self.assertEqual(quarantine.quarantined_part(sound, SETTLED), "")
+        self.assertTrue(quarantine.may_repeat(sound, SETTLED))
+
+    def test_bad_prompt_part_in_requests_no_two_alike(self) -> None:
+        quarantine = Quarantine("r")
+        for number in range(CRASHES_TO_QUARANTINE):
+            parts = ["system", "bad", f"content:{number}"]
+            quarantine.record_sound(["system"], NOW)
+            quarantine.record_crash(f"e{number}", parts, NOW + number)
+        later = ["system", "bad", "content:new"]
+        self.assertEqual(quarantine.quarantined_part(later, SETTLED), "bad")
+
+    def test_bad_prompt_part_of_which_one_request_was_repeated(self) -> None:
+        quarantine = Quarantine("r")
+        quarantine.record_sound(["system"], NOW)
+        first = ["system", "bad", "content:first"]
+        crash(quarantine, first)
+        self.assertFalse(quarantine.try_send(first, SETTLED))
+        sent = 0
+        for number in range(20):
+            at = SETTLED + 5 * number
+            parts = ["system", "bad", f"content:{number}"]
+            if quarantine.try_send(parts, at):
+                sent += 1
+                quarantine.record_crash(f"later{number}", parts, at)
+        self.assertLessEqual(sent, 3)
+
+    # Each request that an outage broke off displaced evidence of repeated crashes.
+    def test_outage_displaced_the_evidence_against_a_request(self) -> None:
+        quarantine = Quarantine("r")
+        crash(quarantine, ["content:bad"], 2)
+        for number in range(2 * MAX_SUSPECTED_PARTS):
+            at = NOW + 60 + number / 1000
+            quarantine.record_crash(f"o{number // 64}", [f"content:{number}"], at)
+        self.assertFalse(quarantine.may_repeat(["content:bad"], NOW + 70))
+
+
 class EndTest(CaseTest):
     """How a quarantine ends."""
 
