--- a/pistachiolever/admission/rate_limit.py
+++ b/pistachiolever/admission/rate_limit.py
@@ -16,6 +16,19 @@
 )
 
 
+def parse_rate(text: str | None) -> float | None:
+    """Return the requests a second that an endpoint named, None if it named no limit.
+
+    Raise ValueError if that is not a finite number of at least 0.
+    """
+    if text is None:
+        return None
+    rate = float(text)
+    if not 0 <= rate < inf:
+        raise ValueError(f"not a rate: {text}")
+    return rate
+
+
 @frozen
 class NamedRate:
     """A rate in a message: requests a second, None for no limit, and its age."""
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -9,6 +9,7 @@
 from attrs import define, field
 
 from pistachiolever.admission.models import Load
+from pistachiolever.admission.rate_limit import parse_rate
 from pistachiolever.admission.recent_service import RecentService
 from pistachiolever.core.ids import new_id
 from pistachiolever.core.mailbox import Mailbox
@@ -333,14 +334,7 @@
         `sent_at` is when its request was sent.
         """
         endpoint, now = handle.endpoint, self.now()
-        if handle.rate.observe(metadata.rate_limit, sent_at, now):
-            self.events.record(
-                EventCode.ENDPOINT_LIMITED,
-                request_id,
-                endpoint=endpoint.endpoint_id,
-                born=endpoint.born_ms,
-                rate=metadata.rate_limit,
-            )
+        self._record_rate(handle, request_id, metadata.rate_limit, sent_at)
         if metadata.leaving and self.notices.record_leaving(endpoint, now):
             self.events.record(
                 EventCode.ENDPOINT_LEAVING,
@@ -365,6 +359,33 @@
             self.notices.record_pause(endpoint, seconds, now)
             handle.withdraw_bids()
 
+    def _record_rate(
+        self,
+        handle: EndpointHandle,
+        request_id: str,
+        rate_limit: str | None,
+        sent_at: float,
+    ) -> None:
+        """Record the request rate that an endpoint accepts.
+
+        A value that can't be read changes nothing.
+        """
+        try:
+            rate = parse_rate(rate_limit)
+            is_news = handle.rate.observe(rate, sent_at, self.now())
+        except ValueError:
+            is_news = True
+        if not is_news:
+            return
+        self.events.record(
+            EventCode.ENDPOINT_LIMITED,
+            request_id,
+            endpoint=handle.endpoint.endpoint_id,
+            born=handle.endpoint.born_ms,
+            rate=handle.rate.requests_per_second,
+            named=(rate_limit or "")[:40],
+        )
+
     def may_send(self, handle: EndpointHandle) -> bool:
         """Return whether the notices of a chosen endpoint allow a request now.
 
--- a/pistachiolever/gateway/header_format.py
+++ b/pistachiolever/gateway/header_format.py
@@ -1,6 +1,5 @@
 """Header names that callers and endpoints use, and the parsing of their values."""
 
-from math import inf
 from typing import Final
 
 from attrs import field, frozen
@@ -137,7 +136,7 @@
             (head.value(self.leaving) or b"0").strip() != b"0",
             _retry_after(head),
             _parse_load(head.value(self.load)),
-            _parse_rate(head.value(self.rate_limit)),
+            _text(head.value(self.rate_limit)),
         )
 
     def response_headers(self, head: ResponseHead, whole: bool) -> list[Header]:
@@ -154,7 +153,11 @@
 
 def _retry_after(head: ResponseHead) -> str | None:
     """Return the Retry-After of a busy endpoint's response."""
-    value = head.value(b"retry-after") if head.status == 503 else None
+    return _text(head.value(b"retry-after")) if head.status == 503 else None
+
+
+def _text(value: bytes | None) -> str | None:
+    """Return the text of a header, None if it is absent."""
     return None if value is None else value.decode("latin-1")
 
 
@@ -167,18 +170,6 @@
     return Load(running=running, waiting=waiting, slots=max(1, slots))
 
 
-def _parse_rate(value: bytes | None) -> float | None:
-    """Return the requests a second that an endpoint accepts; None if it names none.
-
-    A value that is not a finite number of at least 0 counts as none.
-    """
-    try:
-        rate = float(value or b"nan")
-    except ValueError:
-        return None
-    return rate if 0 <= rate < inf else None
-
-
 def keep_alive_seconds(head: ResponseHead) -> float:
     """Return how long to keep a connection after a response; 0 to close it."""
     for name, value in head.headers:
--- a/pistachiolever/gateway/models.py
+++ b/pistachiolever/gateway/models.py
@@ -33,8 +33,8 @@
     `signed` is true if the response carries a signature, `not_run` if it states that
     the endpoint did not run the request, `leaving` if the endpoint is leaving.
     `retry_after` is the unparsed value with which a busy endpoint asks for a pause.
-    `load` are its running and waiting requests and its slots, `rate_limit` the requests
-    a second that it accepts from all routers together, None without a limit.
+    `load` are its running and waiting requests and its slots, `rate_limit` is the
+    unparsed number of requests a second that it accepts from all routers together.
     """
 
     request_id: str
@@ -44,7 +44,7 @@
     leaving: bool = False
     retry_after: str | None = None
     load: Load | None = None
-    rate_limit: float | None = None
+    rate_limit: str | None = None
 
 
 @define(eq=False)
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -231,6 +231,32 @@
         self.assertEqual(fleet._unpaused_fraction(), 0.75)
 
 
+class RateLimitTest(CaseTest):
+    """The request rate that an endpoint names goes into the next bids."""
+
+    # A value that could not be read lifted the limit named before.
+    def test_invalid_rate_lifted_the_limit(self) -> None:
+        clock = [100.0]
+        fleet = make_fleet(endpoints_of(1), clock)
+        handle = fleet.handle_by_id["e0"]
+        steps = [
+            ("x", None),
+            ("2.5", 2.5),
+            ("", 2.5),
+            ("nan", 2.5),
+            ("-1", 2.5),
+            ("inf", 2.5),
+            ("0", 0.0),
+            (None, None),
+        ]
+        for text, expected in steps:
+            clock[0] += 1.0
+            with self.subTest(text):
+                metadata = ResponseMetadata("r1", True, True, 0.0, rate_limit=text)
+                fleet.record_notices(handle, "r1", metadata, clock[0])
+                self.assertEqual(handle.rate.requests_per_second, expected)
+
+
 class NoticesFuzzTest(CaseTest):
     """Random notices, restarts and requests never break either promise."""
 
