Quarantine several bad requests that come at the same time

Crashes under a part at three times, more than 2 s apart, are no outage, so they suffice now. It concerns prompt parts as well.

--- a/pistachiolever/quarantine/quarantine.py
+++ b/pistachiolever/quarantine/quarantine.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 from collections.abc import Sequence
 from enum import Enum
+from itertools import pairwise
 from math import inf
 from zlib import crc32
 
@@ -226,7 +227,7 @@
                 continue
             if self._has_better_suspect(part_id, record, now):
                 continue
-            if not self._accounts_for_most_crashes(part_id, record):
+            if not self._is_more_than_an_outage(part_id, record):
                 continue
             # Some of the crashes may have become too old.
             self.table.expire(now)
@@ -250,14 +251,18 @@
                 return True
         return False
 
-    def _accounts_for_most_crashes(self, part_id: str, record: PartRecord) -> bool:
-        """Return whether at least half of the crashes around were under this part.
+    def _is_more_than_an_outage(self, part_id: str, record: PartRecord) -> bool:
+        """Return whether an outage of many endpoints does not explain the crashes.
 
-        In an outage of many endpoints some requests with a rare part are among those
-        that the endpoints were running.
+        In an outage some requests with a rare part are among those that the endpoints
+        were running, but not in several outages. Otherwise at least half of the crashes
+        around were under this part.
         """
         crashes = record.counted_crashes()
-        times = [record.crashed_at[key] for key in crashes]
+        times = sorted(record.crashed_at[key] for key in crashes)
+        pauses = sum(b - a > OUTAGE_SECONDS for a, b in pairwise(times))
+        if pauses + 1 >= CRASHES_TO_QUARANTINE:
+            return True
         around = {
             key
             for other in self.table.record_by_part.values()
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -1,6 +1,8 @@
 """Which parts of prompts are quarantined, from which evidence."""
 
+from collections import Counter
 from collections.abc import Callable
+from random import Random
 from time import process_time
 
 from attrs import define
@@ -211,6 +213,34 @@
                 quarantine.record_crash(f"later{number}", parts, at)
         self.assertLessEqual(sent, 3)
 
+    # Each accounted for less than half of the crashes, so that none was quarantined.
+    def test_several_bad_requests_at_once_were_all_sent_on(self) -> None:
+        for count in (1, 2, 3, 4, 6):
+            for seed in range(10):
+                with self.subTest(count=count, seed=seed):
+                    late = self.play_waves(count, Random(seed))
+                    self.assertLessEqual(max(late.values(), default=0), 3)
+
+    def play_waves(self, count: int, rng: Random) -> Counter[str]:
+        """Return the sends of each bad request long after its third crash.
+
+        Four endpoints start every four seconds, and each gets one of the requests.
+        """
+        quarantine = Quarantine("r")
+        crashed_at: dict[str, list[float]] = {}
+        late: Counter[str] = Counter()
+        for wave in range(20):
+            for number in range(4):
+                at = NOW + 4.0 * wave + number / 10
+                content = f"content:{rng.randrange(count)}"
+                if not quarantine.try_send([content], at):
+                    continue
+                times = crashed_at.setdefault(content, [])
+                late[content] += len(times) >= 3 and at > times[2] + 3.0
+                times.append(at)
+                quarantine.record_crash(f"e{wave}-{number}", [content], at)
+        return late
+
     # Each request that an outage broke off displaced evidence of repeated crashes.
     def test_outage_displaced_the_evidence_against_a_request(self) -> None:
         quarantine = Quarantine("r")
