--- a/pistachiolever/admission/core.py
+++ b/pistachiolever/admission/core.py
@@ -108,7 +108,8 @@
     `untracked_running` counts runs that the engine reports beyond the granted ones.
     `demand` sums the uncached prompt tokens of new bids, `within_share_demand` those of
     accounts that had received less than their fair share. `run_ends` counts recently
-    ended runs, `run_seconds` sums their durations.
+    ended runs, `run_seconds` sums their durations. `rate_limit` holds the request rate
+    that the endpoint has named.
     """
 
     capacity: Capacity
@@ -130,13 +131,13 @@
     within_share_demand: DecayingSum = field(factory=DecayingSum)
     run_ends: DecayingSum = field(factory=DecayingSum)
     run_seconds: DecayingSum = field(factory=DecayingSum)
-    rate: RateLimit = field(init=False)
+    rate_limit: RateLimit = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Start with an empty cache and an unthrottled engine."""
         self.cache = PrefixCache(self.capacity.memory_tokens)
         self.throttle = PrefillThrottle(self.policy)
-        self.rate = RateLimit(self.rng)
+        self.rate_limit = RateLimit(self.rng)
 
     def set_policy(self, policy: AdmissionPolicy) -> None:
         """Apply another policy to later decisions; reset the throttle."""
@@ -151,7 +152,7 @@
             return []
         if len(self.queued_by_id) >= MAX_QUEUED_REQUESTS:
             return [Refused(bid.bid_id, "queue-full", self._retry_after(1.0))]
-        self.rate.update(bid.rate, now)
+        self.rate_limit.update(bid.named_rate, now)
         self.capacity.slots = bid.slots
         self.event_tokens = bid.event_tokens
         self.capacity.memory_tokens = bid.memory_tokens
@@ -275,7 +276,7 @@
     def handle_restart(self, now: float) -> list[AdmissionAction]:
         """End all runs and clear the cache: the engine has restarted."""
         self.cache.clear()
-        self.rate.reset(now)
+        self.rate_limit.reset(now)
         actions: list[AdmissionAction] = []
         for bid_id in list(self.run_by_id):
             actions.extend(self.handle_end(bid_id, 0, now))
@@ -283,7 +284,7 @@
 
     def load(self, now: float) -> Load:
         """Return the current load of the endpoint."""
-        self.rate.refill(now)
+        self.rate_limit.refill(now)
         return Load(
             self.pending_prefill_tokens(now),
             sum(queued.prefill_tokens for queued in self.queued_by_id.values()),
@@ -292,7 +293,7 @@
             self.capacity.slots,
             max(0.0, self._memory_limit() - self.reserved_tokens),
             self.prefill_tokens_per_second(),
-            self.rate.wait_seconds(len(self.queued_by_id)),
+            self.rate_limit.wait_seconds(len(self.queued_by_id)),
         )
 
     def prefill_tokens_per_second(self) -> float:
@@ -305,7 +306,7 @@
         """Grant what fits, in fair order, and refuse what would be late."""
         if not self.queued_by_id:
             return []
-        self.rate.record_demand(now)
+        self.rate_limit.record_demand(now)
         demand_ratio = self._demand_ratio(self.demand, now)
         limits_over_share = demand_ratio > self.policy.gate_demand
         queue = FairQueue(self.service, self.policy, now, limits_over_share)
@@ -338,7 +339,7 @@
         A request that does not fit into memory is overtaken by later ones only for
         `pass_share` of its target, so that large requests are not starved.
         """
-        if not scheduled or self._is_full() or not self.rate.allows():
+        if not scheduled or self._is_full() or not self.rate_limit.allows():
             return None
         if (
             self.prefilling_ids
@@ -416,7 +417,7 @@
             bid, now, prefill_tokens, queued.cost, queued.deadline_at
         )
         self.throttle.consume(prefill_tokens)
-        self.rate.consume()
+        self.rate_limit.consume()
         if not self.prefilling_ids:
             self.prefill_started_at = now
         self.prefilling_ids.append(bid.bid_id)
@@ -458,7 +459,7 @@
             queued = entry.queued
             blocked_count += is_full or not self._fits(queued)
             wait = max(ahead / rate, blocked_count * between_ends)
-            limit_wait = self.rate.wait_seconds(waiting_count)
+            limit_wait = self.rate_limit.wait_seconds(waiting_count)
             is_limited = limit_wait > wait
             wait = max(wait, limit_wait)
             start = now + wait + FIRST_CHUNK_SECONDS
@@ -473,10 +474,12 @@
             )
             if start + own_prefill_seconds - queued.arrived_at > max_fraction * target:
                 del self.queued_by_id[queued.bid.bid_id]
-                reason = "beyond-share" if entry.over_share else "late"
-                reason = "limited" if is_limited else reason
                 actions.append(
-                    Refused(queued.bid.bid_id, reason, self._retry_after(wait))
+                    Refused(
+                        queued.bid.bid_id,
+                        _refusal_reason(entry, is_limited),
+                        self._retry_after(wait),
+                    )
                 )
                 continue
             ahead += queued.prefill_tokens
@@ -512,3 +515,10 @@
         """
         spread = wait_seconds * (1.0 + self.rng.random()) + self.rng.random()
         return min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, spread))
+
+
+def _refusal_reason(entry: ScheduledRequest, is_limited: bool) -> str:
+    """Return why a request is refused that would be late."""
+    if is_limited:
+        return "limited"
+    return "beyond-share" if entry.over_share else "late"
--- a/pistachiolever/admission/models.py
+++ b/pistachiolever/admission/models.py
@@ -25,7 +25,7 @@
     is the highest. `asks_again` is true if there was an earlier bid for the request, so
     that its demand is not counted again. `slots`, `memory_tokens` and `event_tokens`
     are the endpoint's configured capacity and the maximum number of tokens in one event
-    of its streams, `rate` is the request rate that the endpoint named last.
+    of its streams, `named_rate` is the request rate that the endpoint named last.
     """
 
     bid_id: str
@@ -45,7 +45,7 @@
     slots: int = 1
     memory_tokens: int = 0
     event_tokens: int = 1
-    rate: NamedRate | None = None
+    named_rate: NamedRate | None = None
 
 
 @frozen
--- a/pistachiolever/gateway/admission_clients.py
+++ b/pistachiolever/gateway/admission_clients.py
@@ -164,7 +164,7 @@
         """Let the decisions reckon with the other routers."""
         others = round(self._others_now()) if self._knows_others() else 0
         self.controller.core.untracked_running = others
-        self.controller.core.rate.fraction = self.fraction()
+        self.controller.core.rate_limit.fraction = self.fraction()
 
     def report_start(self, bid_id: str) -> None:
         """Report the first chunk of a granted request."""
--- a/pistachiolever/gateway/endpoint_handle.py
+++ b/pistachiolever/gateway/endpoint_handle.py
@@ -18,7 +18,7 @@
 
     The admission client is made when it is first used. `bidding_tokens` are the prompt
     tokens of this router's undecided bids for it; cancelling `bid_scopes` withdraws
-    these bids. `told_load` is the load that the registry told last, `rate` the
+    these bids. `told_load` is the load that the registry told last, `rate_notice` the
     request rate that the endpoint named.
     """
 
@@ -29,7 +29,7 @@
     bid_scopes: set[CancelScope] = field(factory=set)
     told_load: Load = Load()
     told_at: float = float("-inf")
-    rate: RateNotice = field(factory=RateNotice)
+    rate_notice: RateNotice = field(factory=RateNotice)
     _admission: AdmissionClient | None = None
 
     @property
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -372,7 +372,7 @@
         """
         try:
             rate = parse_rate(rate_limit)
-            is_news = handle.rate.observe(rate, sent_at, self.now())
+            is_news = handle.rate_notice.observe(rate, sent_at, self.now())
         except ValueError:
             is_news = True
         if not is_news:
@@ -382,7 +382,7 @@
             request_id,
             endpoint=handle.endpoint.endpoint_id,
             born=handle.endpoint.born_ms,
-            rate=handle.rate.requests_per_second,
+            rate=handle.rate_notice.requests_per_second,
             named=(rate_limit or "")[:40],
         )
 
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -295,7 +295,7 @@
             engine.slots if engine else handle.endpoint.slots,
             engine.memory_tokens if engine else 0,
             engine.event_tokens if engine else 1,
-            handle.rate.pack(now),
+            handle.rate_notice.pack(now),
         )
 
     def _remaining_target_seconds(self) -> float:
--- a/tests/admission/test_rate_limit.py
+++ b/tests/admission/test_rate_limit.py
@@ -23,7 +23,9 @@
 
 def plain_bid(number: int, rate: float | None, age_seconds: float = 0.0) -> Bid:
     """Return a bid of a router that knows a rate."""
-    return evolve(PLAIN_BID, bid_id=f"b{number}", rate=NamedRate(rate, age_seconds))
+    return evolve(
+        PLAIN_BID, bid_id=f"b{number}", named_rate=NamedRate(rate, age_seconds)
+    )
 
 
 def most_in_window(times: list[float]) -> int:
@@ -77,7 +79,7 @@
             now += STEP_SECONDS
             due += demand * STEP_SECONDS
             for core in cores:
-                core.rate.fraction = 1 / processes
+                core.rate_limit.fraction = 1 / processes
                 times += [now] * self.end_runs(core, granted(core.review(now)), now)
             while due >= 1.0:
                 due, number = due - 1.0, number + 1
@@ -125,7 +127,7 @@
         for number, (rate, age_seconds, expected) in enumerate(steps):
             core.submit(plain_bid(number, rate, age_seconds), 10.0 + number)
             with self.subTest(number):
-                self.assertEqual(core.rate.notice.requests_per_second, expected)
+                self.assertEqual(core.rate_limit.notice.requests_per_second, expected)
 
     # A bid of a router that does not know of a restart brought the old limit back.
     def test_limit_outlived_a_restart_of_the_engine(self) -> None:
@@ -133,9 +135,9 @@
         core.submit(plain_bid(1, 2.0), 10.0)
         core.handle_restart(11.0)
         core.submit(plain_bid(2, 2.0, age_seconds=1.5), 11.5)
-        self.assertFalse(core.rate.is_limited())
+        self.assertFalse(core.rate_limit.is_limited())
         core.submit(plain_bid(3, 4.0), 12.0)
-        self.assertEqual(core.rate.notice.requests_per_second, 4.0)
+        self.assertEqual(core.rate_limit.notice.requests_per_second, 4.0)
 
 
 class RateNoticeTest(CaseTest):
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -254,7 +254,7 @@
             with self.subTest(text):
                 metadata = ResponseMetadata("r1", True, True, 0.0, rate_limit=text)
                 fleet.record_notices(handle, "r1", metadata, clock[0])
-                self.assertEqual(handle.rate.requests_per_second, expected)
+                self.assertEqual(handle.rate_notice.requests_per_second, expected)
 
 
 class NoticesFuzzTest(CaseTest):
