Let sidecars keep to the request rate that their endpoint names

A sidecar followed leaving and pauses of its endpoint and read no rate. It grants for all routers, so the token bucket of the admission core serves here as well. The new test failed before with 500 runs in 10 s at a rate of 3 a second, where 50 are allowed (with the limit left out of free_slots).

--- a/pistachiolever/admission/rate_limit.py
+++ b/pistachiolever/admission/rate_limit.py
@@ -96,6 +96,17 @@
             return
         was_limited = self.is_limited()
         self.notice.merge(named.requests_per_second, now - named.age_seconds)
+        self._start_bucket(was_limited, now)
+
+    def observe(self, rate: float | None, sent_at: float, now: float) -> bool:
+        """Apply a response to a request sent at a time; return whether that is news."""
+        was_limited = self.is_limited()
+        is_news = self.notice.observe(rate, sent_at, now)
+        self._start_bucket(was_limited, now)
+        return is_news
+
+    def _start_bucket(self, was_limited: bool, now: float) -> None:
+        """Start with a part of a request if a limit is new."""
         if self.is_limited() and not was_limited:
             self.credit = self.rng.random()
             self.refilled_at = self.demanded_at = now
--- a/pistachiolever/edge/const.py
+++ b/pistachiolever/edge/const.py
@@ -14,4 +14,5 @@
 REQUEST_ID_HEADER: Final = "x-request-id"
 IDEMPOTENCY_HEADER: Final = "idempotency-key"
 LEAVING_HEADER: Final = "x-leaving"
+RATE_LIMIT_HEADER: Final = "x-rate-limit"
 MAX_IDEMPOTENCY_KEY_CHARS: Final = 128
--- a/pistachiolever/sidecar/adapters.py
+++ b/pistachiolever/sidecar/adapters.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from absl import logging
 from anyio import fail_after
 from attrs import define
 from httpx import (
@@ -17,6 +18,7 @@
 from httpx_sse import ServerSentEvent, SSEError, aconnect_sse
 from orjson import JSONDecodeError, dumps, loads
 
+from pistachiolever.admission.rate_limit import parse_rate
 from pistachiolever.core.pause import pause_seconds
 from pistachiolever.core.verdict import Verdict
 from pistachiolever.declarations.models import Service, ServiceKind
@@ -24,6 +26,7 @@
     CONNECT_SECONDS,
     IDEMPOTENCY_HEADER,
     LEAVING_HEADER,
+    RATE_LIMIT_HEADER,
     REQUEST_ID_HEADER,
 )
 from pistachiolever.settings.models import SidecarSettings
@@ -31,6 +34,7 @@
 from pistachiolever.sidecar.models import (
     EndpointNotice,
     OutputReceived,
+    RateNamed,
     ResultReceived,
     RunEnded,
     SidecarInput,
@@ -107,7 +111,7 @@
         async with aconnect_sse(
             self.http, "POST", url, json=body, headers=headers
         ) as source:
-            _post_notice(source.response, post)
+            _post_notices(dispatch.request_id, source.response, post)
             failed = _check_status(dispatch.request_id, source.response, True)
             if failed is not None:
                 return failed
@@ -165,7 +169,7 @@
                 json={"input": dispatch.input},
                 headers=headers,
             )
-        _post_notice(response, post)
+        _post_notices(dispatch.request_id, response, post)
         failed = _check_status(dispatch.request_id, response, False)
         if failed is not None:
             return failed
@@ -211,14 +215,20 @@
     return RunEnded(request_id, verdict, False, reason)
 
 
-def _post_notice(response: Response, post: Post) -> None:
-    """Post what the endpoint asks for in a response, if anything."""
+def _post_notices(request_id: str, response: Response, post: Post) -> None:
+    """Post what the endpoint asks for in a response, and the rate that it accepts."""
     leaving = response.headers.get(LEAVING_HEADER, "0").strip() != "0"
     seconds = None
     if response.status_code in (429, 503):
         seconds = pause_seconds(response.headers.get("retry-after", ""))
     if leaving or seconds:
         post(EndpointNotice(leaving, seconds or 0.0))
+    try:
+        rate = parse_rate(response.headers.get(RATE_LIMIT_HEADER))
+    except ValueError as error:
+        logging.warning("the endpoint names a rate that can't be read: %s", error)
+        return
+    post(RateNamed(request_id, rate))
 
 
 def _check_status(
--- a/pistachiolever/sidecar/core.py
+++ b/pistachiolever/sidecar/core.py
@@ -6,6 +6,7 @@
 
 from attrs import define, field
 
+from pistachiolever.admission.rate_limit import RateLimit
 from pistachiolever.core.ids import new_id
 from pistachiolever.core.pause import PAUSE_RAMP_SECONDS
 from pistachiolever.core.verdict import Verdict
@@ -27,8 +28,10 @@
     LoadReported,
     NewRevision,
     OutputReceived,
+    RateNamed,
     RecordLimit,
     RecordPause,
+    RecordRate,
     RecordRunEnd,
     ReportClaim,
     ResultReceived,
@@ -68,7 +71,8 @@
     `tombstone_by_request` holds, with the time in seconds, requests that a router
     cancelled or tried to resume before their dispatch arrived; a late dispatch must not
     start them. `seen_attempts` holds the claimed attempts that may have run, oldest
-    first. Until `paused_until` the endpoint gets no requests.
+    first. Until `paused_until` the endpoint gets no requests. `rate_limit` holds the
+    request rate that it has named.
     """
 
     settings: SidecarSettings
@@ -85,6 +89,7 @@
     grants: GrantTable = field(init=False)
     runs: RunTable = field(init=False)
     limiter: ConcurrencyLimiter = field(init=False)
+    rate_limit: RateLimit = field(init=False)
     _actions: list[SidecarAction] = field(factory=list)
     _router_id: str = ""
     _handler_by_type: dict[type, Callable[[Any], None]] = field(init=False)
@@ -96,6 +101,7 @@
         self.limiter = ConcurrencyLimiter(
             self.service.kind, self.service.max_concurrency
         )
+        self.rate_limit = RateLimit(self.rng)
         self._handler_by_type = {
             RouterConnected: self._handle_router_connected,
             RouterDisconnected: self._handle_router_disconnected,
@@ -104,6 +110,7 @@
             ResultReceived: self._handle_result,
             RunEnded: self._handle_run_ended,
             EndpointNotice: self._handle_notice,
+            RateNamed: self._handle_rate,
             LoadReported: self._handle_load,
             NewRevision: self._handle_new_revision,
             Drain: self._handle_drain,
@@ -119,6 +126,7 @@
     def handle(self, message: SidecarInput, now: float) -> list[SidecarAction]:
         """Handle an input at time `now` in seconds; return the actions in order."""
         self.now = now
+        self.rate_limit.refill(now)
         self._actions = []
         self._handler_by_type[type(message)](message)
         self._grant_free_slots()
@@ -132,8 +140,11 @@
         """Return how many more requests may start or be granted."""
         if self.draining or self._is_paused():
             return 0
-        taken = self.runs.running + len(self.grants.open_by_id)
-        return self._allowed_runs() - taken
+        granted = len(self.grants.open_by_id)
+        free = self._allowed_runs() - self.runs.running
+        if self.rate_limit.is_limited():
+            free = min(free, int(self.rate_limit.credit))
+        return free - granted
 
     def _allowed_runs(self) -> int:
         """Return how many requests may run; after a pause this rises gradually."""
@@ -199,6 +210,7 @@
         if message.attempt_id:
             self._record_attempt(message.attempt_id)
         self.runs.add(Run(message, self._router_id, self.now))
+        self.rate_limit.consume()
         self.limiter.observe_running(self.runs.running)
         self._actions.append(StartRun(message))
 
@@ -440,6 +452,15 @@
             self.leaving = True
             self._actions.append(LeaveWithEndpoint())
 
+    def _handle_rate(self, message: RateNamed) -> None:
+        """Apply the request rate that the endpoint accepts, as a response named it."""
+        run = self.runs.run_by_id.get(message.request_id)
+        if run is None:
+            return
+        rate = message.requests_per_second
+        if self.rate_limit.observe(rate, run.started_at, self.now):
+            self._actions.append(RecordRate(rate))
+
     def _is_paused(self) -> bool:
         """Return whether the endpoint wants no requests now."""
         return self.now < self.paused_until
--- a/pistachiolever/sidecar/models.py
+++ b/pistachiolever/sidecar/models.py
@@ -71,6 +71,14 @@
     pause_seconds: float = 0.0
 
 
+@frozen
+class RateNamed:
+    """A response named the requests a second that its endpoint accepts, or no limit."""
+
+    request_id: str
+    requests_per_second: float | None
+
+
 @frozen
 class LoadReported:
     """The endpoint reported its load, as of some time ago."""
@@ -103,6 +111,7 @@
     | ResultReceived
     | RunEnded
     | EndpointNotice
+    | RateNamed
     | LoadReported
     | NewRevision
     | Drain
@@ -170,6 +179,13 @@
     seconds: float
 
 
+@frozen
+class RecordRate:
+    """Record in the event log that the rate that the endpoint accepts has changed."""
+
+    requests_per_second: float | None
+
+
 @frozen
 class LeaveWithEndpoint:
     """Drain and end the process, as its endpoint is leaving."""
@@ -183,5 +199,6 @@
     | RecordRunEnd
     | RecordLimit
     | RecordPause
+    | RecordRate
     | LeaveWithEndpoint
 )
--- a/pistachiolever/sidecar/tasks.py
+++ b/pistachiolever/sidecar/tasks.py
@@ -33,6 +33,7 @@
     NewRevision,
     RecordLimit,
     RecordPause,
+    RecordRate,
     RecordRunEnd,
     ReportClaim,
     RouterConnected,
@@ -155,6 +156,8 @@
             case RecordLimit(limit):
                 self.context.metrics.gauge("limit", limit)
                 self._record_endpoint(EventCode.LIMIT_CHANGED, f"limit={limit}")
+            case RecordRate(rate):
+                self._record_endpoint(EventCode.ENDPOINT_LIMITED, f"rate={rate}")
             case RecordPause() | LeaveWithEndpoint():
                 self._follow_notice(action)
 
--- a/tests/sidecar/test_adapters.py
+++ b/tests/sidecar/test_adapters.py
@@ -8,7 +8,12 @@
 from pistachiolever.declarations.models import Service, ServiceKind
 from pistachiolever.settings.models import SidecarSettings
 from pistachiolever.sidecar.adapters import make_adapter
-from pistachiolever.sidecar.models import EndpointNotice, RunEnded, SidecarInput
+from pistachiolever.sidecar.models import (
+    EndpointNotice,
+    RateNamed,
+    RunEnded,
+    SidecarInput,
+)
 from pistachiolever.wire.models import Dispatch
 from tests.support.cases import CaseTest
 
@@ -140,3 +145,18 @@
                     inputs = adapter_inputs(kind, response)
                     notices = [i for i in inputs if isinstance(i, EndpointNotice)]
                     self.assertEqual(notices, [notice] if notice else [])
+
+    def test_rates(self) -> None:
+        body = b"Content-Length: 2\r\n\r\n{}"
+        cases = [
+            (framed(b"{}"), [None]),
+            (HEAD + b"X-Rate-Limit: 2.5\r\n" + body, [2.5]),
+            (HEAD + b"X-Rate-Limit: -2\r\n" + body, []),
+            (HEAD + b"X-Rate-Limit: few\r\n" + body, []),
+        ]
+        for kind in ServiceKind:
+            for response, rates in cases:
+                with self.subTest(kind=kind, response=response):
+                    inputs = adapter_inputs(kind, response)
+                    named = [i for i in inputs if isinstance(i, RateNamed)]
+                    self.assertEqual([n.requests_per_second for n in named], rates)
--- a/tests/sidecar/test_sidecar_core.py
+++ b/tests/sidecar/test_sidecar_core.py
@@ -17,6 +17,8 @@
     FromRouter,
     LeaveWithEndpoint,
     OutputReceived,
+    RateNamed,
+    RecordRate,
     ReportClaim,
     ResultReceived,
     RouterConnected,
@@ -192,6 +194,27 @@
             core.handle(Tick(), now)
             self.assertEqual(core._allowed_runs(), allowed)
 
+    # The endpoint got all that its concurrency allowed, whatever rate it had named.
+    def test_runs_exceeded_the_rate_of_the_endpoint(self) -> None:
+        core = make_core(concurrency=8)
+        starts = 0
+        for step in range(500):
+            now = 1.0 + step / 50
+            request_id = f"q{step}"
+            actions = send(core, Dispatch(request_id, "a", "x", 1), now)
+            starts += count_starts(actions)
+            core.handle(RateNamed(request_id, 3.0), now)
+            core.handle(RunEnded(request_id, Verdict.RAN, True), now)
+            core.handle(Tick(), now)
+        self.assertLessEqual(starts, 1.5 * 3.0 * 10 + 5)
+        self.assertGreaterEqual(starts, 0.8 * 3.0 * 10)
+        # A response to a later request that names none lifts the limit.
+        core.handle(FromRouter("r1", Dispatch("last", "a", "x", 1)), 12.0)
+        self.assertEqual(
+            core.handle(RateNamed("last", None), 12.1)[0], RecordRate(None)
+        )
+        self.assertEqual(core.free_slots(), 7)
+
     def test_leaving_endpoint_ends_the_sidecar_once(self) -> None:
         core = make_core()
         first = core.handle(EndpointNotice(True), 1.0)
