Name in the log and in explain what of a request is quarantined

A refused request told only its prompt parts, so explain could not say that its content is what endpoints crashed under, and named all quarantined parts.

--- a/pistachiolever/events/explain.py
+++ b/pistachiolever/events/explain.py
@@ -6,6 +6,8 @@
 from attrs import define, field, frozen
 from orjson import JSONDecodeError, loads
 
+from pistachiolever.quarantine.const import CONTENT_PREFIX
+
 # Fields common to all events; the others are the inputs of the logged decision.
 COMMON_FIELDS = frozenset({"ms", "n", "event", "name", "process", "request"})
 # Events that a router logs when a request ends.
@@ -16,7 +18,7 @@
     "left": "endpoints had left",
     "leaving": "endpoints were leaving",
 }
-# Reason of a refusal: endpoints crashed under requests with a part of the prompt.
+# Reason of a refusal: endpoints crashed under the request, or a part of its prompt.
 QUARANTINED: Final = "quarantined"
 
 
@@ -118,7 +120,7 @@
 
 
 def _is_quarantined(end: LogLine) -> bool:
-    """Return whether a request ended since a part of its prompt is quarantined."""
+    """Return whether a request ended since it, or a part of it, is quarantined."""
     return str(end.inputs.get("reason")).endswith(QUARANTINED)
 
 
@@ -143,13 +145,16 @@
 def _quarantine_cause(
     end: LogLine, request_lines: list[LogLine], lines: list[LogLine]
 ) -> str:
-    """Return under which part of the prompt endpoints crashed, as the logs tell it."""
+    """Return under which part of a request endpoints crashed, as the logs tell it."""
     failed = [line for line in request_lines if line.name == "ATTEMPT_FAILED"]
     if failed:
         cause = f"{_failure_cause(request_lines, end.inputs)}; not sent again"
     else:
         cause = f"refused {end.inputs.get('status')}"
-    cause += ": endpoints crashed under requests with a part of this prompt"
+    if str(end.inputs.get("part")).startswith(CONTENT_PREFIX):
+        cause += ": endpoints crashed under requests with the same content"
+    else:
+        cause += ": endpoints crashed under requests with a part of this prompt"
     texts: list[str] = []
     for part_id, crashes in _quarantined_parts(end, request_lines, lines).items():
         crashed = sorted(_crashed_endpoints(part_id, end.ms, lines))
@@ -166,8 +171,8 @@
 ) -> dict[str, int]:
     """Return the known crashes of each part that may have prevented a request.
 
-    These are the parts that its router had quarantined at its end; of them, the ones in
-    its prompt if its attempts tell the prompt.
+    These are the parts that its router had quarantined at its end; of them, the one
+    that the end names, or the ones in its prompt if its attempts tell the prompt.
     """
     earlier = [
         line
@@ -183,6 +188,8 @@
         elif line.name == "PROCESS_STARTED":
             crashes_by_part.clear()
     own = {part for line in request_lines for part in line.inputs.get("parts", [])}
+    if end.inputs.get("part"):
+        own = {end.inputs["part"]}
     in_prompt = {part: n for part, n in crashes_by_part.items() if part in own}
     return in_prompt or crashes_by_part
 
--- a/pistachiolever/gateway/models.py
+++ b/pistachiolever/gateway/models.py
@@ -8,6 +8,7 @@
 from pistachiolever.admission.models import Load, PromptPart
 from pistachiolever.gateway.const import CONTENT_DIGEST_BYTES
 from pistachiolever.http1.models import RequestHead
+from pistachiolever.quarantine.const import CONTENT_PREFIX
 from pistachiolever.routing.models import ProxyRoute, ProxyService
 
 
@@ -86,7 +87,7 @@
             digest = blake2b(digest_size=CONTENT_DIGEST_BYTES)
             for value in (account, self.head.method, host, self.head.target, self.body):
                 digest.update(b"%d:%s" % (len(value), value))
-            self._content_id = f"content:{digest.hexdigest()}"
+            self._content_id = CONTENT_PREFIX + digest.hexdigest()
         return self._content_id
 
     @property
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -475,7 +475,10 @@
         """
         request = self.request
         status = 0
-        held_back = self.fleet.held_back(request.service.service_id)
+        notes: dict[str, str | list[str]] = {}
+        notes.update(self.fleet.held_back(request.service.service_id))
+        if reason == QUARANTINED:
+            notes["part"] = self.fleet.quarantined_part(request.suspect_ids)
         if self.sink.started:
             # The server closes the connection without completing the response.
             reason = f"broken off: {reason}"
@@ -505,7 +508,7 @@
             queued=round(self.queued_seconds, 4),
             prompt=request.metadata.prompt_tokens,
             total=round(self.fleet.now() - request.arrived_at, 4),
-            **held_back,
+            **notes,
         )
 
     def _retry_after_header(self) -> Header:
--- a/pistachiolever/quarantine/const.py
+++ b/pistachiolever/quarantine/const.py
@@ -35,3 +35,5 @@
 TIME_TOLERANCE_SECONDS: Final = 1.0
 # Interval at which a router reports quarantines again, for members that have restarted.
 REPEAT_REPORT_SECONDS: Final = 5.0
+# Begins the id of a request's content, as opposed to that of a prompt part.
+CONTENT_PREFIX: Final = "content:"
--- a/tests/events/test_explain.py
+++ b/tests/events/test_explain.py
@@ -216,16 +216,33 @@
             "quarantined new (3 crashes)",
         )
 
+    # All quarantined parts were named, as no attempt had told of the request's own.
+    def test_refused_for_its_quarantined_content(self) -> None:
+        logs = Logs()
+        for part in ("bad", "content:12"):
+            logs.router.record(EventCode.PART_QUARANTINED, part=part, crashes=3)
+        self.record_refusal(logs, "r1", part="content:12")
+        self.assertEqual(
+            logs.trace().cause,
+            "refused 503: endpoints crashed under requests with the same content; "
+            "router-1 had quarantined content:12 (3 crashes)",
+        )
+
     def record_refusal(
         self,
         logs: Logs,
         request_id: str,
         reason: str = "quarantined",
         status: int = 503,
+        **inputs: str,
     ) -> None:
         """Record the refusal of a request by the router."""
         logs.router.record(
-            EventCode.REQUEST_REFUSED, request_id, status=status, reason=reason
+            EventCode.REQUEST_REFUSED,
+            request_id,
+            status=status,
+            reason=reason,
+            **inputs,
         )
 
     def test_answered_and_unknown_request(self) -> None:
