Give the slow caller's response a deadline that its transfer comes well before

The test is to show that a response is not broken off as stalled or reset while its caller reads nothing. Its route has 40 s now, and one attempt is asked for besides; pauses, bytes and status are as before.

--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -50,6 +50,7 @@
     ),
     ProxyRoute("talk", "x", "/talk/", RequestKind.STREAM, SERVICES, 4, 1),
     ProxyRoute("file", "x", "/file/", RequestKind.IDEMPOTENT, SERVICES, 9, 0.3, 0, 2),
+    ProxyRoute("slow", "x", "/slow/", RequestKind.IDEMPOTENT, SERVICES, 40, 0.3, 0, 2),
     ProxyRoute("bulk", "x", "/bulk/", RequestKind.NON_IDEMPOTENT, SERVICES, 9, 0.3),
     ProxyRoute("tale", "x", "/tale/", RequestKind.STREAM, SERVICES, 9, 1),
 ]
@@ -341,11 +342,13 @@
     slots: int = 8,
     retry_ratio: float = 1,
     retry_slack: float = 99,
+    limit_seconds: float = 15.0,
 ) -> list[Result]:
     """Send requests through one router, each after a pause in seconds.
 
     `copies` of each are sent at the same time, with the same id. Each endpoint has
-    `slots`; `retry_ratio` and `retry_slack` limit the fleet's retries.
+    `slots`; `retry_ratio` and `retry_slack` limit the fleet's retries. All must end
+    within `limit_seconds`.
     """
     request = (
         b"GET %s HTTP/%s\r\nHost: x\r\nX-Request-Id: id$\r\n"
@@ -362,6 +365,7 @@
         slots,
         retry_ratio,
         retry_slack,
+        limit_seconds,
     )
 
 
@@ -374,6 +378,7 @@
     slots: int,
     retry_ratio: float,
     retry_slack: float,
+    limit_seconds: float,
 ) -> list[Result]:
     """Run a router, its endpoints and one caller."""
     settings = GatewaySettings(
@@ -405,7 +410,7 @@
             await _exchange(settings.front_address, sent, endpoints, read_after_seconds)
         )
 
-    with fail_after(15):
+    with fail_after(limit_seconds):
         async with create_task_group() as group:
             group.start_soon(process.run)
             for number, endpoint in enumerate(endpoints):
@@ -784,13 +789,15 @@
     def check(self, read_after_seconds: float) -> None:
         """Send a request whose caller reads nothing for a while."""
         (result,) = send_requests(
-            b"/file/1",
+            b"/slow/1",
             respond_long,
             respond_long,
-            deadline_ms=10_000,
+            deadline_ms=40_000,
             read_after_seconds=read_after_seconds,
+            limit_seconds=40.0,
         )
         self.assertEqual((result.status, len(result.body)), (200, LONG_BYTES))
+        self.assertEqual(result.attempts, 1)
 
     # It was broken off as if its endpoint had stalled.
     def test_whole_answer(self) -> None:
