--- a/tests/summary.py
+++ b/tests/summary.py
@@ -60,6 +60,9 @@
 
 
 def test_id(test: TestCase) -> str:
-    """Return the id of a test, for a subtest that of its test."""
+    """Return the id of a test, for a subtest that of its test.
+
+    The id of a parameterised test has its number; further lines show its parameters.
+    """
     whole: TestCase = getattr(test, "test_case", test)
-    return whole.id()
+    return whole.id().partition("\n")[0]
