Log which streams callers take up, and the software version of endpoints

REQUEST_FINISHED and ATTEMPT_FAILED name the version of their endpoint, STREAM_TAKEN_UP the event after which a stream is taken up and the request that began it. No decision uses them.

--- a/pistachiolever/discovery/models.py
+++ b/pistachiolever/discovery/models.py
@@ -20,7 +20,7 @@
     `born_ms` (milliseconds since the epoch) identifies the incarnation; within it a
     higher `sequence` is newer. `cold_seconds` is the remaining time of its cold start.
     `agent` is the address of the agent process on the endpoint's VM, empty if there is
-    none.
+    none. `version` is that of the endpoint's software, empty if it is unknown.
     """
 
     endpoint_id: str
@@ -33,6 +33,7 @@
     slots: int = 1
     cold_seconds: float = 0.0
     agent: str = ""
+    version: str = ""
 
     @property
     def sort_key(self) -> tuple[int, int, int]:
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -167,6 +167,7 @@
                     sequence=announcement.sequence,
                     address=announcement.address,
                     service=announcement.service_id,
+                    version=announcement.version,
                 )
         self._sync_handles()
 
--- a/pistachiolever/gateway/header_format.py
+++ b/pistachiolever/gateway/header_format.py
@@ -64,6 +64,7 @@
     load: bytes = b"x-load"
     leaving: bytes = b"x-leaving"
     rate_limit: bytes = b"x-rate-limit"
+    resumes: bytes = b"x-resumes"
     internal_request_headers: frozenset[bytes] = field(factory=frozenset)
     internal_response_headers: frozenset[bytes] = field(factory=frozenset)
 
@@ -82,6 +83,7 @@
             _parse_number(head.value(self.length_hint), "length hint") or 0,
             _parse_parts(head.value(self.prompt_parts)),
             _parse_number(head.value(b"last-event-id"), "event id") or 0,
+            (head.value(self.resumes) or b"").decode("latin-1"),
         )
 
     def endpoint_request_head(
--- a/pistachiolever/gateway/models.py
+++ b/pistachiolever/gateway/models.py
@@ -14,7 +14,11 @@
 
 @frozen
 class RequestMetadata:
-    """Metadata in a caller's headers, in seconds and tokens; empty where absent."""
+    """Metadata in a caller's headers, in seconds and tokens; empty where absent.
+
+    A caller that takes a stream up after `last_event_id` names in `resumes` its request
+    that brought the first event.
+    """
 
     request_id: str
     deadline_seconds: float | None = None
@@ -25,6 +29,7 @@
     length_hint: int = 0
     parts: list[PromptPart] = field(factory=list)
     last_event_id: int = 0
+    resumes: str = ""
 
 
 @frozen
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -75,6 +75,13 @@
         if self.fleet.quarantined_part(request.suspect_ids):
             await self._fail(QUARANTINED)
             return
+        if request.metadata.last_event_id:
+            self.fleet.events.record(
+                EventCode.STREAM_TAKEN_UP,
+                request.request_id,
+                begun_as=request.metadata.resumes,
+                after=request.metadata.last_event_id,
+            )
         if request.service.engine:
             self.fleet.shares.own.record_demand(
                 request.account_id, request.cost, self.fleet.now()
@@ -401,6 +408,7 @@
             EventCode.REQUEST_FINISHED if result.answered else EventCode.ATTEMPT_FAILED,
             request.request_id,
             endpoint=handle.endpoint.endpoint_id,
+            version=handle.endpoint.version,
             route=request.route.route_id,
             account=request.account_id,
             attempt=request.attempt_count,
--- a/pistachiolever/platform/names.py
+++ b/pistachiolever/platform/names.py
@@ -27,6 +27,7 @@
     load=b"server-load",
     leaving=b"server-leaving",
     rate_limit=b"server-limit",
+    resumes=b"resumes",
     internal_request_headers=frozenset(
         {
             b"expect-version",
--- a/pistachiolever/registry/endpoint_replicator.py
+++ b/pistachiolever/registry/endpoint_replicator.py
@@ -264,4 +264,5 @@
             sequence=announcement.sequence,
             service=announcement.service_id,
             address=announcement.address,
+            version=announcement.version,
         )
