Reproduce: streams joined from two software versions (failing)

A stream that its endpoint breaks off goes on at one of another version; streams that callers take up after all routers have lost power are placed like new ones.

--- /dev/null
+++ b/tests/gateway/test_stream_versions.py
@@ -0,0 +1,340 @@
+"""Streams go on only at endpoints of the software version that began them."""
+
+from pathlib import Path
+from random import Random
+from tempfile import TemporaryDirectory
+
+from anyio import (
+    CancelScope,
+    create_task_group,
+    create_tcp_listener,
+    current_time,
+    fail_after,
+    run,
+    sleep,
+)
+from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+from attrs import define, field
+
+from pistachiolever.admission.agent import AgentProcess
+from pistachiolever.admission.settings import AgentSettings
+from pistachiolever.discovery.models import Announcement, EndpointState
+from pistachiolever.edge.peers import PeerClient
+from pistachiolever.gateway.fleet import FleetView
+from pistachiolever.gateway.header_format import HeaderFormat
+from pistachiolever.gateway.process import GatewayProcess
+from pistachiolever.gateway.settings import GatewaySettings
+from pistachiolever.http1.server import HttpServer
+from pistachiolever.registry.member_choice import MemberChoice
+from pistachiolever.registry.usage_reporting import UsageReporting
+from pistachiolever.registry.watcher import RegistryWatcher
+from pistachiolever.routing.table import RouteTable
+from tests.gateway.test_rate_limits import SilentProbe
+from tests.gateway.test_relay import (
+    CONFIGURATION,
+    HEAD,
+    Endpoint,
+    Result,
+    _exchange,
+    chunk,
+    id_of,
+    value,
+)
+from tests.registry.test_process import Fleet as Registry, make_discarding_logger
+from tests.support.addresses import free_address
+from tests.support.cases import CaseTest
+
+EVENT_COUNT = 30
+EVENT_SECONDS = 0.04
+# Streams have begun, and the registry has heard of them, after this time.
+BEGUN_SECONDS = 0.6
+STREAMS = 12
+# Half of the streams fill one endpoint, so that both versions begin some.
+SLOTS = 6
+
+
+@define
+class VersionedEndpoint(Endpoint):
+    """An endpoint whose events name its version; `breaks_after` ends its streams."""
+
+    version: str = ""
+    breaks_after: int = EVENT_COUNT
+
+
+async def stream_version(endpoint: Endpoint, stream: SocketStream, head: bytes) -> None:
+    """Stream the events after the Last-Event-Id, slowly."""
+    assert isinstance(endpoint, VersionedEndpoint)
+    last = int(value(head, b"last-event-id") or b"0")
+    await stream.send(HEAD % id_of(head) + b"Transfer-Encoding: chunked\r\n\r\n")
+    for number in range(last + 1, EVENT_COUNT + 1):
+        if number > endpoint.breaks_after:
+            await stream.aclose()
+            return
+        data = b"id: %d\ndata: %s\n\n" % (number, endpoint.version.encode())
+        await stream.send(chunk(data))
+        await sleep(EVENT_SECONDS)
+    await stream.send(b"0\r\n\r\n")
+
+
+@define
+class Router:
+    """A router that can lose power."""
+
+    process: GatewayProcess
+    scope: CancelScope = field(factory=CancelScope)
+
+    async def run(self) -> None:
+        """Run until stopped."""
+        choice = self.process.watcher.choice
+        fleet = self.process.fleet
+        reporting = UsageReporting(
+            fleet.reporter, choice, PeerClient(), fleet.events, current_time
+        )
+        with self.scope:
+            async with create_task_group() as group:
+                group.start_soon(self.process.run)
+                group.start_soon(reporting.run)
+
+
+@define
+class System:
+    """Registry members, routers, and endpoints with an agent each."""
+
+    group: TaskGroup
+    registry: Registry
+    endpoints: list[VersionedEndpoint] = field(factory=list)
+    announcements: list[Announcement] = field(factory=list)
+    agent_scopes: list[CancelScope] = field(factory=list)
+    count: int = 0
+
+    async def add_endpoint(
+        self, version: str, breaks_after: int = EVENT_COUNT, has_agent: bool = True
+    ) -> VersionedEndpoint:
+        """Start an endpoint that announces itself."""
+        endpoint = VersionedEndpoint(
+            stream_version, version=version, breaks_after=breaks_after
+        )
+        listener = await create_tcp_listener(local_host="127.0.0.1")
+        address = f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
+        self.group.start_soon(listener.serve, endpoint.serve)
+        agent = free_address() if has_agent else ""
+        if has_agent:
+            self.start_agent(agent)
+        name = f"e{len(self.endpoints)}"
+        self.endpoints.append(endpoint)
+        announcement = Announcement(
+            name,
+            1,
+            1,
+            EndpointState.READY,
+            "s",
+            address,
+            "north",
+            SLOTS,
+            agent=agent,
+            version=version,
+        )
+        self.announcements.append(announcement)
+        await self.registry.first().endpoints.announce(announcement)
+        return endpoint
+
+    async def restart_registry(self) -> None:
+        """Restart all members, which then know only what is on their disks."""
+        for name in list(self.registry.member_by_name):
+            await self.registry.stop(name)
+        for name in self.registry.address_by_name:
+            self.registry.start(name, founder=True)
+        for announcement in self.announcements:
+            await self.registry.first().endpoints.announce(announcement)
+
+    def start_agent(self, address: str) -> None:
+        """Start the agent of an endpoint."""
+        scope = CancelScope()
+        self.agent_scopes.append(scope)
+        self.group.start_soon(self._run_agent, address, scope)
+
+    async def _run_agent(self, address: str, scope: CancelScope) -> None:
+        """Run an agent until stopped."""
+        events = make_discarding_logger(address)
+        process = AgentProcess(SilentProbe(), events, Random(1))
+        settings = AgentSettings(address, "north", address)
+        choice = MemberChoice(address, "north", lambda: self.registry.seeds)
+        reporting = UsageReporting(
+            process.make_reporter(settings), choice, PeerClient(), events, current_time
+        )
+        with scope:
+            async with create_task_group() as group:
+                group.start_soon(process.run)
+                group.start_soon(reporting.run)
+                group.start_soon(HttpServer(address, process.api().handle).serve)
+
+    async def start_router(self) -> Router:
+        """Start a router that knows nothing yet, and wait until it is ready."""
+        self.count += 1
+        name = f"r{self.count}"
+        settings = GatewaySettings(
+            name, "north", free_address(), free_address(), "/ready", 2, 1, 10, 99
+        )
+        events = make_discarding_logger(name)
+        fleet = FleetView(
+            settings,
+            lambda _: CONFIGURATION,
+            PeerClient(),
+            events,
+            Random(self.count),
+            current_time,
+        )
+        fleet.table = RouteTable(CONFIGURATION)
+        choice = MemberChoice(name, "north", lambda: self.registry.seeds)
+        watcher = RegistryWatcher(choice, PeerClient(), fleet, events)
+        router = Router(GatewayProcess(settings, HeaderFormat(), fleet, watcher))
+        self.group.start_soon(router.run)
+        while len(fleet.handle_by_id) < len(self.endpoints):
+            await sleep(0.02)
+        return router
+
+
+async def start_system(group: TaskGroup, root: str, *versions: str) -> System:
+    """Start three members, and an endpoint of each version."""
+    registry = Registry(Path(root), group)
+    await registry.start_founders()
+    system = System(group, registry)
+    for version in versions:
+        await system.add_endpoint(version)
+    return system
+
+
+async def send(router: Router, request_id: str, extra: str = "") -> Result:
+    """Send a request for a stream, or take one up."""
+    request = (
+        f"GET /plan/1 HTTP/1.1\r\nHost: x\r\nX-Request-Id: {request_id}\r\n"
+        "X-Deadline-Ms: 4000\r\nConnection: close\r\n"
+        f"Authorization: Bearer key\r\n{extra}\r\n"
+    )
+    address = router.process.settings.front_address
+    return await _exchange(address, request.encode(), [], 0.0)
+
+
+def versions_in(result: Result) -> set[str]:
+    """Return the versions that the events of a response name."""
+    lines = result.body.split(b"\n")
+    return {line[6:].decode() for line in lines if line.startswith(b"data: ")}
+
+
+def last_id_of(result: Result) -> int:
+    """Return the id of the last whole event, 0 without one."""
+    events = result.body.split(b"\n\n")[:-1]
+    ids = [event.partition(b"id: ")[2].split(b"\n")[0] for event in events]
+    return int(ids[-1]) if ids else 0
+
+
+@define
+class TakenUp:
+    """A stream that its caller took up: what came before and after."""
+
+    before: Result
+    after: Result
+
+    def versions(self) -> set[str]:
+        """Return the versions of all its events."""
+        return versions_in(self.before) | versions_in(self.after)
+
+    def is_whole(self) -> bool:
+        """Return whether the caller has all events."""
+        return last_id_of(self.after) == EVENT_COUNT
+
+
+class StreamVersionTest(CaseTest):
+    """Endpoints of two versions serve side by side."""
+
+    # A stream that an endpoint broke off went on at one of another version.
+    def test_stream_broken_off_by_its_endpoint_is_not_joined_from_two_versions(
+        self,
+    ) -> None:
+        for versions, is_whole in ((["v1", "v2"], False), (["v1", "v2", "v1"], True)):
+            with self.subTest(versions):
+                result = run(self.break_off, versions)
+                self.assertEqual(versions_in(result), {"v1"})
+                self.assertEqual(last_id_of(result) == EVENT_COUNT, is_whole)
+
+    async def break_off(self, versions: list[str]) -> Result:
+        """Return a stream that the only endpoint breaks off when others come."""
+        with TemporaryDirectory() as root, fail_after(20):
+            async with create_task_group() as group:
+                system = await start_system(group, root)
+                await system.add_endpoint(versions[0], breaks_after=15)
+                router = await system.start_router()
+                results: list[Result] = []
+
+                async def exchange() -> None:
+                    results.append(await send(router, "a"))
+
+                async with create_task_group() as callers:
+                    callers.start_soon(exchange)
+                    await sleep(0.1)
+                    for version in versions[1:]:
+                        await system.add_endpoint(version)
+                group.cancel_scope.cancel()
+        return results[0]
+
+
+class TakenUpStreamTest(CaseTest):
+    """Callers take up streams at routers that did not begin them."""
+
+    # After all routers had lost power, streams were taken up at any version.
+    def test_stream_begun_before_routers_lost_power_is_not_joined(self) -> None:
+        for lost in ((), ("agents",), ("member",)):
+            with self.subTest(lost=lost):
+                streams = run(self.lose_routers, lost)
+                for stream in streams:
+                    self.assertEqual(len(stream.versions()), 1)
+                self.assertEqual(
+                    set().union(*(stream.versions() for stream in streams)),
+                    {"v1", "v2"},
+                )
+                self.assertTrue(all(stream.is_whole() for stream in streams))
+
+    # The same, when nobody is left who knows where a stream began.
+    def test_stream_of_which_nobody_knows_the_version_is_refused(self) -> None:
+        for stream in run(self.lose_routers, ("agents", "members")):
+            self.assertEqual(versions_in(stream.after), set())
+            self.assertEqual(stream.after.status, 503)
+            self.assertIn(b"retry-after: ", stream.after.head)
+
+    async def lose_routers(self, lost: tuple[str, ...]) -> list[TakenUp]:
+        """Return streams that were taken up at a new router."""
+        with TemporaryDirectory() as root, fail_after(25):
+            async with create_task_group() as group:
+                versions = ["v1", "v2", "v1", "v2"]
+                system = await start_system(group, root, *versions)
+                router = await system.start_router()
+                before: dict[str, Result] = {}
+
+                async def begin(request_id: str) -> None:
+                    before[request_id] = await send(router, request_id)
+
+                async with create_task_group() as callers:
+                    for number in range(STREAMS):
+                        callers.start_soon(begin, f"a{number}")
+                    await sleep(BEGUN_SECONDS)
+                    if "agents" in lost:
+                        for scope in system.agent_scopes:
+                            scope.cancel()
+                    router.scope.cancel()
+                if "members" in lost:
+                    await system.restart_registry()
+                if "member" in lost:
+                    await system.registry.stop("a")
+                router = await system.start_router()
+                after: dict[str, Result] = {}
+
+                async def take_up(request_id: str, result: Result) -> None:
+                    extra = f"X-Resumes: {request_id}\r\n"
+                    extra += f"Last-Event-Id: {last_id_of(result)}\r\n"
+                    after[request_id] = await send(router, f"b-{request_id}", extra)
+
+                async with create_task_group() as callers:
+                    for request_id, result in before.items():
+                        callers.start_soon(take_up, request_id, result)
+                group.cancel_scope.cancel()
+        return [TakenUp(before[key], after[key]) for key in before]
