Let a broken stream go on only at endpoints of the version that began it

Cause: the version was dropped when an announcement was decoded, so a stream that its endpoint broke off went on at whatever endpoint was cheapest.

A request now has an origin from its first event on: service and version. Placement looks at endpoints of that version only (an index by version beside that of the service, so that the cost does not grow with the endpoints of others), the search for a successor of a silent response included, and the attempt checks it once more when its connection is open. If none is left, the stream ends at once, as broken off, reason version-gone. Announcements without a version name no endpoint any more.

--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -33,6 +33,7 @@
 from pistachiolever.http1.models import Framing, Header, ResponseHead
 from pistachiolever.quarantine.const import SOUND_RUN_SECONDS
 from pistachiolever.routing.models import RequestKind
+from pistachiolever.streams.models import StreamOrigin
 
 
 class ResponseSink(Protocol):
@@ -150,6 +151,8 @@
             # News may have arrived while the connection was opened.
             if not self.fleet.may_send(self.handle):
                 return AttemptResult(Verdict.NOT_RUN, sent=False, reason="held-back")
+            if not self.request.may_run_at(self.handle.endpoint):
+                return AttemptResult(Verdict.NOT_RUN, sent=False, reason="version")
             if not self.fleet.may_send_parts(self.request.suspect_ids):
                 return AttemptResult(Verdict.NOT_RUN, sent=False, reason=QUARANTINED)
             self.sent_at = self.fleet.now()
@@ -300,7 +303,7 @@
             return False
         if not fleet.quarantine.may_repeat(request.suspect_ids, now):
             return False
-        return fleet.has_usable(service_id, request.tried_endpoint_ids)
+        return fleet.has_usable(service_id, request.tried_endpoint_ids, request.version)
 
     def _response_timeout_seconds(self) -> float:
         """Return how long to wait for the head of the response.
@@ -471,9 +474,14 @@
 
     async def _send_events(self, response: ResponseHead, events: bytes) -> None:
         """Send events, preceded by the head if it was not sent yet."""
+        request = self.request
         self._record_run(self._record_first_chunk())
         # From here on the events count as sent, so they must not be left out.
         self.is_sending = True
+        if request.origin is None:
+            request.origin = StreamOrigin(
+                request.service.service_id, self.handle.endpoint.version
+            )
         started_at = self.fleet.now()
         if not self.sink.started:
             await self.sink.start(response.status, self._stream_headers(response))
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -58,6 +58,10 @@
 }
 
 
+# A service and a software version; None for the endpoints of all versions.
+IndexKey = tuple[str, str | None]
+
+
 class ConfigurationDecoder(Protocol):
     """Decodes and validates a configuration document."""
 
@@ -86,7 +90,7 @@
     expired_ids: set[str] = field(factory=set)
     handle_by_id: dict[str, EndpointHandle] = field(factory=dict)
     handle_by_agent: dict[str, EndpointHandle] = field(factory=dict)
-    index_by_service: dict[str, ServiceIndex] = field(factory=dict)
+    index_by_key: dict[IndexKey, ServiceIndex] = field(factory=dict)
     pool: ConnectionPool = field(init=False)
     placement: Placement = field(init=False)
     budget: RetryBudget = field(init=False)
@@ -239,9 +243,10 @@
 
     def update_free(self, handle: EndpointHandle) -> None:
         """Remember whether an endpoint has a free slot."""
-        index = self.index_by_service.get(handle.endpoint.service_id)
-        if index is not None:
-            index.update_load(handle.endpoint.endpoint_id, handle.is_full())
+        for key in _index_keys(handle.endpoint):
+            index = self.index_by_key.get(key)
+            if index is not None:
+                index.update_load(handle.endpoint.endpoint_id, handle.is_full())
 
     def _sync_handles(self) -> None:
         """Keep one handle for the current incarnation of each endpoint."""
@@ -256,7 +261,7 @@
         is_gone = announcement.state is EndpointState.GONE
         if handle is not None:
             known = handle.endpoint
-            self.index(known.service_id).discard(endpoint_id)
+            self._unlist(known)
             if is_gone or announcement.born_ms != known.born_ms:
                 self._drop_handle(endpoint_id)
                 handle = None
@@ -269,22 +274,36 @@
         if announcement.agent:
             self.handle_by_agent[announcement.agent] = handle
         if announcement.state is EndpointState.READY:
-            self.index(announcement.service_id).add(endpoint_id)
+            self._list(announcement)
 
     def _drop_handle(self, endpoint_id: str) -> None:
         """Stop using an incarnation of an endpoint."""
         handle = self.handle_by_id.pop(endpoint_id)
         known = handle.endpoint
         self.expired_ids.discard(endpoint_id)
-        self.index(known.service_id).discard(endpoint_id)
+        self._unlist(known)
         if self.handle_by_agent.get(known.agent) is handle:
             del self.handle_by_agent[known.agent]
         handle.close()
         self.gone_addresses.put(known.address)
 
-    def index(self, service_id: str) -> ServiceIndex:
-        """Return the index of a service."""
-        return self.index_by_service.setdefault(service_id, ServiceIndex())
+    def index(self, service_id: str, version: str | None = None) -> ServiceIndex:
+        """Return the index of a service, or of its endpoints of one version."""
+        return self.index_by_key.get((service_id, version)) or ServiceIndex()
+
+    def _list(self, announcement: Announcement) -> None:
+        """Add an endpoint to the indexes."""
+        for key in _index_keys(announcement):
+            index = self.index_by_key.setdefault(key, ServiceIndex())
+            index.add(announcement.endpoint_id)
+
+    def _unlist(self, announcement: Announcement) -> None:
+        """Remove an endpoint from the indexes; forget empty ones."""
+        for key in _index_keys(announcement):
+            index = self.index(*key)
+            index.discard(announcement.endpoint_id)
+            if not index.ready.ids:
+                self.index_by_key.pop(key, None)
 
     def _make_admission(self, announcement: Announcement) -> AdmissionClient:
         """Return the admission client of an endpoint, and start its task."""
@@ -416,17 +435,20 @@
                 ids.setdefault(restriction.value, []).append(endpoint_id)
         return ids
 
-    def pause_remaining(self, service_id: str) -> float | None:
+    def pause_remaining(
+        self, service_id: str, version: str | None = None
+    ) -> float | None:
         """Return the seconds until the first endpoint of a service takes requests.
 
-        None unless pauses prevent requests to all of its endpoints that stay.
+        None unless pauses prevent requests to all of its endpoints that stay. With a
+        `version` only endpoints of that one count.
         """
         if not self.notices.paused:
             return None
         now = self.now()
         times = [
             self.notices.available_at(handle.endpoint)
-            for handle in self._ready(service_id, set())
+            for handle in self._ready(service_id, set(), version)
         ]
         staying = [at for at in times if at is not None]
         if not staying or min(staying) <= now:
@@ -520,37 +542,44 @@
         avoid: set[str],
         part_id: str = "",
         extra: Iterable[str] = (),
+        version: str | None = None,
     ) -> list[Candidate]:
         """Return the endpoints of a service to consider for a request.
 
         `part_id` is the last shared part of its prompt, `extra` are further endpoints.
+        With a `version` only endpoints of that one are considered.
         """
-        chosen = self.index(service_id).choose(part_id, self.rng)
+        chosen = self.index(service_id, version).choose(part_id, self.rng)
         chosen.update(dict.fromkeys(extra))
         handles = [
             handle
             for endpoint_id in chosen
             if (handle := self.handle_by_id.get(endpoint_id)) is not None
         ]
-        usable, _ = self._split_usable(self._accepting(handles, service_id, avoid))
+        accepting = self._accepting(handles, service_id, avoid, version)
+        usable, _ = self._split_usable(accepting)
         return [
             Candidate(
                 handle.endpoint, handle.load(), handle.health, handle.bidding_tokens
             )
-            for handle in usable or self.usable(service_id, avoid)
+            for handle in usable or self.usable(service_id, avoid, version)
         ]
 
-    def usable(self, service_id: str, avoid: set[str]) -> list[EndpointHandle]:
+    def usable(
+        self, service_id: str, avoid: set[str], version: str | None = None
+    ) -> list[EndpointHandle]:
         """Return all endpoints of a service that may get a request now.
 
         Leaving ones are used only if there are no others.
         """
-        usable, leaving = self._split_usable(self._ready(service_id, avoid))
+        usable, leaving = self._split_usable(self._ready(service_id, avoid, version))
         return usable or leaving
 
-    def has_usable(self, service_id: str, avoid: set[str]) -> bool:
+    def has_usable(
+        self, service_id: str, avoid: set[str], version: str | None = None
+    ) -> bool:
         """Return whether another endpoint of a service may get a request now."""
-        return bool(self.usable(service_id, avoid))
+        return bool(self.usable(service_id, avoid, version))
 
     def _split_usable(
         self, handles: Iterable[EndpointHandle]
@@ -569,14 +598,20 @@
             self._count_held_back(handle, restriction)
         return usable, leaving
 
-    def _ready(self, service_id: str, avoid: set[str]) -> list[EndpointHandle]:
+    def _ready(
+        self, service_id: str, avoid: set[str], version: str | None
+    ) -> list[EndpointHandle]:
         """Return all endpoints of a service that accept requests."""
-        ids = self.index(service_id).ready.ids
+        ids = self.index(service_id, version).ready.ids
         handles = [self.handle_by_id[endpoint_id] for endpoint_id in ids]
-        return self._accepting(handles, service_id, avoid)
+        return self._accepting(handles, service_id, avoid, version)
 
     def _accepting(
-        self, handles: list[EndpointHandle], service_id: str, avoid: set[str]
+        self,
+        handles: list[EndpointHandle],
+        service_id: str,
+        avoid: set[str],
+        version: str | None,
     ) -> list[EndpointHandle]:
         """Return those of some endpoints that accept requests."""
         now = self.now()
@@ -584,6 +619,7 @@
             handle
             for handle in handles
             if handle.endpoint.service_id == service_id
+            and version in (None, handle.endpoint.version)
             and handle.endpoint.state is EndpointState.READY
             and handle.endpoint.endpoint_id not in avoid
             and not handle.health.is_ejected(now)
@@ -640,3 +676,8 @@
         is_current = self.handle_by_id.get(endpoint_id) is handle
         if is_current and endpoint_id in self.expired_ids:
             self._forget(endpoint_id)
+
+
+def _index_keys(endpoint: Announcement) -> tuple[IndexKey, IndexKey]:
+    """Return the keys of the indexes that list an endpoint."""
+    return ((endpoint.service_id, None), (endpoint.service_id, endpoint.version))
--- a/pistachiolever/gateway/models.py
+++ b/pistachiolever/gateway/models.py
@@ -6,10 +6,12 @@
 
 from pistachiolever.admission.const import OUTPUT_TOKEN_WEIGHT
 from pistachiolever.admission.models import Load, PromptPart
+from pistachiolever.discovery.models import Announcement
 from pistachiolever.gateway.const import CONTENT_DIGEST_BYTES
 from pistachiolever.http1.models import RequestHead
 from pistachiolever.quarantine.const import CONTENT_PREFIX
 from pistachiolever.routing.models import ProxyRoute, ProxyService
+from pistachiolever.streams.models import StreamOrigin
 
 
 @frozen
@@ -59,7 +61,8 @@
 
     `target_at` is when the first chunk is due, `deadline_at` when the response must be
     complete. `bid_id` is the id of the latest bid for the request. It does not contain
-    the request id, which callers may use twice.
+    the request id, which callers may use twice. `origin` is where the stream began,
+    None before its first event.
     """
 
     metadata: RequestMetadata
@@ -77,6 +80,7 @@
     bid_id: str = ""
     tried_endpoint_ids: set[str] = field(factory=set)
     may_have_run: bool = False
+    origin: StreamOrigin | None = None
     _content_id: str = ""
 
     @property
@@ -134,6 +138,15 @@
         prompt_tokens = self.metadata.prompt_tokens
         return prompt_tokens + OUTPUT_TOKEN_WEIGHT * self.output_tokens
 
+    @property
+    def version(self) -> str | None:
+        """Return the only software version that may serve it, None if any one may."""
+        return self.origin.version if self.origin else None
+
+    def may_run_at(self, endpoint: Announcement) -> bool:
+        """Return whether an endpoint has the version that the request needs."""
+        return self.version in (None, endpoint.version)
+
     def remaining_seconds(self, now: float) -> float:
         """Return the seconds until the deadline."""
         return self.deadline_at - now
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -121,7 +121,9 @@
         self.successor = await self._acquire_grant(elsewhere=True)
         if self.successor is None:
             return False
-        if is_stalled() and self._use_retry_budget("silent"):
+        # The first event may have come from the stalled endpoint meanwhile.
+        may_continue = self.request.may_run_at(self.successor.endpoint)
+        if may_continue and is_stalled() and self._use_retry_budget("silent"):
             return True
         self._release_successor()
         return False
@@ -179,8 +181,11 @@
     def _no_grant_reason(self) -> str:
         """Return why no endpoint granted the request."""
         service_id = self.request.service.service_id
-        if self.fleet.pause_remaining(service_id) is not None:
+        version = self.request.version
+        if self.fleet.pause_remaining(service_id, version) is not None:
             return "paused"
+        if version is not None and not self.fleet.index(service_id, version).ready.ids:
+            return "version-gone"
         return "no-room"
 
     def _max_bids(self) -> int:
@@ -213,11 +218,15 @@
             metadata.model,
             metadata.prompt_tokens,
             metadata.parts,
-            fleet.index(service_id),
+            fleet.index(service_id, self.request.version),
             now,
         )
         candidates = fleet.candidates(
-            service_id, avoid, plan.shared_part_id, list(plan.cached_by_endpoint)
+            service_id,
+            avoid,
+            plan.shared_part_id,
+            list(plan.cached_by_endpoint),
+            self.request.version,
         )
         return fleet.placement.rank(plan, candidates, now)
 
@@ -529,7 +538,9 @@
         if part_id:
             seconds = self.fleet.quarantine.remaining_seconds(part_id, self.fleet.now())
             return (b"retry-after", b"%.2f" % seconds)
-        paused_seconds = self.fleet.pause_remaining(self.request.service.service_id)
+        paused_seconds = self.fleet.pause_remaining(
+            self.request.service.service_id, self.request.version
+        )
         if paused_seconds is not None:
             # Spread, since callers would otherwise return at the same moment.
             spread = self.fleet.rng.random() * PAUSE_RAMP_SECONDS
--- a/pistachiolever/platform/endpoints.py
+++ b/pistachiolever/platform/endpoints.py
@@ -42,7 +42,7 @@
         max(1, _integer(fields, "slots")),
         _integer(fields, "coldLeftMs") / 1000,
         f"{host}:{peer_port}" if fields.get("models") else "",
-        _string(fields, "version") if "version" in fields else "",
+        _string(fields, "version"),
     )
 
 
