Let draining endpoints continue streams of their version for half of the drain time

Found on reading: an endpoint that announces that it drains leaves the index at once, so the streams of its version are refused from then on if it was among the last ones, though it serves for the drain time. A request that needs its version now gets it within half of that time from when this router learned of it while it was ready (control may have known a little earlier); new requests don't. The check before sending holds for all requests: a grant that comes later is given back.

--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -57,6 +57,8 @@
 MAX_NOTICES: Final = 20_000
 # Time that a leaving endpoint serves on unless the settings name one.
 DEFAULT_DRAIN_SECONDS: Final = 2.0
+# Part of the drain time within which a draining endpoint gets streams of its version.
+DRAINING_USE_FRACTION: Final = 0.5
 # Time for which a computed fair share is reused.
 SHARE_REFRESH_SECONDS: Final = 0.05
 # Responses of plain services up to this size are received completely before they are
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -30,6 +30,7 @@
     BID_PREFIX_DIGITS,
     CRASH_CHECK_KEEP_ALIVE_SECONDS,
     CRASH_CHECK_SECONDS,
+    DRAINING_USE_FRACTION,
     ENDPOINT_CONNECTION_FRACTION,
     MAX_IDLE_ENDPOINT_CONNECTIONS,
     ROUTER_COUNT_SECONDS,
@@ -77,8 +78,9 @@
     """The configuration in force and the known endpoints, from registry updates.
 
     `expired_ids` are the endpoints that the registry has not heard of for long. They
-    are forgotten when they accept no connection. `streams` are those that this router
-    has forwarded.
+    are forgotten when they accept no connection. `draining_since_by_id` are the times
+    at which this router learned that endpoints drain. `streams` are those that it has
+    forwarded.
     """
 
     settings: GatewaySettings
@@ -92,6 +94,7 @@
     table: RouteTable | None = None
     directory: EndpointDirectory = field(factory=EndpointDirectory)
     expired_ids: set[str] = field(factory=set)
+    draining_since_by_id: dict[str, float] = field(factory=dict)
     handle_by_id: dict[str, EndpointHandle] = field(factory=dict)
     handle_by_agent: dict[str, EndpointHandle] = field(factory=dict)
     index_by_key: dict[IndexKey, ServiceIndex] = field(factory=dict)
@@ -264,8 +267,10 @@
         endpoint_id = announcement.endpoint_id
         handle = self.handle_by_id.get(endpoint_id)
         is_gone = announcement.state is EndpointState.GONE
+        was_ready = False
         if handle is not None:
             known = handle.endpoint
+            was_ready = known.state is EndpointState.READY
             self._unlist(known)
             if is_gone or announcement.born_ms != known.born_ms:
                 self._drop_handle(endpoint_id)
@@ -276,9 +281,12 @@
             handle = EndpointHandle(announcement, self._make_admission)
             self.handle_by_id[endpoint_id] = handle
         handle.endpoint = announcement
+        if was_ready and announcement.state is EndpointState.DRAINING:
+            self.draining_since_by_id[endpoint_id] = self.now()
         if announcement.agent:
             self.handle_by_agent[announcement.agent] = handle
         if announcement.state is EndpointState.READY:
+            self.draining_since_by_id.pop(endpoint_id, None)
             self._list(announcement)
 
     def _drop_handle(self, endpoint_id: str) -> None:
@@ -286,6 +294,7 @@
         handle = self.handle_by_id.pop(endpoint_id)
         known = handle.endpoint
         self.expired_ids.discard(endpoint_id)
+        self.draining_since_by_id.pop(endpoint_id, None)
         self._unlist(known)
         if self.handle_by_agent.get(known.agent) is handle:
             del self.handle_by_agent[known.agent]
@@ -419,7 +428,7 @@
         """
         restriction = self.notices.restriction(handle.endpoint, self.now())
         if restriction in (Restriction.NONE, Restriction.LEAVING):
-            return True
+            return self._still_serves(handle)
         self._count_held_back(handle, restriction)
         return False
 
@@ -582,10 +591,33 @@
     ) -> list[EndpointHandle]:
         """Return all endpoints of a service that may get a request now.
 
-        Leaving ones are used only if there are no others.
+        Leaving ones are used only if there are no others, draining ones only for
+        streams that no other version can continue.
         """
         usable, leaving = self._split_usable(self._ready(service_id, avoid, version))
-        return usable or leaving
+        if usable or leaving or version is None:
+            return usable or leaving
+        return [
+            handle
+            for endpoint_id in self.draining_since_by_id
+            if (handle := self.handle_by_id[endpoint_id]).endpoint.version == version
+            and handle.endpoint.service_id == service_id
+            and endpoint_id not in avoid
+            and self._still_serves(handle)
+            and not handle.health.is_ejected(self.now())
+        ]
+
+    def _still_serves(self, handle: EndpointHandle) -> bool:
+        """Return whether a draining endpoint may still get the rest of a stream.
+
+        Control may have learned of the drain somewhat earlier than this router.
+        """
+        endpoint = handle.endpoint
+        if endpoint.state is EndpointState.READY:
+            return True
+        since = self.draining_since_by_id.get(endpoint.endpoint_id, float("-inf"))
+        allowed_seconds = DRAINING_USE_FRACTION * self.settings.drain_seconds
+        return self.now() - since < allowed_seconds
 
     def has_usable(
         self, service_id: str, avoid: set[str], version: str | None = None
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -220,9 +220,10 @@
         version = self.request.version
         if self.fleet.pause_remaining(service_id, version) is not None:
             return "paused"
-        if version is not None and not self.fleet.index(service_id, version).ready.ids:
-            return VERSION_GONE
-        return "no-room"
+        if version is None or self.fleet.index(service_id, version).ready.ids:
+            return "no-room"
+        is_served = self.fleet.has_usable(service_id, set(), version)
+        return "no-room" if is_served else VERSION_GONE
 
     def _max_bids(self) -> int:
         """Return how many endpoints may refuse before the request is refused."""
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -14,7 +14,7 @@
     sleep,
 )
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
-from attrs import define, field
+from attrs import define, evolve, field
 
 from pistachiolever.admission.agent import AgentProcess
 from pistachiolever.admission.settings import AgentSettings
@@ -29,6 +29,7 @@
 from pistachiolever.registry.usage_reporting import UsageReporting
 from pistachiolever.registry.watcher import RegistryWatcher
 from pistachiolever.routing.table import RouteTable
+from tests.gateway.test_notices import ENDPOINT, make_fleet, usable
 from tests.gateway.test_rate_limits import SilentProbe
 from tests.gateway.test_relay import (
     CONFIGURATION,
@@ -353,3 +354,35 @@
                         callers.start_soon(resume, request_id, result)
                 group.cancel_scope.cancel()
         return [TakenUp(before[key], after[key]) for key in before]
+
+
+class DrainingVersionTest(CaseTest):
+    """The last endpoints of a version continue its streams while they drain."""
+
+    OLD = evolve(ENDPOINT, version="v1")
+    NEW = evolve(ENDPOINT, endpoint_id="e1", address="10.0.0.2:80", version="v2")
+    DRAINING = evolve(OLD, sequence=2, state=EndpointState.DRAINING)
+
+    # They were refused, though the endpoint served on for the drain time.
+    def test_stream_of_a_draining_version_is_refused_only_after_a_while(self) -> None:
+        clock = [100.0]
+        fleet = make_fleet([self.OLD, self.NEW], clock)
+        fleet.apply_announcements([self.DRAINING])
+        self.assertEqual(usable(fleet), {"e1"})
+        handle = fleet.handle_by_id["e0"]
+        for seconds, is_used in ((0.0, True), (0.9, True), (1.1, False), (9.0, False)):
+            clock[0] = 100.0 + seconds
+            self.assertEqual(fleet.usable("s", set(), "v1"), [handle] * is_used)
+            self.assertEqual(fleet.may_send(handle), is_used)
+
+    # How long it has been draining is not known.
+    def test_endpoint_that_drained_before_the_router_started_is_not_used(self) -> None:
+        fleet = make_fleet([self.DRAINING, self.NEW], [100.0])
+        self.assertEqual(fleet.usable("s", set(), "v1"), [])
+
+    def test_ready_endpoint_of_the_version_goes_first(self) -> None:
+        other = evolve(self.OLD, endpoint_id="e2", address="10.0.0.3:80")
+        fleet = make_fleet([self.OLD, self.NEW, other], [100.0])
+        fleet.apply_announcements([self.DRAINING])
+        found = fleet.usable("s", set(), "v1")
+        self.assertEqual([handle.endpoint.endpoint_id for handle in found], ["e2"])
