Let agents refuse streams for an earlier incarnation of their engine

Found on reading, where else the cause could act: an endpoint may start again under its id with another version. A router that has not heard of it, such as one that was frozen, would record the old version for new streams and continue old ones there; the expected instance does not show it. Bids for streams now carry the start time of the endpoint, and an agent that knows a newer one refuses them (`restarted`). Engines without an agent: open.

test_agent_refuses_a_stream_for_an_earlier_incarnation is new and could not run before.

--- a/pistachiolever/admission/agent.py
+++ b/pistachiolever/admission/agent.py
@@ -8,6 +8,7 @@
 
 from pistachiolever.admission.const import (
     BID_PATH,
+    MIN_RETRY_AFTER_SECONDS,
     PROGRESS_PATH,
     REPORT_INTERVAL_SECONDS,
 )
@@ -90,7 +91,12 @@
         bid, service = call.bid, self.controller.core.service
         self.controller.handle_progress(call.progress)
         started_at = self.controller.now()
-        reply = await self.controller.acquire(bid)
+        if 0 < bid.born_ms < self.engine_born_ms:
+            # The router has not heard of the restart; the version may be another one.
+            load = self.controller.load()
+            reply = BidReply(False, load, "restarted", MIN_RETRY_AFTER_SECONDS)
+        else:
+            reply = await self.controller.acquire(bid)
         outcome = "granted" if reply.granted else reply.reason
         self.instruments.count(GRANTS, bid.account_id, outcome)
         if reply.granted:
--- a/pistachiolever/admission/models.py
+++ b/pistachiolever/admission/models.py
@@ -28,7 +28,8 @@
     are the endpoint's configured capacity and the maximum number of tokens in one event
     of its streams, `named_rate` is the request rate that the endpoint named last.
     `stream_key` is the key of the stream if its caller may take it up elsewhere, and
-    `origin` where it begins or began.
+    `origin` where it begins or began. `born_ms` is the start time of the endpoint's
+    incarnation that must serve it, 0 for any.
     """
 
     bid_id: str
@@ -51,6 +52,7 @@
     named_rate: NamedRate | None = None
     stream_key: str = ""
     origin: StreamOrigin | None = None
+    born_ms: int = 0
 
 
 @frozen
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -328,7 +328,7 @@
         request, now = self.request, self.fleet.now()
         engine = request.service.engine
         handle = self.fleet.handle_by_id[endpoint_id]
-        version = handle.endpoint.version
+        endpoint = handle.endpoint
         may_be_taken_up = request.route.resumable
         request.bid_count += 1
         request.bid_id = self.fleet.next_bid_id()
@@ -352,9 +352,10 @@
             engine.event_tokens if engine else 1,
             handle.rate_notice.pack(now),
             request.stream_key if may_be_taken_up else "",
-            StreamOrigin(request.service.service_id, version)
+            StreamOrigin(request.service.service_id, endpoint.version)
             if may_be_taken_up
             else None,
+            endpoint.born_ms if may_be_taken_up else 0,
         )
 
     def _remaining_target_seconds(self) -> float:
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -17,6 +17,7 @@
 from attrs import define, evolve, field
 
 from pistachiolever.admission.agent import AgentProcess
+from pistachiolever.admission.models import BidCall, BidReply
 from pistachiolever.admission.settings import AgentSettings
 from pistachiolever.discovery.models import Announcement, EndpointState
 from pistachiolever.edge.peers import PeerClient
@@ -29,6 +30,7 @@
 from pistachiolever.registry.usage_reporting import UsageReporting
 from pistachiolever.registry.watcher import RegistryWatcher
 from pistachiolever.routing.table import RouteTable
+from tests.admission.test_core import BID
 from tests.gateway.test_notices import ENDPOINT, make_fleet, usable
 from tests.gateway.test_rate_limits import SilentProbe
 from tests.gateway.test_relay import (
@@ -325,6 +327,30 @@
             self.assertEqual(stream.after.status, 503)
             self.assertIn(b"retry-after: ", stream.after.head)
 
+    def test_caller_resumes_a_stream(self) -> None:
+        for is_same_router in (True, False):
+            with self.subTest(is_same_router=is_same_router):
+                result = run(self.resume, is_same_router)
+                self.assertEqual(result.status, 200)
+                lines = result.body.split(b"\n")
+                ids = [int(line[4:]) for line in lines if line.startswith(b"id: ")]
+                self.assertEqual(ids, list(range(5, EVENT_COUNT + 1)))
+                self.assertTrue(result.raw.endswith(b"0\r\n\r\n"))
+
+    async def resume(self, is_same_router: bool) -> Result:
+        """Return the rest of a stream that is taken up after its fourth event."""
+        with TemporaryDirectory() as root, fail_after(20):
+            async with create_task_group() as group:
+                system = await start_system(group, root, "v1", "v2")
+                router = await system.start_router()
+                await send(router, "a")
+                if not is_same_router:
+                    router = await system.start_router()
+                extra = "X-Resumes: a\r\nLast-Event-Id: 4\r\n"
+                result = await send(router, "b", extra)
+                group.cancel_scope.cancel()
+        return result
+
     async def lose_routers(self, lost: tuple[str, ...]) -> list[TakenUp]:
         """Return streams that were taken up at a new router."""
         with TemporaryDirectory() as root, fail_after(25):
@@ -386,3 +412,25 @@
         fleet.apply_announcements([self.DRAINING])
         found = fleet.usable("s", set(), "v1")
         self.assertEqual([handle.endpoint.endpoint_id for handle in found], ["e2"])
+
+
+class RestartedEndpointTest(CaseTest):
+    """An endpoint started again under its id, perhaps with another version."""
+
+    # A router that had not heard of it recorded the version before, or continued a
+    # stream of that one.
+    def test_agent_refuses_a_stream_for_an_earlier_incarnation(self) -> None:
+        for born_ms, is_granted in ((0, True), (5, False), (7, True), (9, True)):
+            with self.subTest(born_ms=born_ms):
+                reply = run(self.bid_for, born_ms)
+                self.assertEqual(reply.granted, is_granted, reply)
+                if not is_granted:
+                    self.assertGreater(reply.retry_after_seconds, 0)
+
+    async def bid_for(self, born_ms: int) -> BidReply:
+        """Return an agent's reply to a bid for one incarnation of its engine."""
+        agent = AgentProcess(SilentProbe(), make_discarding_logger("a"), Random(1))
+        agent.engine_born_ms = 7
+        submitted = evolve(BID, prompt_tokens=10, born_ms=born_ms)
+        with fail_after(5):
+            return await agent._handle_bid(BidCall(submitted))
