Finish streams that have begun before new ones of their account begin

Cause: the rest of a stream was admitted like a new request. Of 34 take-ups refused as no-room, 27 were refused as beyond their account's share and 7 as late, each after one bid: the accounts with most streams are those over their share, a late refusal reckoned with the target of a first chunk, and only the endpoints of one version can be asked.

The rest of a stream that is known to have begun is no longer limited by its account's share (it was admitted with its beginning, and is still charged), may wait twice its target, and is bid at further endpoints after a refusal. That holds for three take-ups of a stream at a router, and not for streams without a record, so that claims to take one up do not pass the limits.

--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -489,6 +489,7 @@
                 request.service.service_id, self.handle.endpoint.version
             )
             self.fleet.record_stream(request, request.origin)
+        request.is_continued = True
         started_at = self.fleet.now()
         if not self.sink.started:
             await self.sink.start(response.status, self._stream_headers(response))
--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -51,6 +51,10 @@
 # is left, or nobody knows its version.
 VERSION_GONE: Final = "version-gone"
 VERSION_UNKNOWN: Final = "version-unknown"
+# The rest of a stream may wait this many times the target of its route. So often it is
+# not limited by its account's share, at one router.
+CONTINUED_TARGET_FACTOR: Final = 2.0
+MAX_PREFERRED_TAKE_UPS: Final = 3
 # Bytes of the digest that identifies the content of a request.
 CONTENT_DIGEST_BYTES: Final = 8
 # Incarnations whose notices are remembered.
--- a/pistachiolever/gateway/models.py
+++ b/pistachiolever/gateway/models.py
@@ -67,7 +67,8 @@
     `target_at` is when the first chunk is due, `deadline_at` when the response must be
     complete. `bid_id` is the id of the latest bid for the request. It does not contain
     the request id, which callers may use twice. `origin` is where the stream began,
-    None before its first event.
+    None before its first event. `is_continued` is true for the rest of a stream that is
+    known to have begun.
     """
 
     metadata: RequestMetadata
@@ -86,6 +87,7 @@
     tried_endpoint_ids: set[str] = field(factory=set)
     may_have_run: bool = False
     origin: StreamOrigin | None = None
+    is_continued: bool = False
     _content_id: str = ""
 
     @property
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -16,7 +16,9 @@
     ResponseSink,
 )
 from pistachiolever.gateway.const import (
+    CONTINUED_TARGET_FACTOR,
     DEFAULT_RETRY_AFTER_SECONDS,
+    MAX_PREFERRED_TAKE_UPS,
     MIN_ATTEMPT_SECONDS,
     QUARANTINED,
     RETRY_AFTER_FRACTION,
@@ -116,6 +118,10 @@
         if request.origin is None:
             return False
         fleet.record_stream(request, request.origin)
+        take_ups = fleet.streams.count_take_up(request.stream_key)
+        request.is_continued = (
+            resolution.is_recorded and take_ups <= MAX_PREFERRED_TAKE_UPS
+        )
         return self._use_service(request.origin.service_id)
 
     def _use_service(self, service_id: str) -> bool:
@@ -232,20 +238,29 @@
 
     def _is_over_share(self) -> bool:
         """Return whether the account has received more than its fair share."""
-        share = self.fleet.fair_share()
+        share = self._share()
         if share is None or not self.request.service.engine:
             return False
         return (
             self.fleet.shares.total(self.request.account_id, self.fleet.now()) > share
         )
 
+    def _share(self) -> float | None:
+        """Return the fair share that limits the request, None if none does.
+
+        The rest of a stream was admitted with its beginning.
+        """
+        return None if self.request.is_continued else self.fleet.fair_share()
+
     def _rank_choices(self, refused: set[str], elsewhere: bool) -> list[RankedEndpoint]:
         """Return the endpoints to bid to next, the best first."""
         ranked = self._rank_endpoints(refused | self.request.tried_endpoint_ids)
         if not ranked and not refused and not elsewhere:
             # Retry an endpoint that failed before rather than none.
             ranked = self._rank_endpoints(refused)
-        return self._filter_short_waits(ranked) if refused else ranked
+        if not refused or self.request.is_continued:
+            return ranked
+        return self._filter_short_waits(ranked)
 
     def _rank_endpoints(self, avoid: set[str]) -> list[RankedEndpoint]:
         """Return the endpoints to consider for the request, the best first."""
@@ -345,7 +360,7 @@
             request.metadata.model,
             request.metadata.parts if engine else [],
             self.fleet.shares.total(request.account_id, now, endpoint_id),
-            self.fleet.fair_share(),
+            self._share(),
             request.bid_count > 1,
             engine.slots if engine else handle.endpoint.slots,
             engine.memory_tokens if engine else 0,
@@ -362,11 +377,13 @@
         """Return the seconds until the first chunk is due.
 
         It is at least half of the target, as far as the deadline allows: a late request
-        still deserves a response.
+        still deserves a response. Callers wait longer for the rest of a stream.
         """
         now = self.fleet.now()
         remaining = self.request.remaining_seconds(now)
         target = self.request.route.target_seconds
+        if self.request.is_continued:
+            return min(remaining, CONTINUED_TARGET_FACTOR * target)
         return min(remaining, max(self.request.target_at - now, target / 2))
 
     # Attempts.
--- a/pistachiolever/gateway/stream_origins.py
+++ b/pistachiolever/gateway/stream_origins.py
@@ -38,7 +38,7 @@
         fleet, key = self.fleet, request.stream_key
         known = list(fleet.streams.origins(key, fleet.now()))
         if len(known) == 1:
-            return Resolution(known[0])
+            return Resolution(known[0], is_recorded=True)
         service_id = request.service.service_id
         window_seconds = AGE_FACTOR * request.route.timeout_seconds
         lookup = await self.lookup.find(key, service_id, window_seconds)
--- a/pistachiolever/streams/origins.py
+++ b/pistachiolever/streams/origins.py
@@ -7,10 +7,14 @@
 
 @frozen
 class Resolution:
-    """The origin of a stream, or why none can be named."""
+    """The origin of a stream, or why none can be named.
+
+    `is_recorded` is true if the stream is known to have begun.
+    """
 
     origin: StreamOrigin | None = None
     reason: str = ""
+    is_recorded: bool = False
 
 
 def resolve_origin(
@@ -30,7 +34,7 @@
     """
     origins = set(known)
     if len(origins) == 1:
-        return Resolution(known[0])
+        return Resolution(known[0], is_recorded=True)
     if origins:
         return Resolution(reason="several endpoints began it")
     window_ms = window_seconds * 1000
--- a/pistachiolever/streams/table.py
+++ b/pistachiolever/streams/table.py
@@ -14,10 +14,14 @@
 
 @define
 class StreamRecord:
-    """Where a stream began, and until when its caller may take it up, in seconds."""
+    """Where a stream began, and until when its caller may take it up, in seconds.
+
+    `take_ups` counts how often it was taken up here.
+    """
 
     origins: list[StreamOrigin]
     expires_at: float
+    take_ups: int = 0
 
 
 @define
@@ -50,6 +54,14 @@
         record = self.record_by_key.get(key)
         return record.origins if record and record.expires_at > now else []
 
+    def count_take_up(self, key: str) -> int:
+        """Count that a stream is taken up; return how often it was until now."""
+        record = self.record_by_key.get(key)
+        if record is None:
+            return 0
+        record.take_ups += 1
+        return record.take_ups
+
     def merge(self, reports: dict[str, StreamReport], now: float) -> None:
         """Add what another process has reported."""
         for key, report in reports.items():
--- /dev/null
+++ b/tests/gateway/test_continued_streams.py
@@ -0,0 +1,130 @@
+"""Which bids the rest of a stream gets, compared with a new one."""
+
+from typing import Any
+
+from anyio import create_task_group, run
+from attrs import define, evolve, field
+from nose2.tools import params
+
+from pistachiolever.admission.models import Bid, BidReply, Load
+from pistachiolever.gateway.fleet import FleetView
+from pistachiolever.gateway.header_format import HeaderFormat
+from pistachiolever.gateway.models import ProxyRequest, RequestMetadata
+from pistachiolever.gateway.request_processor import RequestProcessor
+from pistachiolever.gateway.stream_origins import StreamOrigins
+from pistachiolever.http1.models import RequestHead
+from pistachiolever.registry.member_choice import MemberChoice
+from pistachiolever.registry.stream_lookup import StreamLookup
+from pistachiolever.routing.models import EngineCapacity
+from pistachiolever.routing.table import RouteTable
+from pistachiolever.streams.models import StreamOrigin, stream_key
+from tests.gateway.test_attempt import RecordingSink
+from tests.gateway.test_notices import endpoints_of, make_fleet
+from tests.gateway.test_relay import CONFIGURATION
+from tests.support.cases import CaseTest
+
+NOW = 100.0
+ENDPOINTS = 4
+TOKENS_PER_SECOND = 1000.0
+ACCOUNT = "one"
+
+
+@define
+class RefusingAdmission:
+    """An endpoint that refuses all bids and remembers them."""
+
+    bids: list[Bid] = field(factory=list)
+
+    async def acquire(self, bid: Bid) -> BidReply:
+        """Refuse the bid."""
+        self.bids.append(bid)
+        return BidReply(False, Load(), "late", 0.5)
+
+    def load(self) -> Load:
+        """Return the load of an idle endpoint."""
+        return Load()
+
+    def is_local(self) -> bool:
+        """Return false."""
+        return False
+
+
+def make_busy_fleet(admission: Any) -> FleetView:
+    """Return a router's view of engines whose accounts ask for more than there is."""
+    engine = EngineCapacity(8, 100_000)
+    service = evolve(CONFIGURATION.services[0], engine=engine)
+    configuration = evolve(
+        CONFIGURATION, services=[service], tokens_per_second=TOKENS_PER_SECOND
+    )
+    endpoints = [evolve(e, version="v1") for e in endpoints_of(ENDPOINTS)]
+    fleet = make_fleet(endpoints, [NOW])
+    fleet.table = RouteTable(configuration)
+    fleet.shares.update({ACCOUNT: (90_000, 9_000), "two": (4_000, 2_000)}, NOW)
+    for handle in fleet.handle_by_id.values():
+        handle._admission = admission
+    return fleet
+
+
+def send(fleet: FleetView, metadata: RequestMetadata) -> None:
+    """Send a request of an account that is over its share."""
+    assert fleet.table is not None
+    route = next(r for r in CONFIGURATION.routes if r.route_id == "plan")
+    request = ProxyRequest(
+        metadata,
+        RequestHead(b"GET", b"/plan/1", [(b"host", b"x")]),
+        b"",
+        route,
+        fleet.table.service_by_id["s"],
+        ACCOUNT,
+        1,
+        NOW,
+        NOW + route.target_seconds,
+        NOW + route.timeout_seconds,
+    )
+    run(process, fleet, request)
+
+
+async def process(fleet: FleetView, request: ProxyRequest) -> None:
+    """Process a request at a router that knows no member of the registry."""
+    choice = MemberChoice("r", "north", list)
+    lookup = StreamLookup(fleet.client, choice, fleet.now)
+    origins = StreamOrigins(fleet, lookup)
+    sink = RecordingSink()
+    async with create_task_group() as group:
+        group.start_soon(lookup.run)
+        await RequestProcessor(fleet, HeaderFormat(), request, sink, origins).run()
+        group.cancel_scope.cancel()
+
+
+class ContinuedStreamTest(CaseTest):
+    """A stream that has begun is finished before new ones begin."""
+
+    # Taken-up streams of large accounts were refused as beyond their share, after one
+    # bid, though their endpoints were there and new streams began.
+    @params((0, False), (1, True), (3, True), (4, False))
+    def test_rest_of_a_stream_is_not_limited_by_the_share(
+        self, take_ups: int, is_preferred: bool
+    ) -> None:
+        admission = RefusingAdmission()
+        fleet = make_busy_fleet(admission)
+        key = stream_key(ACCOUNT, "a")
+        fleet.streams.add(key, StreamOrigin("s", "v1"), NOW + 9, NOW)
+        metadata = RequestMetadata("b", prompt_tokens=10)
+        if take_ups:
+            metadata = evolve(metadata, last_event_id=4, resumes="a")
+        for _ in range(max(1, take_ups)):
+            admission.bids.clear()
+            send(fleet, metadata)
+        self.assertEqual(admission.bids[0].share is None, is_preferred)
+        self.assertEqual(len(admission.bids) > 1, is_preferred)
+        longer = (
+            admission.bids[0].target_seconds > CONFIGURATION.routes[2].target_seconds
+        )
+        self.assertEqual(longer, is_preferred)
+
+    # Any request could otherwise pass the limits by claiming that it takes one up.
+    def test_stream_without_a_record_is_limited_by_the_share(self) -> None:
+        admission = RefusingAdmission()
+        fleet = make_busy_fleet(admission)
+        send(fleet, RequestMetadata("b", last_event_id=4, resumes="forged"))
+        self.assertEqual(admission.bids, [])
