Take an expired record of a stream for none, and test the checks before a stream moves

New tests for two checks that had none: a successor of another version is given back if the first event has come meanwhile, and an attempt checks the version once more before it sends; both fail without ProxyRequest.may_run_at.

--- a/pistachiolever/streams/table.py
+++ b/pistachiolever/streams/table.py
@@ -38,7 +38,7 @@
         """Add where a stream began; return whether that is news."""
         self._expire(now)
         record = self.record_by_key.get(key)
-        if record is None:
+        if record is None or record.expires_at <= now:
             self.record_by_key[key] = StreamRecord([origin], expires_at)
             if len(self.record_by_key) > self.max_streams:
                 del self.record_by_key[next(iter(self.record_by_key))]
--- a/tests/gateway/test_continued_streams.py
+++ b/tests/gateway/test_continued_streams.py
@@ -7,6 +7,9 @@
 from nose2.tools import params
 
 from pistachiolever.admission.models import Bid, BidReply, Load
+from pistachiolever.gateway.attempt import Attempt
+from pistachiolever.gateway.endpoint_handle import EndpointHandle
+from pistachiolever.gateway.event_stream import EventSplitter
 from pistachiolever.gateway.fleet import FleetView
 from pistachiolever.gateway.header_format import HeaderFormat
 from pistachiolever.gateway.models import ProxyRequest, RequestMetadata
@@ -49,6 +52,17 @@
         return False
 
 
+@define
+class ReleasedAdmission(RefusingAdmission):
+    """An endpoint that remembers which grants were given back."""
+
+    bid_ids: list[str] = field(factory=list)
+
+    def report_end(self, bid_id: str, output_tokens: int) -> None:
+        """Record the end of a grant."""
+        self.bid_ids.append(bid_id)
+
+
 def make_busy_fleet(admission: Any) -> FleetView:
     """Return a router's view of engines whose accounts ask for more than there is."""
     engine = EngineCapacity(8, 100_000)
@@ -65,11 +79,11 @@
     return fleet
 
 
-def send(fleet: FleetView, metadata: RequestMetadata) -> None:
-    """Send a request of an account that is over its share."""
+def make_request(fleet: FleetView, metadata: RequestMetadata) -> ProxyRequest:
+    """Return a request for a stream that may be resumed."""
     assert fleet.table is not None
     route = next(r for r in CONFIGURATION.routes if r.route_id == "plan")
-    request = ProxyRequest(
+    return ProxyRequest(
         metadata,
         RequestHead(b"GET", b"/plan/1", [(b"host", b"x")]),
         b"",
@@ -81,7 +95,11 @@
         NOW + route.target_seconds,
         NOW + route.timeout_seconds,
     )
-    run(process, fleet, request)
+
+
+def send(fleet: FleetView, metadata: RequestMetadata) -> None:
+    """Send a request of an account that is over its share."""
+    run(process, fleet, make_request(fleet, metadata))
 
 
 async def process(fleet: FleetView, request: ProxyRequest) -> None:
@@ -128,3 +146,63 @@
         fleet = make_busy_fleet(admission)
         send(fleet, RequestMetadata("b", last_event_id=4, resumes="forged"))
         self.assertEqual(admission.bids, [])
+
+
+@define(eq=False)
+class LateGrantProcessor(RequestProcessor):
+    """Gets the grant of another endpoint after the first event of the stalled one."""
+
+    granted: Any = None
+
+    async def _acquire_grant(self, elsewhere: bool = False) -> EndpointHandle | None:
+        """Return the other endpoint, once the stream has begun at the first one."""
+        self.request.origin = StreamOrigin("s", "v1")
+        handle: EndpointHandle = self.granted
+        return handle
+
+
+class ChangedMeanwhileTest(CaseTest):
+    """What was granted before a stream began, or before an announcement changed."""
+
+    def setUp(self) -> None:
+        """Create endpoints of two versions and a request."""
+        ended: Any = ReleasedAdmission()
+        first, second = endpoints_of(2)
+        endpoints = [evolve(first, version="v1"), evolve(second, version="v2")]
+        self.fleet = make_fleet(endpoints, [NOW])
+        self.fleet.table = RouteTable(CONFIGURATION)
+        self.handles = self.fleet.handle_by_id
+        for handle in self.handles.values():
+            handle._admission = ended
+        self.released = ended.bid_ids
+        self.request = make_request(self.fleet, RequestMetadata("a"))
+
+    # A stalled stream was cut off for an endpoint that can't continue it.
+    def test_successor_of_another_version_is_given_back(self) -> None:
+        for endpoint_id, is_taken in (("e0", True), ("e1", False)):
+            with self.subTest(endpoint_id):
+                self.released.clear()
+                processor = LateGrantProcessor(
+                    self.fleet,
+                    HeaderFormat(),
+                    self.request,
+                    RecordingSink(),
+                    granted=self.handles[endpoint_id],
+                )
+                found = run(processor._find_successor, lambda: True)
+                self.assertEqual(found, is_taken)
+                self.assertEqual(len(self.released), not is_taken)
+
+    # The announcement of an endpoint may name another version while it is bid for.
+    def test_rest_of_a_stream_is_not_sent_to_another_version(self) -> None:
+        self.request.origin = StreamOrigin("s", "v1")
+        for endpoint_id, reason in (("e0", ""), ("e1", "version")):
+            attempt = Attempt(
+                self.fleet,
+                HeaderFormat(),
+                self.request,
+                self.handles[endpoint_id],
+                RecordingSink(),
+                EventSplitter(),
+            )
+            self.assertEqual(attempt._held_back_reason(), reason)
--- a/tests/streams/test_table.py
+++ b/tests/streams/test_table.py
@@ -51,6 +51,13 @@
         table.add("b", OLD, 99.0, DEADLINE_AT + EXPIRY_CHECK_SECONDS)
         self.assertEqual(list(table.record_by_key), ["b"])
 
+    # The ends of both would otherwise have been unknown.
+    def test_id_that_is_used_again_later_is_another_stream(self) -> None:
+        table = StreamTable()
+        table.add("a", OLD, DEADLINE_AT, 1.0)
+        self.assertTrue(table.add("a", NEW, DEADLINE_AT + 9, DEADLINE_AT + 1))
+        self.assertEqual(table.origins("a", DEADLINE_AT + 1), [NEW])
+
     # Ids come from callers, so their number must not grow the memory without limit.
     def test_oldest_stream_is_forgotten_at_the_limit(self) -> None:
         table = StreamTable(max_streams=3)
