Test which request names a stream, and that it stays at its service

Reads of the fix found these paths without a test: Resumes without Last-Event-Id and the reverse, a route whose split leads elsewhere or no longer to the stream's service, announcements without a version.

--- a/tests/gateway/test_continued_streams.py
+++ b/tests/gateway/test_continued_streams.py
@@ -18,7 +18,11 @@
 from pistachiolever.http1.models import RequestHead
 from pistachiolever.registry.member_choice import MemberChoice
 from pistachiolever.registry.stream_lookup import StreamLookup
-from pistachiolever.routing.models import EngineCapacity
+from pistachiolever.routing.models import (
+    EngineCapacity,
+    ProxyService,
+    WeightedService,
+)
 from pistachiolever.routing.table import RouteTable
 from pistachiolever.streams.models import StreamOrigin, stream_key
 from tests.gateway.test_attempt import RecordingSink
@@ -148,6 +152,32 @@
         self.assertEqual(admission.bids, [])
 
 
+class ServiceTest(CaseTest):
+    """A stream stays at the service that began it."""
+
+    # The traffic split went by the id of the request that takes the stream up.
+    @params(([("s", 1.0), ("t", 1.0)], "t"), ([("s", 1.0), ("t", 0.0)], None))
+    def test_stream_stays_at_its_service(
+        self, weights: list[tuple[str, float]], service_id: str | None
+    ) -> None:
+        admission: Any = RefusingAdmission()
+        other = ProxyService("t")
+        configuration = evolve(CONFIGURATION, services=[*CONFIGURATION.services, other])
+        endpoint = evolve(endpoints_of(1)[0], service_id="t", version="v1")
+        fleet = make_fleet([endpoint], [NOW])
+        fleet.table = RouteTable(configuration)
+        fleet.handle_by_id["e0"]._admission = admission
+        key = stream_key(ACCOUNT, "a")
+        fleet.streams.add(key, StreamOrigin("t", "v1"), NOW + 9, NOW)
+        metadata = RequestMetadata("b", last_event_id=4, resumes="a")
+        request = make_request(fleet, metadata)
+        services = [WeightedService(name, weight) for name, weight in weights]
+        request.route = evolve(request.route, services=services)
+        run(process, fleet, request)
+        self.assertEqual(len(admission.bids), service_id is not None)
+        self.assertEqual(request.service.service_id, service_id or "s")
+
+
 @define(eq=False)
 class LateGrantProcessor(RequestProcessor):
     """Gets the grant of another endpoint after the first event of the stalled one."""
--- a/tests/gateway/test_header_format.py
+++ b/tests/gateway/test_header_format.py
@@ -96,6 +96,21 @@
 class ParseRequestTest(CaseTest):
     """Callers' headers are parsed, or rejected with status 400."""
 
+    # The traffic split and the record of a stream go by the request that began it.
+    def test_stream_id(self) -> None:
+        cases: list[tuple[list[Header], str]] = [
+            ([], "b"),
+            ([(b"x-resumes", b"a"), (b"last-event-id", b"4")], "a"),
+            ([(b"x-resumes", b"a")], "b"),
+            ([(b"x-resumes", b"a"), (b"last-event-id", b"0")], "b"),
+            ([(b"last-event-id", b"4")], "b"),
+        ]
+        for headers, stream_id in cases:
+            with self.subTest(headers):
+                head = RequestHead(b"GET", b"/", [(b"x-request-id", b"b"), *headers])
+                metadata = HEADER_FORMAT.parse_request(head)
+                self.assertEqual(metadata.stream_id, stream_id)
+
     def test_request_metadata(self) -> None:
         head = RequestHead(
             b"POST",
--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -197,6 +197,7 @@
         announcement = decode_announcement("i-1", dumps(HEARTBEAT), 7400)
         self.assertEqual(announcement.agent, "10.0.0.9:7400")
         self.assertEqual(announcement.state, EndpointState.DRAINING)
+        self.assertEqual(announcement.version, "v1")
         self.assertEqual(
             (announcement.cold_seconds, announcement.born_ms), (0.5, 1700000000000)
         )
@@ -205,7 +206,8 @@
 
     def test_malformed_heartbeats(self) -> None:
         cases: list[bytes] = [b"", b"\xff\xfe", b"[]", b"3", b'{"service"']
-        for name in ("service", "address", "zone", "slots", "state", "seq", "born"):
+        names = ("service", "address", "zone", "version", "slots", "state", "seq")
+        for name in (*names, "born"):
             without = {key: v for key, v in HEARTBEAT.items() if key != name}
             cases.append(dumps(without))
             cases.append(dumps(dict(HEARTBEAT, **{name: [1]})))
