Keep to an endpoint's notices when a draining one continues a stream

Found on reading the fix once more: an endpoint that had said in a response that it leaves, more than the drain time before it announced it, was still offered for streams of its version; the check before sending refused it each time, so the router bid there again at once, as fast as the agent answered, for up to half of the drain time. Both checks are one now. A stream whose route no longer leads to its service is refused as version-gone, not as unknown.

test_draining_endpoint_that_has_left_is_not_used failed before.

--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -60,8 +60,8 @@
     Change.TESTED: EventCode.PART_TESTED,
     Change.RELEASED: EventCode.PART_RELEASED,
 }
-
-
+# Restrictions under which a chosen endpoint still gets a request.
+SENDABLE: Final = (Restriction.NONE, Restriction.LEAVING)
 # A service and a software version; None for the endpoints of all versions.
 IndexKey = tuple[str, str | None]
 
@@ -427,10 +427,9 @@
         A leaving endpoint is chosen only if no other one can serve the request.
         """
         restriction = self.notices.restriction(handle.endpoint, self.now())
-        if restriction in (Restriction.NONE, Restriction.LEAVING):
-            return self._still_serves(handle)
-        self._count_held_back(handle, restriction)
-        return False
+        if restriction not in SENDABLE:
+            self._count_held_back(handle, restriction)
+        return self._allows_request(handle)
 
     def held_back(self, service_id: str) -> dict[str, list[str]]:
         """Return the restricted endpoints of a service, by kind of restriction.
@@ -603,16 +602,18 @@
             if (handle := self.handle_by_id[endpoint_id]).endpoint.version == version
             and handle.endpoint.service_id == service_id
             and endpoint_id not in avoid
-            and self._still_serves(handle)
+            and self._allows_request(handle)
             and not handle.health.is_ejected(self.now())
         ]
 
-    def _still_serves(self, handle: EndpointHandle) -> bool:
-        """Return whether a draining endpoint may still get the rest of a stream.
+    def _allows_request(self, handle: EndpointHandle) -> bool:
+        """Return whether neither notices nor a drain prevent a request now.
 
         Control may have learned of the drain somewhat earlier than this router.
         """
         endpoint = handle.endpoint
+        if self.notices.restriction(endpoint, self.now()) not in SENDABLE:
+            return False
         if endpoint.state is EndpointState.READY:
             return True
         since = self.draining_since_by_id.get(endpoint.endpoint_id, float("-inf"))
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -84,8 +84,8 @@
         if self.fleet.quarantined_part(request.suspect_ids):
             await self._fail(QUARANTINED)
             return
-        if request.is_taken_up and not await self._find_origin():
-            await self._fail(VERSION_UNKNOWN)
+        if request.is_taken_up and (reason := await self._find_origin()):
+            await self._fail(reason)
             return
         if request.service.engine:
             self.fleet.shares.own.record_demand(
@@ -96,8 +96,11 @@
         finally:
             self._release_successor()
 
-    async def _find_origin(self) -> bool:
-        """Find out which version began the stream that the caller takes up."""
+    async def _find_origin(self) -> str:
+        """Find out which version began the stream that the caller takes up.
+
+        Return why the request can't be served; empty if it can.
+        """
         request, fleet = self.request, self.fleet
         resolution = Resolution()
         for number in range(LOOKUPS):
@@ -116,13 +119,13 @@
             reason=resolution.reason,
         )
         if request.origin is None:
-            return False
+            return VERSION_UNKNOWN
         fleet.record_stream(request, request.origin)
         take_ups = fleet.streams.count_take_up(request.stream_key)
         request.is_continued = (
             resolution.is_recorded and take_ups <= MAX_PREFERRED_TAKE_UPS
         )
-        return self._use_service(request.origin.service_id)
+        return "" if self._use_service(request.origin.service_id) else VERSION_GONE
 
     def _use_service(self, service_id: str) -> bool:
         """Return whether the route still leads to the service that began the stream."""
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -31,7 +31,13 @@
 from pistachiolever.registry.watcher import RegistryWatcher
 from pistachiolever.routing.table import RouteTable
 from tests.admission.test_core import BID
-from tests.gateway.test_notices import ENDPOINT, make_fleet, usable
+from tests.gateway.test_notices import (
+    DRAIN_SECONDS,
+    ENDPOINT,
+    make_fleet,
+    notify,
+    usable,
+)
 from tests.gateway.test_rate_limits import SilentProbe
 from tests.gateway.test_relay import (
     CONFIGURATION,
@@ -406,6 +412,16 @@
         fleet = make_fleet([self.DRAINING, self.NEW], [100.0])
         self.assertEqual(fleet.usable("s", set(), "v1"), [])
 
+    # It granted again and again what was then not sent.
+    def test_draining_endpoint_that_has_left_is_not_used(self) -> None:
+        clock = [100.0]
+        fleet = make_fleet([self.OLD, self.NEW], clock)
+        notify(fleet, "e0", leaving=True)
+        clock[0] += DRAIN_SECONDS
+        fleet.apply_announcements([self.DRAINING])
+        self.assertFalse(fleet.may_send(fleet.handle_by_id["e0"]))
+        self.assertEqual(fleet.usable("s", set(), "v1"), [])
+
     def test_ready_endpoint_of_the_version_goes_first(self) -> None:
         other = evolve(self.OLD, endpoint_id="e2", address="10.0.0.3:80")
         fleet = make_fleet([self.OLD, self.NEW, other], [100.0])
