Smooth the delay of the event loop by time, not by samples

A sample now counts for the time that it stands for; the smaller one of two samples counts, so that a single long step still changes nothing.

--- a/pistachiolever/gateway/overload.py
+++ b/pistachiolever/gateway/overload.py
@@ -7,6 +7,7 @@
 from pistachiolever.gateway.const import (
     BUSY_DELAY_SECONDS,
     CALM_DELAY_SECONDS,
+    DELAY_SAMPLE_SECONDS,
     DELAY_SAMPLE_WEIGHT,
     MIN_BUSY_SECONDS,
     SHED_DELAY_SECONDS,
@@ -30,10 +31,11 @@
     """Follows the smoothed delay of the event loop, in seconds.
 
     The delay is the time that a task waits for the processor; callers see it once per
-    step of their request.
+    step of their request. A single long step does not count.
     """
 
     delay: float = 0.0
+    last_sample: float = 0.0
     level: Overload = Overload.NONE
     raised_at: float = float("-inf")
 
@@ -42,7 +44,11 @@
 
         It rises at once, and falls step by step once the delay is low again.
         """
-        self.delay += DELAY_SAMPLE_WEIGHT * (delay - self.delay)
+        lasting, self.last_sample = min(delay, self.last_sample), delay
+        # A slow loop takes fewer samples, each of which stands for more time.
+        intervals = 1.0 + delay / DELAY_SAMPLE_SECONDS
+        weight = 1.0 - (1.0 - DELAY_SAMPLE_WEIGHT) ** intervals
+        self.delay += weight * (lasting - self.delay)
         wanted = Overload.NONE
         if self.delay > SHED_DELAY_SECONDS:
             wanted = Overload.SHEDDING
--- a/tests/gateway/test_overload.py
+++ b/tests/gateway/test_overload.py
@@ -43,6 +43,15 @@
         observe(guard, 0.3, 1.0, 0.0)
         self.assertGreater(guard.level, Overload.NONE)
 
+    # Samples were smoothed by their number, of which a slow loop takes fewer: a router
+    # took hundreds of requests more before it refused any.
+    def test_slow_loop_is_noticed_no_later(self) -> None:
+        for delay in (0.3, 0.5, 0.8):
+            with self.subTest(delay):
+                guard = OverloadGuard()
+                observe(guard, delay, 2 * (delay + DELAY_SAMPLE_SECONDS), 0.0)
+                self.assertIs(guard.level, Overload.SHEDDING)
+
     def test_shedding_ends_before_callers_return(self) -> None:
         guard = OverloadGuard()
         now = observe(guard, 0.6, 3.0, 0.0)
