--- a/pistachiolever/admission/models.py
+++ b/pistachiolever/admission/models.py
@@ -27,7 +27,7 @@
     that its demand is not counted again. `slots`, `memory_tokens` and `event_tokens`
     are the endpoint's configured capacity and the maximum number of tokens in one event
     of its streams, `named_rate` is the request rate that the endpoint named last.
-    `stream_key` is the key of the stream if its caller may take it up elsewhere, and
+    `stream_key` is the key of the stream if its caller may resume it elsewhere, and
     `origin` where it begins or began. `born_ms` is the start time of the endpoint's
     incarnation that must serve it, 0 for any.
     """
--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -47,14 +47,14 @@
 CRASH_CHECK_KEEP_ALIVE_SECONDS: Final = 1.0
 # Reason of a refusal: endpoints crashed under this request, or a part of its prompt.
 QUARANTINED: Final = "quarantined"
-# Reasons of refusals of a stream that its caller takes up: no endpoint of its version
+# Reasons of refusals of a stream that its caller resumes: no endpoint of its version
 # is left, or nobody knows its version.
 VERSION_GONE: Final = "version-gone"
 VERSION_UNKNOWN: Final = "version-unknown"
 # The rest of a stream may wait this many times the target of its route. So often it is
 # not limited by its account's share, at one router.
 CONTINUED_TARGET_FACTOR: Final = 2.0
-MAX_PREFERRED_TAKE_UPS: Final = 3
+MAX_PREFERRED_RESUMPTIONS: Final = 3
 # Bytes of the digest that identifies the content of a request.
 CONTENT_DIGEST_BYTES: Final = 8
 # Incarnations whose notices are remembered.
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -540,7 +540,7 @@
         return False
 
     def record_stream(self, request: ProxyRequest, origin: StreamOrigin) -> None:
-        """Remember where a stream began that its caller may take up here."""
+        """Remember where a stream began that its caller may resume here."""
         if request.route.resumable:
             expires_at = request.deadline_at + DEADLINE_MARGIN_SECONDS
             self.streams.add(request.stream_key, origin, expires_at, self.now())
--- a/pistachiolever/gateway/models.py
+++ b/pistachiolever/gateway/models.py
@@ -18,7 +18,7 @@
 class RequestMetadata:
     """Metadata in a caller's headers, in seconds and tokens; empty where absent.
 
-    A caller that takes a stream up after `last_event_id` names in `resumes` its request
+    A caller that resumes a stream after `last_event_id` names in `resumes` its request
     that brought the first event.
     """
 
@@ -107,8 +107,8 @@
         return self._content_id
 
     @property
-    def is_taken_up(self) -> bool:
-        """Return whether it takes up a stream that broke off in an earlier response."""
+    def is_resumed(self) -> bool:
+        """Return whether it resumes a stream that broke off in an earlier response."""
         return self.route.kind is RequestKind.STREAM and bool(
             self.metadata.last_event_id
         )
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -18,7 +18,7 @@
 from pistachiolever.gateway.const import (
     CONTINUED_TARGET_FACTOR,
     DEFAULT_RETRY_AFTER_SECONDS,
-    MAX_PREFERRED_TAKE_UPS,
+    MAX_PREFERRED_RESUMPTIONS,
     MIN_ATTEMPT_SECONDS,
     QUARANTINED,
     RETRY_AFTER_FRACTION,
@@ -84,7 +84,7 @@
         if self.fleet.quarantined_part(request.suspect_ids):
             await self._fail(QUARANTINED)
             return
-        if request.is_taken_up and (reason := await self._find_origin()):
+        if request.is_resumed and (reason := await self._find_origin()):
             await self._fail(reason)
             return
         if request.service.engine:
@@ -97,7 +97,7 @@
             self._release_successor()
 
     async def _find_origin(self) -> str:
-        """Find out which version began the stream that the caller takes up.
+        """Find out which version began the stream that the caller resumes.
 
         Return why the request can't be served; empty if it can.
         """
@@ -111,7 +111,7 @@
                 break
         request.origin = resolution.origin
         fleet.events.record(
-            EventCode.STREAM_TAKEN_UP,
+            EventCode.STREAM_RESUMED,
             request.request_id,
             begun_as=request.metadata.resumes,
             after=request.metadata.last_event_id,
@@ -121,9 +121,9 @@
         if request.origin is None:
             return VERSION_UNKNOWN
         fleet.record_stream(request, request.origin)
-        take_ups = fleet.streams.count_take_up(request.stream_key)
+        resumptions = fleet.streams.count_resumption(request.stream_key)
         request.is_continued = (
-            resolution.is_recorded and take_ups <= MAX_PREFERRED_TAKE_UPS
+            resolution.is_recorded and resumptions <= MAX_PREFERRED_RESUMPTIONS
         )
         return "" if self._use_service(request.origin.service_id) else VERSION_GONE
 
@@ -358,7 +358,7 @@
         engine = request.service.engine
         handle = self.fleet.handle_by_id[endpoint_id]
         endpoint = handle.endpoint
-        may_be_taken_up = request.route.resumable
+        is_resumable = request.route.resumable
         request.bid_count += 1
         request.bid_id = self.fleet.next_bid_id()
         return Bid(
@@ -380,11 +380,11 @@
             engine.memory_tokens if engine else 0,
             engine.event_tokens if engine else 1,
             handle.rate_notice.pack(now),
-            request.stream_key if may_be_taken_up else "",
+            request.stream_key if is_resumable else "",
             StreamOrigin(request.service.service_id, endpoint.version)
-            if may_be_taken_up
+            if is_resumable
             else None,
-            endpoint.born_ms if may_be_taken_up else 0,
+            endpoint.born_ms if is_resumable else 0,
         )
 
     def _remaining_target_seconds(self) -> float:
--- a/pistachiolever/gateway/stream_origins.py
+++ b/pistachiolever/gateway/stream_origins.py
@@ -1,4 +1,4 @@
-"""Finds out which software version began a stream that a caller takes up."""
+"""Finds out which software version began a stream that a caller resumes."""
 
 from typing import Protocol
 
@@ -15,7 +15,7 @@
     """Finds out where streams began."""
 
     async def find(self, request: ProxyRequest) -> Resolution:
-        """Return where the stream began that a request takes up."""
+        """Return where the stream began that a request resumes."""
 
 
 class NoOrigins:
@@ -34,7 +34,7 @@
     lookup: StreamLookup
 
     async def find(self, request: ProxyRequest) -> Resolution:
-        """Return where the stream began that a request takes up."""
+        """Return where the stream began that a request resumes."""
         fleet, key = self.fleet, request.stream_key
         known = list(fleet.streams.origins(key, fleet.now()))
         if len(known) == 1:
--- a/pistachiolever/streams/const.py
+++ b/pistachiolever/streams/const.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-# Callers take a stream up before their deadline, by their own clock.
+# Callers resume a stream before their deadline, by their own clock.
 DEADLINE_MARGIN_SECONDS: Final = 10.0
 # Streams that one process remembers; the oldest ones are forgotten first.
 MAX_STREAMS: Final = 100_000
--- a/pistachiolever/streams/origins.py
+++ b/pistachiolever/streams/origins.py
@@ -1,4 +1,4 @@
-"""Decides which software version continues a stream that a caller takes up."""
+"""Decides which software version continues a stream that a caller resumes."""
 
 from attrs import frozen
 
--- a/pistachiolever/streams/table.py
+++ b/pistachiolever/streams/table.py
@@ -14,14 +14,14 @@
 
 @define
 class StreamRecord:
-    """Where a stream began, and until when its caller may take it up, in seconds.
+    """Where a stream began, and until when its caller may resume it, in seconds.
 
-    `take_ups` counts how often it was taken up here.
+    `resumptions` counts how often it was resumed here.
     """
 
     origins: list[StreamOrigin]
     expires_at: float
-    take_ups: int = 0
+    resumptions: int = 0
 
 
 @define
@@ -54,13 +54,13 @@
         record = self.record_by_key.get(key)
         return record.origins if record and record.expires_at > now else []
 
-    def count_take_up(self, key: str) -> int:
-        """Count that a stream is taken up; return how often it was until now."""
+    def count_resumption(self, key: str) -> int:
+        """Count that a stream is resumed; return how often it was until now."""
         record = self.record_by_key.get(key)
         if record is None:
             return 0
-        record.take_ups += 1
-        return record.take_ups
+        record.resumptions += 1
+        return record.resumptions
 
     def merge(self, reports: dict[str, StreamReport], now: float) -> None:
         """Add what another process has reported."""
@@ -79,7 +79,7 @@
         return reports
 
     def _expire(self, now: float) -> None:
-        """Forget the streams that nobody can take up any more."""
+        """Forget the streams that nobody can resume any more."""
         if now - self._checked_at < EXPIRY_CHECK_SECONDS:
             return
         self._checked_at = now
--- a/tests/gateway/test_continued_streams.py
+++ b/tests/gateway/test_continued_streams.py
@@ -121,20 +121,20 @@
 class ContinuedStreamTest(CaseTest):
     """A stream that has begun is finished before new ones begin."""
 
-    # Taken-up streams of large accounts were refused as beyond their share, after one
+    # Resumed streams of large accounts were refused as beyond their share, after one
     # bid, though their endpoints were there and new streams began.
     @params((0, False), (1, True), (3, True), (4, False))
     def test_rest_of_a_stream_is_not_limited_by_the_share(
-        self, take_ups: int, is_preferred: bool
+        self, resumptions: int, is_preferred: bool
     ) -> None:
         admission = RefusingAdmission()
         fleet = make_busy_fleet(admission)
         key = stream_key(ACCOUNT, "a")
         fleet.streams.add(key, StreamOrigin("s", "v1"), NOW + 9, NOW)
         metadata = RequestMetadata("b", prompt_tokens=10)
-        if take_ups:
+        if resumptions:
             metadata = evolve(metadata, last_event_id=4, resumes="a")
-        for _ in range(max(1, take_ups)):
+        for _ in range(max(1, resumptions)):
             admission.bids.clear()
             send(fleet, metadata)
         self.assertEqual(admission.bids[0].share is None, is_preferred)
@@ -144,7 +144,7 @@
         )
         self.assertEqual(longer, is_preferred)
 
-    # Any request could otherwise pass the limits by claiming that it takes one up.
+    # Any request could otherwise pass the limits by claiming that it resumes one.
     def test_stream_without_a_record_is_limited_by_the_share(self) -> None:
         admission = RefusingAdmission()
         fleet = make_busy_fleet(admission)
@@ -155,7 +155,7 @@
 class ServiceTest(CaseTest):
     """A stream stays at the service that began it."""
 
-    # The traffic split went by the id of the request that takes the stream up.
+    # The traffic split went by the id of the request that resumes the stream.
     @params(([("s", 1.0), ("t", 1.0)], "t"), ([("s", 1.0), ("t", 0.0)], None))
     def test_stream_stays_at_its_service(
         self, weights: list[tuple[str, float]], service_id: str | None
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -226,7 +226,7 @@
 
 
 async def send(router: Router, request_id: str, extra: str = "") -> Result:
-    """Send a request for a stream, or take one up."""
+    """Send a request for a stream, or resume one."""
     request = (
         f"GET /plan/1 HTTP/1.1\r\nHost: x\r\nX-Request-Id: {request_id}\r\n"
         "X-Deadline-Ms: 4000\r\nConnection: close\r\n"
@@ -236,8 +236,8 @@
     return await _exchange(address, request.encode(), [], 0.0)
 
 
-async def take_up(router: Router, request_id: str, result: Result) -> Result:
-    """Take a stream up; come back when told to, as long as that is soon."""
+async def resume_stream(router: Router, request_id: str, result: Result) -> Result:
+    """Resume a stream; come back when told to, as long as that is soon."""
     extra = f"X-Resumes: {request_id}\r\nLast-Event-Id: {last_id_of(result)}\r\n"
     for number in range(TRIES):
         result = await send(router, f"b{number}-{request_id}", extra)
@@ -261,8 +261,8 @@
 
 
 @define
-class TakenUp:
-    """A stream that its caller took up: what came before and after."""
+class ResumedStream:
+    """A stream that its caller resumed: what came before and after."""
 
     before: Result
     after: Result
@@ -310,10 +310,10 @@
         return results[0]
 
 
-class TakenUpStreamTest(CaseTest):
-    """Callers take up streams at routers that did not begin them."""
+class ResumedStreamTest(CaseTest):
+    """Callers resume streams at routers that did not begin them."""
 
-    # After all routers had lost power, streams were taken up at any version.
+    # After all routers had lost power, streams were resumed at any version.
     def test_stream_begun_before_routers_lost_power_is_not_joined(self) -> None:
         for lost in ((), ("agents",), ("member",)):
             with self.subTest(lost=lost):
@@ -344,7 +344,7 @@
                 self.assertTrue(result.raw.endswith(b"0\r\n\r\n"))
 
     async def resume(self, is_same_router: bool) -> Result:
-        """Return the rest of a stream that is taken up after its fourth event."""
+        """Return the rest of a stream that is resumed after its fourth event."""
         with TemporaryDirectory() as root, fail_after(20):
             async with create_task_group() as group:
                 system = await start_system(group, root, "v1", "v2")
@@ -357,8 +357,8 @@
                 group.cancel_scope.cancel()
         return result
 
-    async def lose_routers(self, lost: tuple[str, ...]) -> list[TakenUp]:
-        """Return streams that were taken up at a new router."""
+    async def lose_routers(self, lost: tuple[str, ...]) -> list[ResumedStream]:
+        """Return streams that were resumed at a new router."""
         with TemporaryDirectory() as root, fail_after(25):
             async with create_task_group() as group:
                 versions = ["v1", "v2", "v1", "v2"]
@@ -379,13 +379,13 @@
                 after: dict[str, Result] = {}
 
                 async def resume(request_id: str, result: Result) -> None:
-                    after[request_id] = await take_up(router, request_id, result)
+                    after[request_id] = await resume_stream(router, request_id, result)
 
                 async with create_task_group() as callers:
                     for request_id, result in before.items():
                         callers.start_soon(resume, request_id, result)
                 group.cancel_scope.cancel()
-        return [TakenUp(before[key], after[key]) for key in before]
+        return [ResumedStream(before[key], after[key]) for key in before]
 
 
 class DrainingVersionTest(CaseTest):
--- a/tests/streams/test_table.py
+++ b/tests/streams/test_table.py
@@ -28,7 +28,7 @@
 
 
 class StreamTableTest(CaseTest):
-    """Tables merge in any order, and forget what nobody can take up."""
+    """Tables merge in any order, and forget what nobody can resume."""
 
     @given(st.lists(st.tuples(st.sampled_from("abc"), st.sampled_from([OLD, NEW]))))
     def test_order_does_not_matter(
