--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -80,7 +80,7 @@
     `expired_ids` are the endpoints that the registry has not heard of for long. They
     are forgotten when they accept no connection. `draining_since_by_id` are the times
     at which this router learned that endpoints drain. `streams` are those that it has
-    forwarded. `is_overloaded` is true while it has too little processor time.
+    forwarded.
     """
 
     settings: GatewaySettings
@@ -110,7 +110,6 @@
     streams: StreamTable = field(factory=StreamTable)
     router_counts: deque[tuple[float, int]] = field(factory=deque)
     shares_stale: bool = False
-    is_overloaded: bool = False
     applied_change: int = -1
     incarnation: str = field(init=False)
     bid_count: int = 0
--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -111,7 +111,6 @@
             now, known = self.fleet.now(), self.guard.level
             delay = max(0.0, now - started_at - DELAY_SAMPLE_SECONDS)
             level = self.guard.observe(delay, now)
-            self.fleet.is_overloaded = level > Overload.NONE
             self.public_server.draining = self.draining or level > Overload.NONE
             if level is not known:
                 self.fleet.events.record(
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -185,7 +185,6 @@
         `elsewhere` leaves out those to which the request was sent before.
         """
         refused: set[str] = set()
-        undecided_count = 0
         request = self.request
         started_at = self.fleet.now()
         try:
@@ -195,11 +194,8 @@
                     return None
                 choice = ranked[0]
                 bid_handle = self.fleet.handle_by_id[choice.endpoint.endpoint_id]
-                timeout_seconds = self._bid_timeout_seconds(
-                    len(ranked) > 1, undecided_count
-                )
+                timeout_seconds = self._bid_timeout_seconds(len(ranked) > 1)
                 reply = await self._submit_bid(choice, timeout_seconds)
-                undecided_count += reply is None
                 handle = self.fleet.handle_by_id.get(choice.endpoint.endpoint_id)
                 if reply is not None and reply.granted and handle is None:
                     # The endpoint is gone: release the grant.
@@ -298,18 +294,12 @@
         max_wait = self.fleet.policy.idle_share * self.request.route.target_seconds
         return [choice for choice in ranked if choice.wait < max_wait]
 
-    def _bid_timeout_seconds(
-        self, has_alternatives: bool, undecided_count: int
-    ) -> float:
-        """Return how long to wait for a reply before trying another endpoint.
-
-        It doubles with each bid that was not decided in time. A router without enough
-        processor time makes no further bids for requests that wait.
-        """
+    def _bid_timeout_seconds(self, has_alternatives: bool) -> float:
+        """Return how long to wait for a reply before trying another endpoint."""
         remaining = self.request.remaining_seconds(self.fleet.now())
-        if not has_alternatives or self.fleet.is_overloaded:
+        if not has_alternatives:
             return remaining
-        fraction = self.fleet.policy.rebid_share * float(2**undecided_count)
+        fraction = self.fleet.policy.rebid_share
         return min(remaining, fraction * self.request.route.target_seconds)
 
     async def _submit_bid(
