--- a/tests/system/test_failures.py
+++ b/tests/system/test_failures.py
@@ -235,6 +235,8 @@
         self.assertEqual(self.fleet.executions()[key], 1)
 
     def test_sidecar_killed_during_a_booking(self) -> None:
+        # The booking must be running then, however slow the machine is.
+        self.fleet.set_fault("stand-in-desk-0", "slow")
         with ThreadPoolExecutor(1) as pool:
             running = pool.submit(
                 self.fleet.submit,
@@ -243,7 +245,7 @@
                 "killed",
                 idempotency_key="killed",
             )
-            time.sleep(0.1)
+            wait_until(lambda: "killed" in self.fleet.executions(), "the booking")
             self.fleet.kill("sidecar-desk-0")
             self.fleet.restart("sidecar-desk-0")
             first = running.result()
