Wait until the router listens in the tests of whole routers

test_disallowed_request_reaches_no_endpoint failed once beside other work: its caller was refused a connection, as the router had not listened within the fixed 0.05 s. The requests are now sent once the router accepts connections; all checks are as before.

--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -37,7 +37,7 @@
 )
 from pistachiolever.routing.table import RouteTable
 from tests.registry.test_process import make_discarding_logger
-from tests.support.addresses import free_address
+from tests.support.addresses import free_address, wait_until_listening
 from tests.support.cases import CaseTest
 
 LONG_BYTES = 256 * 65_536
@@ -421,7 +421,7 @@
                     f"e{number}", 1, 1, EndpointState.READY, "s", "", "north", slots
                 )
                 fleet.apply_announcements([evolve(base, address=f"127.0.0.1:{port}")])
-            await sleep(0.05)
+            await wait_until_listening(settings.front_address)
             for number, pause in enumerate(pauses, 1):
                 await sleep(pause)
                 async with create_task_group() as callers:
