Limit a router's concurrent requests by its processor time

Callers of one account come to one router by the balancer's hash, and stay there.

The number of concurrent requests now follows the delay of the event loop. What is beyond it is refused at once with a short Retry-After, on new connections with four system calls and no task. Accounts below an equal part of the limit are taken somewhat beyond it.

--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -150,4 +150,19 @@
 # Interval at which an overloaded router logs what it does.
 WORK_REPORT_SECONDS: Final = 1.0
 # Retry-After of a router that has no processor time; other routers may have.
-OVERLOAD_RETRY_AFTER_SECONDS: Final = 0.3
+OVERLOAD_RETRY_AFTER_SECONDS: Final = 0.1
+# Delay of the event loop above which a router takes fewer requests at a time.
+INTAKE_DELAY_SECONDS: Final = 0.04
+# The limit of concurrent requests falls to this fraction at most, and at least to the
+# second one, in one sample; otherwise it rises by the third, faster while it is used to
+# the last.
+INTAKE_DECREASE: Final = 0.5
+MIN_INTAKE_DECREASE: Final = 0.9
+INTAKE_INCREASE: Final = 0.02
+INTAKE_RECOVERY: Final = 0.8
+# Fraction of the limit from which new connections are looked at before they are set up.
+INTAKE_NEAR: Final = 0.5
+# Accounts with few requests are taken up to this multiple of the limit.
+INTAKE_SMALL_ACCOUNTS_FACTOR: Final = 1.25
+MIN_INTAKE: Final = 8.0
+MAX_INTAKE: Final = 4_000.0
--- /dev/null
+++ b/pistachiolever/gateway/intake.py
@@ -0,0 +1,96 @@
+"""Limits the concurrent requests of a router to what it has processor time for."""
+
+from collections import Counter
+
+from attrs import define, field
+
+from pistachiolever.gateway.const import (
+    INTAKE_DECREASE,
+    INTAKE_DELAY_SECONDS,
+    INTAKE_INCREASE,
+    INTAKE_NEAR,
+    INTAKE_RECOVERY,
+    INTAKE_SMALL_ACCOUNTS_FACTOR,
+    MAX_INTAKE,
+    MIN_INTAKE,
+    MIN_INTAKE_DECREASE,
+)
+
+
+@define
+class IntakeLimit:
+    """Follows the delay of the event loop with a limit of concurrent requests.
+
+    Work that a router can't finish in time costs it the time for what it could finish,
+    so it refuses that work at once and its callers go to other routers. The limit falls
+    in proportion to the delay and rises slowly. Accounts with less than an equal part
+    of it are taken somewhat beyond it, so that one account can't displace the others.
+    `expected_by_account` are new connections that were let in since the last sample and
+    whose requests have not begun yet.
+    """
+
+    limit: float = MAX_INTAKE
+    count_by_account: Counter[str] = field(factory=Counter)
+    total: int = 0
+    expected_by_account: Counter[str] = field(factory=Counter)
+    last_delay: float = 0.0
+
+    def is_near(self) -> bool:
+        """Return whether some requests may be refused now."""
+        return self._taken() >= INTAKE_NEAR * self.limit
+
+    def _taken(self) -> int:
+        """Return the number of requests that are taken or expected."""
+        return self.total + self.expected_by_account.total()
+
+    def expect(self, account_id: str) -> bool:
+        """Return whether a new connection of an account is let in."""
+        expected = self.expected_by_account[account_id]
+        is_admitted = self._admits(account_id, self._taken(), expected)
+        if is_admitted:
+            self.expected_by_account[account_id] += 1
+        return is_admitted
+
+    def admits(self, account_id: str) -> bool:
+        """Return whether a new request of an account is taken."""
+        return self._admits(account_id, self.total)
+
+    def _admits(self, account_id: str, taken: int, expected: int = 0) -> bool:
+        """Return whether one more request is within the limit."""
+        if taken < self.limit:
+            return True
+        if taken >= INTAKE_SMALL_ACCOUNTS_FACTOR * self.limit:
+            return False
+        count = self.count_by_account[account_id] + expected
+        known = self.count_by_account.keys() | self.expected_by_account.keys()
+        return count * len(known | {account_id}) < self.limit
+
+    def begin(self, account_id: str) -> None:
+        """Count a request that is taken."""
+        self.total += 1
+        self.count_by_account[account_id] += 1
+        if self.expected_by_account[account_id]:
+            self.expected_by_account[account_id] -= 1
+
+    def end(self, account_id: str) -> None:
+        """Count the end of a request that was taken."""
+        self.total -= 1
+        self.count_by_account[account_id] -= 1
+        if not self.count_by_account[account_id]:
+            del self.count_by_account[account_id]
+
+    def observe(self, delay: float) -> None:
+        """Adjust the limit to a sample of the delay, in seconds.
+
+        A single long step is no lack of processor time.
+        """
+        self.expected_by_account.clear()
+        lasting, self.last_delay = min(delay, self.last_delay), delay
+        if lasting > INTAKE_DELAY_SECONDS:
+            factor = max(INTAKE_DECREASE, INTAKE_DELAY_SECONDS / lasting)
+            lowered = min(self.limit, self.total) * min(factor, MIN_INTAKE_DECREASE)
+            self.limit = max(MIN_INTAKE, lowered)
+        elif lasting < INTAKE_DELAY_SECONDS / 2:
+            is_used = self.total >= INTAKE_RECOVERY * self.limit
+            raised = self.limit * (1 + INTAKE_INCREASE) + is_used
+            self.limit = min(MAX_INTAKE, raised)
--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -1,10 +1,13 @@
 """The gateway process: callers' server, readiness and graceful shutdown."""
 
+from re import compile as compile_pattern
 from time import process_time
+from typing import Final
 
 from anyio import CancelScope, create_task_group, move_on_after, sleep
 from attrs import define, field
 
+from pistachiolever.edge.keys import bearer_key
 from pistachiolever.events.const import EventCode
 from pistachiolever.gateway.const import (
     BALANCER_REMOVAL_SECONDS,
@@ -20,6 +23,7 @@
 )
 from pistachiolever.gateway.fleet import FleetView
 from pistachiolever.gateway.header_format import HeaderFormat
+from pistachiolever.gateway.intake import IntakeLimit
 from pistachiolever.gateway.models import ProxyRequest, RequestMetadata
 from pistachiolever.gateway.overload import Overload, OverloadGuard
 from pistachiolever.gateway.request_processor import RequestProcessor
@@ -35,6 +39,12 @@
 from pistachiolever.routing.models import ProxyAccount, ProxyRoute, RequestKind
 from pistachiolever.routing.table import RouteTable, host_name
 
+AUTHORIZATION: Final = compile_pattern(rb"(?i)\r\nauthorization:[ \t]*([^\r\n]*)")
+OVERLOAD_RESPONSE: Final = (
+    b"HTTP/1.1 503 Service Unavailable\r\nretry-after: %s\r\n"
+    b"content-length: 0\r\nconnection: close\r\n\r\n"
+)
+
 
 class NotAllowedError(Exception):
     """The configuration does not allow a request; carries the HTTP status."""
@@ -46,6 +56,29 @@
         self.reason = reason
 
 
+@define
+class IntakeScreen:
+    """Refuses new connections of accounts for which there is no processor time."""
+
+    process: "GatewayProcess"
+
+    def is_active(self) -> bool:
+        """Return whether some requests are refused now."""
+        process = self.process
+        is_shedding = process.guard.level is Overload.SHEDDING
+        return is_shedding or process.intake.is_near()
+
+    def refusal(self, head: bytes) -> bytes:
+        """Return the response to a request that is refused; empty if it is taken."""
+        match = AUTHORIZATION.search(head)
+        account_id = self.process.account_of(match.group(1) if match else b"")
+        is_shedding = self.process.guard.level is Overload.SHEDDING
+        if not is_shedding and self.process.intake.expect(account_id):
+            return b""
+        _, seconds = self.process.overload_header(account_id)
+        return OVERLOAD_RESPONSE % seconds
+
+
 @define
 class GatewayProcess:
     """Serves callers until it is stopped, then drains."""
@@ -67,6 +100,7 @@
     work_reporter: WorkReporter = field(factory=WorkReporter)
     request_count: int = 0
     shed_count: int = 0
+    intake: IntakeLimit = field(factory=IntakeLimit)
 
     def __attrs_post_init__(self) -> None:
         """Create the servers and register the gauges."""
@@ -81,6 +115,7 @@
             self._limits,
             int(CALLER_CONNECTION_FRACTION * self.settings.max_descriptors),
             self._record_limit,
+            screen=IntakeScreen(self),
         )
         self.readiness_server = HttpServer(
             self.settings.ready_address, self._handle_readiness
@@ -90,6 +125,7 @@
         gauge("pistachiolever_endpoints", lambda: len(self.fleet.handle_by_id))
         gauge("pistachiolever_busy_connections", self.public_server.busy_count)
         gauge("pistachiolever_overload", lambda: self.guard.level)
+        gauge("pistachiolever_request_limit", lambda: self.intake.limit)
         gauge("pistachiolever_connections", lambda: len(self.public_server.connections))
         gauge("pistachiolever_endpoint_connections", lambda: self.fleet.pool.open_count)
         gauge("pistachiolever_routers", lambda: self.fleet.budget.router_count)
@@ -117,6 +153,7 @@
             now, known = self.fleet.now(), self.guard.level
             delay = max(0.0, now - started_at - DELAY_SAMPLE_SECONDS)
             level = self.guard.observe(delay, now)
+            self.intake.observe(delay)
             self.public_server.draining = self.draining or level > Overload.NONE
             if level is not known:
                 self.fleet.events.record(
@@ -124,13 +161,14 @@
                     level=level.name,
                     delay=round(self.guard.delay, 3),
                     busy=self.public_server.busy_count(),
+                    limit=round(self.intake.limit),
                 )
             self._report_work(max(level, known), now)
 
     def _report_work(self, level: Overload, now: float) -> None:
         """Log what the router did in the last interval if it was overloaded."""
         work = self.work_reporter.take(self._count_work(), now)
-        if work is None or level is Overload.NONE:
+        if work is None or (level is Overload.NONE and not work["shed"]):
             return
         self.fleet.events.record(
             EventCode.OVERLOAD_WORK,
@@ -138,6 +176,7 @@
             delay=round(self.guard.delay, 3),
             busy=self.public_server.busy_count(),
             connections=len(self.public_server.connections),
+            limit=round(self.intake.limit),
             **work,
         )
 
@@ -251,12 +290,35 @@
     # Callers.
 
     async def _handle_request(self, exchange: Exchange) -> None:
-        """Serve a caller's request."""
-        arrived_at = self.fleet.now()
+        """Serve a caller's request, or refuse it for lack of processor time."""
         self.request_count += 1
-        if self.guard.level is Overload.SHEDDING:
-            await self._shed(exchange)
+        account_id = self.account_of(exchange.head.value(b"authorization") or b"")
+        if not self.admits(account_id):
+            await self._shed(exchange, account_id)
             return
+        self.intake.begin(account_id)
+        try:
+            await self._serve_request(exchange)
+        finally:
+            self.intake.end(account_id)
+
+    def account_of(self, authorization: bytes) -> str:
+        """Return the account of a key; empty if there is none."""
+        table = self.fleet.table
+        if table is None:
+            return ""
+        account = table.account_by_key.get(bearer_key(authorization.decode("latin-1")))
+        return account.account_id if account else ""
+
+    def admits(self, account_id: str) -> bool:
+        """Return whether there is processor time for a request of an account."""
+        if self.guard.level is Overload.SHEDDING:
+            return False
+        return self.intake.admits(account_id)
+
+    async def _serve_request(self, exchange: Exchange) -> None:
+        """Serve a request that was taken."""
+        arrived_at = self.fleet.now()
         metadata = self.header_format.parse_request(exchange.head)
         body = await exchange.read_body()
         try:
@@ -290,12 +352,20 @@
             if not done:
                 self._record_cancelled(request, processor)
 
-    async def _shed(self, exchange: Exchange) -> None:
-        """Refuse a request before reading its body: there is no time to serve it."""
-        seconds = OVERLOAD_RETRY_AFTER_SECONDS * (0.5 + self.fleet.rng.random())
+    async def _shed(self, exchange: Exchange, account_id: str) -> None:
+        """Refuse a request before reading its body: there is no time to serve it.
+
+        Its caller closes the connection and returns through another router.
+        """
+        headers = [self.overload_header(account_id), (b"connection", b"close")]
+        await exchange.respond(503, headers, b"")
+
+    def overload_header(self, account_id: str) -> Header:
+        """Count a refusal for lack of processor time; return its Retry-After."""
         self.shed_count += 1
-        self.fleet.instruments.count(SHED)
-        await exchange.respond(503, [(b"retry-after", b"%.2f" % seconds)], b"")
+        self.fleet.instruments.count(SHED, account_id)
+        seconds = OVERLOAD_RETRY_AFTER_SECONDS * (0.5 + self.fleet.rng.random())
+        return (b"retry-after", b"%.2f" % seconds)
 
     def _record_cancelled(
         self, request: ProxyRequest, processor: RequestProcessor
--- a/pistachiolever/http1/connection.py
+++ b/pistachiolever/http1/connection.py
@@ -119,6 +119,11 @@
 
     # Input.
 
+    def feed(self, data: bytes) -> None:
+        """Add input that was read before the connection was set up."""
+        if data:
+            self._take_input(data)
+
     def _take_input(self, data: bytes) -> None:
         """Keep received data; pause reading while too much is unprocessed."""
         if self._is_lingering:
--- a/pistachiolever/http1/const.py
+++ b/pistachiolever/http1/const.py
@@ -44,3 +44,5 @@
 LIMIT_REPORT_SECONDS: Final = 1.0
 # A new connection is not closed for another one before its request had time to arrive.
 FIRST_REQUEST_SECONDS: Final = 0.5
+# Interval at which new connections of an overloaded server are looked at.
+SCREENING_SECONDS: Final = 0.005
--- /dev/null
+++ b/pistachiolever/http1/screening.py
@@ -0,0 +1,135 @@
+"""Refuses new connections of an overloaded server before they are set up."""
+
+from collections import deque
+from collections.abc import Callable
+from contextlib import suppress
+from socket import SHUT_WR, socket
+from typing import Protocol
+
+from anyio import Event, current_time, sleep
+from attrs import define, field, frozen
+
+from pistachiolever.http1.const import (
+    FIRST_REQUEST_SECONDS,
+    LINGER_SECONDS,
+    READ_BYTES,
+    SCREENING_SECONDS,
+)
+
+END_OF_HEAD = b"\r\n\r\n"
+
+
+class ConnectionScreen(Protocol):
+    """Decides which requests on new connections are refused."""
+
+    def is_active(self) -> bool:
+        """Return whether some requests are refused now."""
+
+    def refusal(self, head: bytes) -> bytes:
+        """Return the whole response to a request that is refused; empty to serve it."""
+
+
+@frozen(eq=False)
+class HeldSocket:
+    """An accepted socket, held until a time; `received` is its input so far."""
+
+    raw: socket
+    until: float
+    received: bytes = b""
+
+
+@define
+class Screening:
+    """Answers the first request of a connection with a few system calls.
+
+    While the screen is active, new connections wait here for the head of their request,
+    without a task each. Those that are not refused go on to `serve` with their input.
+    """
+
+    screen: ConnectionScreen
+    serve: Callable[[socket, bytes], None]
+    waiting: deque[HeldSocket] = field(factory=deque)
+    refused: deque[HeldSocket] = field(factory=deque)
+    _wake: Event = field(factory=Event)
+
+    def count(self) -> int:
+        """Return the number of sockets that are held."""
+        return len(self.waiting) + len(self.refused)
+
+    def offer(self, raw: socket) -> None:
+        """Decide on a new connection, at once if its request is there."""
+        if not self.screen.is_active():
+            self.serve(raw, b"")
+            return
+        raw.setblocking(False)
+        self._decide(HeldSocket(raw, current_time() + FIRST_REQUEST_SECONDS))
+
+    async def run(self) -> None:
+        """Decide on waiting connections and close refused ones until cancelled."""
+        while True:
+            if not self.count():
+                self._wake = Event()
+                await self._wake.wait()
+            await sleep(SCREENING_SECONDS)
+            for _ in range(len(self.waiting)):
+                self._decide(self.waiting.popleft())
+            self._close_refused()
+
+    def close(self) -> None:
+        """Serve the waiting connections; close the refused ones."""
+        while self.waiting:
+            held = self.waiting.popleft()
+            self.serve(held.raw, held.received)
+        while self.refused:
+            self.refused.popleft().raw.close()
+
+    def _decide(self, held: HeldSocket) -> None:
+        """Refuse a connection, serve it, or let it wait for its head."""
+        received = held.received
+        try:
+            data = held.raw.recv(READ_BYTES)
+            has_left = not data
+            received += data
+        except BlockingIOError:
+            has_left = False
+        except OSError:
+            has_left = True
+        if has_left:
+            held.raw.close()
+            return
+        head, end, _ = received.partition(END_OF_HEAD)
+        if not end:
+            is_over = current_time() >= held.until or len(received) > READ_BYTES
+            if is_over or not self.screen.is_active():
+                self.serve(held.raw, received)
+                return
+            self.waiting.append(HeldSocket(held.raw, held.until, received))
+            self._wake.set()
+            return
+        response = self.screen.refusal(head)
+        if not response:
+            self.serve(held.raw, received)
+            return
+        self._refuse(held.raw, response)
+
+    def _refuse(self, raw: socket, response: bytes) -> None:
+        """Send a response; the connection is closed once its client could read it."""
+        try:
+            raw.send(response)
+            raw.shutdown(SHUT_WR)
+        except OSError:
+            # The client has left.
+            raw.close()
+            return
+        self.refused.append(HeldSocket(raw, current_time() + LINGER_SECONDS))
+        self._wake.set()
+
+    def _close_refused(self) -> None:
+        """Close the refused connections whose time is over."""
+        now = current_time()
+        while self.refused and self.refused[0].until <= now:
+            raw = self.refused.popleft().raw
+            # Closing with unread input would reset the connection.
+            with suppress(OSError):
+                raw.recv(READ_BYTES)
+            raw.close()
--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -1,6 +1,7 @@
 """An HTTP/1.1 server that passes the requests of each connection to a handler."""
 
 from collections.abc import Callable
+from functools import partial
 from socket import socket
 
 from absl import logging
@@ -32,6 +33,7 @@
     LISTEN_BACKLOG,
 )
 from pistachiolever.http1.models import HttpLimits
+from pistachiolever.http1.screening import ConnectionScreen, Screening
 from pistachiolever.http1.sockets import tune_socket
 from pistachiolever.http1.stream import accepted_stream
 
@@ -47,7 +49,8 @@
     While `draining`, responses ask the client to close the connection. While `closing`,
     connections are closed after the current request. At `max_connections` the newest
     idle connection is closed for a new one; if none is idle, clients wait to be
-    accepted. `report_limit` is called when a limit is reached, at most once in
+    accepted. An active `screen` refuses new connections before they are set up.
+    `report_limit` is called when a limit is reached, at most once in
     LIMIT_REPORT_SECONDS.
     """
 
@@ -56,6 +59,7 @@
     limits: Callable[[], HttpLimits] = HttpLimits
     max_connections: int = DEFAULT_MAX_CONNECTIONS
     report_limit: Callable[[str, int], None] = ignore_limit
+    screen: ConnectionScreen | None = None
     draining: bool = False
     closing: bool = False
     connections: dict[ServerConnection, None] = field(factory=dict)
@@ -63,6 +67,7 @@
     _accepting: CancelScope = field(factory=CancelScope)
     _room: Event = field(factory=Event)
     _opening_count: int = 0
+    _screening: Screening | None = None
     _limit_reported_at: float = float("-inf")
 
     async def serve(self) -> None:
@@ -76,8 +81,15 @@
         async with create_task_group() as group, multi_listener:
             with self._accepting:
                 async with create_task_group() as acceptors:
+                    if self.screen is not None:
+                        serve = partial(self._start_serving, group)
+                        self._screening = Screening(self.screen, serve)
+                        acceptors.start_soon(self._screening.run)
                     for listener in multi_listener.listeners:
                         acceptors.start_soon(self._accept_all, listener, group)
+            if self._screening is not None:
+                self._screening.close()
+                self._screening = None
             for listener in multi_listener.listeners:
                 await self._close_listener(listener, group)
 
@@ -125,17 +137,27 @@
                 return None
             except OSError as error:
                 return error
-            self._opening_count += 1
             self.accepted_count += 1
-            group.start_soon(self._open_connection, accepted)
+            if self._screening is None:
+                self._start_serving(group, accepted, b"")
+            else:
+                self._screening.offer(accepted)
         return None
 
+    def _start_serving(
+        self, group: TaskGroup, accepted: socket, received: bytes
+    ) -> None:
+        """Serve an accepted connection in a task of its own."""
+        self._opening_count += 1
+        group.start_soon(self._open_connection, accepted, received)
+
     def _open_count(self) -> int:
         """Return the number of connections, with those that are being set up."""
-        return len(self.connections) + self._opening_count
+        held = self._screening.count() if self._screening else 0
+        return len(self.connections) + self._opening_count + held
 
-    async def _open_connection(self, accepted: socket) -> None:
-        """Set up an accepted connection and serve it."""
+    async def _open_connection(self, accepted: socket, received: bytes) -> None:
+        """Set up an accepted connection and serve it; some input was read already."""
         try:
             stream = await accepted_stream(accepted)
         except (OSError, ValueError) as error:
@@ -152,6 +174,7 @@
             lambda: self.draining,
             lambda: self.closing,
         )
+        connection.feed(received)
         self.connections[connection] = None
         await self._serve_connection(connection)
 
--- a/pistachiolever/metrics/instruments.py
+++ b/pistachiolever/metrics/instruments.py
@@ -66,7 +66,7 @@
     ("endpoint", "notice"),
 )
 SHED: Final = Instrument(
-    "pistachiolever_shed", "Requests refused for lack of processor time"
+    "pistachiolever_shed", "Requests refused for lack of processor time", ("account",)
 )
 FIRST_CHUNK: Final = Instrument(
     "pistachiolever_first_part_seconds",
@@ -114,6 +114,10 @@
         "pistachiolever_configuration_version",
         "Configuration version in force in this process",
     ),
+    Instrument(
+        "pistachiolever_request_limit",
+        "Concurrent requests that there is processor time for",
+    ),
     Instrument("pistachiolever_endpoints", "Known endpoints that are not gone"),
     Instrument(
         "pistachiolever_busy_connections", "Connections with a request being served"
