Don't take an own delay for a peer that does not reply

A withdrawn bid closes its connection, so that the next one needed a new one, which was too late again.

A timeout that fires late now waits as long again, and handles what has arrived, before it gives the peer up; in all at most twice the time, and not beyond the request's deadline. tests.gateway.test_router_load.LateReadingTest failed before: 3 bids for one request, an endpoint ejected that had accepted.

--- a/pistachiolever/edge/peers.py
+++ b/pistachiolever/edge/peers.py
@@ -3,10 +3,11 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, Final, TypeVar
 
-from anyio import current_time, fail_after
+from anyio import current_time
 from attrs import define, field
 
 from pistachiolever.core.errors import ProtocolError
+from pistachiolever.core.timeouts import fail_after_peer
 from pistachiolever.edge.const import JSON_CONTENT_TYPE
 from pistachiolever.edge.errors import CallRefusedError, PeerError
 from pistachiolever.edge.keys import bearer_key, same_key
@@ -143,7 +144,7 @@
         """Send a request; return the head and body of the response."""
         connection: ClientConnection | None = None
         try:
-            with fail_after(seconds):
+            with fail_after_peer(seconds):
                 connection = await self.pool.acquire(address, seconds)
                 head = await connection.exchange(request, body)
                 response_body = await connection.read_all(MAX_INNER_BODY_BYTES)
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Callable
 
-from anyio import CancelScope, move_on_after, sleep
+from anyio import CancelScope, sleep
 from attrs import define, field
 
 from pistachiolever.admission.models import Bid, BidReply
 from pistachiolever.core.pause import PAUSE_RAMP_SECONDS
+from pistachiolever.core.timeouts import move_on_after_peer
 from pistachiolever.core.verdict import Verdict
 from pistachiolever.events.const import EventCode
 from pistachiolever.gateway.attempt import (
@@ -314,7 +315,8 @@
         reply: BidReply | None = None
         submitted_at = fleet.now()
         try:
-            with move_on_after(timeout_seconds) as scope:
+            rest = request.remaining_seconds(submitted_at) - timeout_seconds
+            with move_on_after_peer(timeout_seconds, rest) as scope:
                 handle.bid_scopes.add(scope)
                 reply = await handle.admission.acquire(self._make_bid(endpoint_id))
         finally:
--- a/pistachiolever/http1/client.py
+++ b/pistachiolever/http1/client.py
@@ -9,7 +9,6 @@
     EndOfStream,
     create_task_group,
     current_time,
-    fail_after,
 )
 from attrs import define, field
 from h11 import (
@@ -28,6 +27,7 @@
     Response,
 )
 
+from pistachiolever.core.timeouts import fail_after_peer
 from pistachiolever.http1.const import (
     CONNECT_SECONDS,
     MAX_HEAD_BYTES,
@@ -258,7 +258,7 @@
     """Connect to `IP:PORT`; raise PeerClosedError with `sent` false on failure."""
     host, _, port = address.rpartition(":")
     try:
-        with fail_after(seconds):
+        with fail_after_peer(seconds):
             stream = await open_stream(host, int(port))
     except (OSError, TimeoutError, ValueError) as error:
         detail = f"cannot connect to {address}: {type(error).__name__}"
