Connect to no address with a port or host that no endpoint can have

Reported by another operator: one odd entry among the announcements, with a port out of range, ended the machines that read it. Here a router that had chosen such an endpoint answered its caller with 502: without uvloop, connecting raised an exception group (an OverflowError inside) where only PeerClosedError is expected; with uvloop the port was cut to 16 bits, and the request for IP:70000 went to port 4464 of that host, another program. split_address() checks host and port before the connection is opened, so that each caller gets the error it handles, with nothing sent.

--- a/pistachiolever/http1/client.py
+++ b/pistachiolever/http1/client.py
@@ -30,6 +30,7 @@
     Response,
 )
 
+from pistachiolever.core.addresses import split_address
 from pistachiolever.http1.const import (
     CONNECT_SECONDS,
     MAX_HEAD_BYTES,
@@ -257,10 +258,11 @@
     address: str, seconds: float = CONNECT_SECONDS
 ) -> ClientConnection:
     """Connect to `IP:PORT`; raise PeerClosedError with `sent` false on failure."""
-    host, _, port = address.rpartition(":")
     try:
+        # uvloop cuts a larger port to 16 bits.
+        host, port = split_address(address)
         with fail_after(seconds):
-            stream = await connect_tcp(host, int(port))
+            stream = await connect_tcp(host, port)
     except (OSError, TimeoutError, ValueError) as error:
         detail = f"cannot connect to {address}: {type(error).__name__}"
         # The error of a single attempt to connect is the cause of the one raised.
