--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -76,7 +76,9 @@
     def __attrs_post_init__(self) -> None:
         """Skip events that the caller has already received."""
         last = self.request.metadata.last_event_id
-        self.splitter = EventSplitter(last_id=last, skip_through=last)
+        self.splitter = EventSplitter(
+            last_id=last, skip_through=last, is_continued=last > 0
+        )
 
     async def run(self) -> None:
         """Process the request; return once its response is complete or broken off."""
@@ -399,6 +401,7 @@
         """Send the request to an endpoint that granted it."""
         request, fleet = self.request, self.fleet
         endpoint_id = handle.endpoint.endpoint_id
+        is_repeated = endpoint_id in request.tried_endpoint_ids
         request.tried_endpoint_ids.add(endpoint_id)
         if request.attempt_count:
             self.splitter.resume()
@@ -414,6 +417,7 @@
             self.expected_prefill_seconds,
             bid_id,
             self._find_successor,
+            is_repeated,
         )
         result = AttemptResult(Verdict.MAY_HAVE_RUN, reason="cancelled")
         try:
--- a/pistachiolever/http1/client.py
+++ b/pistachiolever/http1/client.py
@@ -27,6 +27,7 @@
     Response,
 )
 
+from pistachiolever.core.addresses import split_address
 from pistachiolever.core.timeouts import fail_after_peer
 from pistachiolever.http1.const import (
     CONNECT_SECONDS,
@@ -256,10 +257,11 @@
     address: str, seconds: float = CONNECT_SECONDS
 ) -> ClientConnection:
     """Connect to `IP:PORT`; raise PeerClosedError with `sent` false on failure."""
-    host, _, port = address.rpartition(":")
     try:
+        # uvloop cuts a larger port to 16 bits.
+        host, port = split_address(address)
         with fail_after_peer(seconds):
-            stream = await open_stream(host, int(port))
+            stream = await open_stream(host, port)
     except (OSError, TimeoutError, ValueError) as error:
         detail = f"cannot connect to {address}: {type(error).__name__}"
         number = getattr(error, "errno", 0)
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -53,6 +53,12 @@
     ProxyRoute("slow", "x", "/slow/", RequestKind.IDEMPOTENT, SERVICES, 40, 0.3, 0, 2),
     ProxyRoute("bulk", "x", "/bulk/", RequestKind.NON_IDEMPOTENT, SERVICES, 9, 0.3),
     ProxyRoute("tale", "x", "/tale/", RequestKind.STREAM, SERVICES, 9, 1),
+    ProxyRoute(
+        "sell", "x", "/sell/", RequestKind.NON_IDEMPOTENT, SERVICES, 2, 0.3, 0, 3
+    ),
+    ProxyRoute(
+        "epic", "x", "/epic/", RequestKind.STREAM, SERVICES, 4, 1, 0, 4, resumable=True
+    ),
 ]
 CONFIGURATION = ProxyConfiguration(
     1, ROUTES, [ProxyService("s")], [ProxyAccount("one", ["key"])]
@@ -343,12 +349,13 @@
     retry_ratio: float = 1,
     retry_slack: float = 99,
     limit_seconds: float = 15.0,
+    announced: tuple[Announcement, ...] = (),
 ) -> list[Result]:
     """Send requests through one router, each after a pause in seconds.
 
     `copies` of each are sent at the same time, with the same id. Each endpoint has
     `slots`; `retry_ratio` and `retry_slack` limit the fleet's retries. All must end
-    within `limit_seconds`.
+    within `limit_seconds`. The router learns of the `announced` endpoints first.
     """
     request = (
         b"GET %s HTTP/%s\r\nHost: x\r\nX-Request-Id: id$\r\n"
@@ -366,6 +373,7 @@
         retry_ratio,
         retry_slack,
         limit_seconds,
+        announced,
     )
 
 
@@ -379,6 +387,7 @@
     retry_ratio: float,
     retry_slack: float,
     limit_seconds: float,
+    announced: tuple[Announcement, ...],
 ) -> list[Result]:
     """Run a router, its endpoints and one caller."""
     settings = GatewaySettings(
@@ -413,6 +422,7 @@
     with fail_after(limit_seconds):
         async with create_task_group() as group:
             group.start_soon(process.run)
+            fleet.apply_announcements(list(announced))
             for number, endpoint in enumerate(endpoints):
                 listener = await create_tcp_listener(local_host="127.0.0.1")
                 port = listener.extra(SocketAttribute.local_port)
