--- a/benchmarks/router_cost.py
+++ b/benchmarks/router_cost.py
@@ -149,7 +149,7 @@
         client,
         output.logger,
         Random(1),
-        current_time,
+        asyncio.get_running_loop().time,
     )
     view.table = RouteTable(CONFIGURATION)
     view.update_router_count(1)
--- a/pistachiolever/platform/main.py
+++ b/pistachiolever/platform/main.py
@@ -1,6 +1,7 @@
 """Starts the process of a role with the settings of the platform."""
 
 import sys
+from asyncio import get_running_loop
 from collections.abc import Awaitable, Callable
 from os import environ
 from pathlib import Path
@@ -129,20 +130,20 @@
     settings = context.settings.gateway()
     client = PeerClient()
     rng = SystemRandom()
+    # The clock of current_time, which looks for the event loop at each call.
+    now = get_running_loop().time
     fleet = FleetView(
         settings,
         decode_configuration,
         client,
         context.events,
         rng,
-        current_time,
+        now,
         context.instruments,
     )
     choice = context.choose_members(settings.node_id, settings.failure_domain)
     watcher = RegistryWatcher(choice, client, fleet, context.events)
-    reporting = UsageReporting(
-        fleet.reporter, choice, client, context.events, current_time
-    )
+    reporting = UsageReporting(fleet.reporter, choice, client, context.events, now)
     process = GatewayProcess(settings, HEADER_FORMAT, fleet, watcher)
     async with create_task_group() as group:
         group.start_soon(process.run)
