--- a/pistachiolever/emulator/const.py
+++ b/pistachiolever/emulator/const.py
@@ -5,6 +5,8 @@
 # Engines deliver events in batches of this length, which saves most of the emulator's
 # work.
 EVENT_BATCH_SECONDS: Final = 0.1
+# Time of a turn of the event loop once some tasks have a processor.
+POLL_SECONDS: Final = 1e-6
 # A caller gives up a response that has not started after the largest of these: seconds,
 # multiples of its kind's target time, multiples of its kind's longest allowed gap.
 MIN_START_TIMEOUT_SECONDS: Final = 2.0
--- a/pistachiolever/emulator/fleet.py
+++ b/pistachiolever/emulator/fleet.py
@@ -100,14 +100,22 @@
                 background.start_soon(self._release, self.shape.release, background)
             for routers in self.routers_by_domain.values():
                 for router in routers:
-                    background.start_soon(router.run)
+                    background.start_soon(self._run_router, router)
             async with create_task_group() as callers:
                 for arrival in arrivals:
                     await sleep_until(arrival.at)
                     callers.start_soon(self._run_caller, arrival, rng)
+            await self._settle()
             self.ended_at = max(self.shape.seconds, current_time())
             background.cancel_scope.cancel()
 
+    async def _run_router(self, router: FleetView) -> None:
+        """Run the background tasks of a router."""
+        await router.run()
+
+    async def _settle(self) -> None:
+        """Wait until the routers have no work left; here they never have any."""
+
     async def _run_caller(self, arrival: Arrival, rng: Random) -> None:
         """Run one caller and record its result."""
         routers = self.routers_by_domain[arrival.domain_id]
