--- a/pistachiolever/emulator/links.py
+++ b/pistachiolever/emulator/links.py
@@ -205,15 +205,24 @@
     latency_seconds: Callable[[str], float] = lambda address: 0.0
 
     async def acquire(self, address: str, connect_seconds: float) -> ClientConnection:
-        """Return an idle connection, or open one in a round trip."""
+        """Return an idle connection, or open one."""
+        idle = self.idle_by_address.setdefault(address, [])
+        if idle and not self.engine_by_address[address].gone:
+            idle.pop()
+            return self._connect(address)
+        return await self.open(address, connect_seconds)
+
+    async def open(self, address: str, connect_seconds: float) -> ClientConnection:
+        """Open a connection in a round trip."""
+        connection = self._connect(address)
+        await sleep(2 * self.latency_seconds(address))
+        return connection
+
+    def _connect(self, address: str) -> ClientConnection:
+        """Return a connection; raise PeerClosedError if the engine is gone."""
         engine = self.engine_by_address[address]
         if engine.gone:
             raise PeerClosedError(f"cannot connect to {address}", False)
-        idle = self.idle_by_address.setdefault(address, [])
-        if idle:
-            idle.pop()
-        else:
-            await sleep(2 * self.latency_seconds(address))
         # There is no socket: the engine is called directly.
         no_stream: Any = None
         return EmulatedConnection(
--- a/tests/support/crowded_fleet.py
+++ b/tests/support/crowded_fleet.py
@@ -248,10 +248,10 @@
     def _add_engine(self, domain_id: str) -> int:
         """Create an engine that counts what begins."""
         number = super()._add_engine(domain_id)
-        address = f"engine{number}"
+        address = f"engine{number}:80"
         engine = RecordingEngine(self.engine_by_address[address].model, owner=self)
         self.engine_by_address[address] = engine
-        self.agent_by_address[f"agent{number}"].probe = engine
+        self.agent_by_address[f"agent{number}:80"].probe = engine
         return number
 
     def _configuration(self) -> ProxyConfiguration:
