--- a/pistachiolever/platform/main.py
+++ b/pistachiolever/platform/main.py
@@ -1,7 +1,6 @@
 """Starts the process of a role with the settings of the platform."""
 
 import sys
-from asyncio import get_running_loop
 from collections.abc import Awaitable, Callable
 from os import environ
 from pathlib import Path
@@ -22,7 +21,7 @@
 
 from pistachiolever.admission.agent import AgentProcess
 from pistachiolever.control.storage import FolderDisk, LogStorage
-from pistachiolever.core.clock import wall_ms
+from pistachiolever.core.clock import loop_time, wall_ms
 from pistachiolever.edge.peers import PeerClient
 from pistachiolever.events.const import EventCode
 from pistachiolever.events.logger import EventLogger, LogWriter, make_log_writer
@@ -130,20 +129,20 @@
     settings = context.settings.gateway()
     client = PeerClient()
     rng = SystemRandom()
-    # The clock of current_time, which looks for the event loop at each call.
-    now = get_running_loop().time
     fleet = FleetView(
         settings,
         decode_configuration,
         client,
         context.events,
         rng,
-        now,
+        loop_time,
         context.instruments,
     )
     choice = context.choose_members(settings.node_id, settings.failure_domain)
     watcher = RegistryWatcher(choice, client, fleet, context.events)
-    reporting = UsageReporting(fleet.reporter, choice, client, context.events, now)
+    reporting = UsageReporting(
+        fleet.reporter, choice, client, context.events, current_time
+    )
     process = GatewayProcess(settings, HEADER_FORMAT, fleet, watcher)
     async with create_task_group() as group:
         group.start_soon(process.run)
