Simulate the samples of an overloaded router in the order of its event loop

The simulated router of tests.gateway.test_intake let a sample wait for the backlog as it was at each moment, not as it was when the sample was due. From 200 requests a second on, twice the router's capacity, the backlog grows as fast as time, so `observe` was never called: the limit stayed 4,000, nothing was refused, "served" were 200, 400 and 700 a second by a router of 100, and the tests of goodput and of a flood beside other accounts passed without testing anything.

The router is now simulated by turns: a request takes ten steps with waits between them, and the sample is taken at the end of the turn in which it is due. The bounds are the same; besides, at least 50 samples are required in ten seconds. Without the limit (`observe` replaced by nothing) the tests now fail.

--- a/tests/gateway/test_intake.py
+++ b/tests/gateway/test_intake.py
@@ -1,5 +1,8 @@
 """The limit of concurrent requests of a router without processor time."""
 
+from collections import Counter
+from heapq import heappop, heappush
+
 from attrs import define, field
 
 from pistachiolever.gateway.const import (
@@ -11,64 +14,98 @@
 from pistachiolever.gateway.intake import IntakeLimit
 from tests.support.cases import CaseTest
 
-# Processor time of the simulated router: of a request that it serves, and of one that
-# it refuses; a served request lasts for SERVE_SECONDS besides.
+# Processor time of the simulated router: of a request that it serves, in steps with
+# waits between them, and of one that it refuses.
 SERVE_COST_SECONDS = 0.01
 REFUSE_COST_SECONDS = 0.0005
 SERVE_SECONDS = 0.5
-TICK_SECONDS = 0.002
+STEPS = 10
+# Steps in the turn in which a request is taken.
+FIRST_STEPS = 3
+TICK_SECONDS = 0.001
+
+
+@define(order=True)
+class Step:
+    """A step of a request, due when what it waited for has come."""
+
+    due_at: float
+    number: int
+    account_id: str = field(order=False)
+    steps_left: int = field(order=False)
 
 
 @define
 class SimulatedRouter:
-    """A router whose event loop is behind by the work that it has taken."""
+    """A router whose event loop does in each turn what is due at its beginning.
 
+    A request lasts for at least `serve_seconds`.
+    """
+
+    serve_seconds: float = SERVE_SECONDS
     intake: IntakeLimit = field(factory=IntakeLimit)
     now: float = 0.0
-    backlog_seconds: float = 0.0
-    ending: list[tuple[float, str]] = field(factory=list)
-    served_by_account: dict[str, int] = field(factory=dict)
-    refused_by_account: dict[str, int] = field(factory=dict)
+    steps: list[Step] = field(factory=list)
+    step_count: int = 0
+    sample_at: float = DELAY_SAMPLE_SECONDS
+    sample_count: int = 0
+    served_by_account: Counter[str] = field(factory=Counter)
+    refused_by_account: Counter[str] = field(factory=Counter)
     most_delay: float = 0.0
 
     def run(self, rate_by_account: dict[str, float], seconds: float) -> None:
         """Let requests arrive at constant rates."""
-        due = dict.fromkeys(rate_by_account, 0.0)
-        sample_at = self.now + DELAY_SAMPLE_SECONDS
-        for _ in range(int(seconds / TICK_SECONDS)):
-            self.now += TICK_SECONDS
-            self.end_finished()
+        ends_at = self.now + seconds
+        next_by_account = {
+            account_id: self.now + 1.0 / rate
+            for account_id, rate in rate_by_account.items()
+        }
+        while self.now < ends_at:
+            work = self.do_steps()
             for account_id, rate in rate_by_account.items():
-                due[account_id] += rate * TICK_SECONDS
-                while due[account_id] >= 1:
-                    due[account_id] -= 1
-                    self.arrive(account_id)
-            self.backlog_seconds = max(0.0, self.backlog_seconds - TICK_SECONDS)
-            # The task that measures the delay runs after all that is waiting.
-            if self.now >= sample_at + self.backlog_seconds:
-                self.intake.observe(self.now - sample_at)
-                self.most_delay = max(self.most_delay, self.now - sample_at)
-                sample_at = self.now + DELAY_SAMPLE_SECONDS
-
-    def end_finished(self) -> None:
-        """End the requests whose time is over."""
-        for ends_at, account_id in list(self.ending):
-            if ends_at <= self.now:
-                self.ending.remove((ends_at, account_id))
-                self.intake.end(account_id)
-
-    def arrive(self, account_id: str) -> None:
-        """Take or refuse a request."""
+                while next_by_account[account_id] <= self.now:
+                    next_by_account[account_id] += 1.0 / rate
+                    work += self.arrive(account_id)
+            self.now += max(TICK_SECONDS, work)
+            self.take_sample()
+
+    def do_steps(self) -> float:
+        """Do the steps that are due; return their processor time."""
+        work = 0.0
+        while self.steps and self.steps[0].due_at <= self.now:
+            step = heappop(self.steps)
+            work += SERVE_COST_SECONDS / STEPS
+            if step.steps_left:
+                self.add_step(step.account_id, step.steps_left - 1)
+                continue
+            self.intake.end(step.account_id)
+            self.served_by_account[step.account_id] += 1
+        return work
+
+    def add_step(self, account_id: str, steps_left: int) -> None:
+        """Let a request wait before its next step."""
+        self.step_count += 1
+        due_at = self.now + self.serve_seconds / STEPS
+        heappush(self.steps, Step(due_at, self.step_count, account_id, steps_left))
+
+    def arrive(self, account_id: str) -> float:
+        """Take or refuse a request; return its processor time in this turn."""
         if not self.intake.admits(account_id):
-            self.backlog_seconds += REFUSE_COST_SECONDS
-            refused = self.refused_by_account
-            refused[account_id] = refused.get(account_id, 0) + 1
-            return
+            self.refused_by_account[account_id] += 1
+            return REFUSE_COST_SECONDS
         self.intake.begin(account_id)
-        self.backlog_seconds += SERVE_COST_SECONDS
-        self.ending.append((self.now + SERVE_SECONDS, account_id))
-        served = self.served_by_account
-        served[account_id] = served.get(account_id, 0) + 1
+        self.add_step(account_id, STEPS - FIRST_STEPS - 1)
+        return FIRST_STEPS * SERVE_COST_SECONDS / STEPS
+
+    def take_sample(self) -> None:
+        """Measure the delay at the end of the turn in which the sample is due."""
+        if self.now < self.sample_at:
+            return
+        delay = self.now - self.sample_at
+        self.intake.observe(delay)
+        self.most_delay = max(self.most_delay, delay)
+        self.sample_count += 1
+        self.sample_at = self.now + DELAY_SAMPLE_SECONDS
 
 
 class IntakeTest(CaseTest):
@@ -79,19 +116,24 @@
         router.run({"a": 50.0, "b": 20.0}, 10.0)
         self.assertEqual({}, router.refused_by_account)
 
-    # A router with more work than it could do finished less than one without.
+    # A router with more work than it could do finished less than one without. In the
+    # simulation before this one no sample was taken from 200 requests a second on.
     def test_router_finished_less_the_more_it_was_sent(self) -> None:
         for rate in (120.0, 200.0, 400.0, 700.0):
             with self.subTest(rate):
                 router = SimulatedRouter()
                 router.run({"a": rate}, 3.0)
-                before = sum(router.served_by_account.values())
+                served_before = router.served_by_account["a"]
+                refused_before = router.refused_by_account["a"]
+                started_at, samples_before = router.now, router.sample_count
                 router.most_delay = 0.0
                 router.run({"a": rate}, 10.0)
-                served = sum(router.served_by_account.values()) - before
-                time_left = 10.0 - REFUSE_COST_SECONDS * (10 * rate - served)
+                served = router.served_by_account["a"] - served_before
+                refused = router.refused_by_account["a"] - refused_before
+                time_left = router.now - started_at - REFUSE_COST_SECONDS * refused
                 self.assertGreater(served, 0.7 * time_left / SERVE_COST_SECONDS)
                 self.assertLess(router.most_delay, 5 * INTAKE_DELAY_SECONDS)
+                self.assertGreater(router.sample_count - samples_before, 50)
 
     # Accounts beside a flood of another one waited as long as the flood.
     def test_flood_displaced_other_accounts(self) -> None:
