Lower the limit of a router's requests from the number that it has taken

What callers saw: while a flood lasted, a router took nobody for seconds at a time, then too many again; accounts with few requests were refused by turns (FAIR).

Cause: the delay lasts until some of the taken requests have ended, but each sample lowered the limit once more, from the lower of the limit and the taken requests. With 100 taken ones and a delay of twice the bound, it was at its minimum of 8 after four samples (0.2 s), far below what there was time for.

The limit is now a part of the taken requests, so it goes on falling only as they end.

test_limit_fell_again_before_its_fall_had_an_effect failed before (8 instead of 50), so did the case of 3 s of test_flood_of_long_requests_displaced_other_accounts (5 of 48).

--- a/pistachiolever/gateway/intake.py
+++ b/pistachiolever/gateway/intake.py
@@ -88,8 +88,9 @@
         lasting, self.last_delay = min(delay, self.last_delay), delay
         if lasting > INTAKE_DELAY_SECONDS:
             factor = max(INTAKE_DECREASE, INTAKE_DELAY_SECONDS / lasting)
-            lowered = min(self.limit, self.total) * min(factor, MIN_INTAKE_DECREASE)
-            self.limit = max(MIN_INTAKE, lowered)
+            # The delay lasts until some of the taken requests have ended.
+            lowered = self.total * min(factor, MIN_INTAKE_DECREASE)
+            self.limit = max(MIN_INTAKE, min(self.limit, lowered))
         elif lasting < INTAKE_DELAY_SECONDS / 2:
             is_used = self.total >= INTAKE_RECOVERY * self.limit
             raised = self.limit * (1 + INTAKE_INCREASE) + is_used
--- a/tests/gateway/test_intake.py
+++ b/tests/gateway/test_intake.py
@@ -144,6 +144,17 @@
             refused = router.refused_by_account.get(account_id, 0)
             self.assertLess(refused, 0.1 * asked)
 
+    # FAIR: with requests of seconds those of the flood outlasted the fall of the limit,
+    # and accounts with one request were refused meanwhile like the flood.
+    def test_flood_of_long_requests_displaced_other_accounts(self) -> None:
+        for serve_seconds, rate in ((3.0, 4.0), (8.0, 1.5)):
+            with self.subTest(serve_seconds):
+                router = SimulatedRouter(serve_seconds)
+                router.run({"flood": 400.0, "a": rate, "b": 2.0 * rate}, 12.0)
+                for account_id, asked in (("a", 12.0 * rate), ("b", 24.0 * rate)):
+                    refused = router.refused_by_account[account_id]
+                    self.assertLess(refused, 0.1 * asked)
+
     # FAIR: what accounts with few requests left of their equal parts went to the flood
     # rather than to the next account, such as all callers of public routes.
     def test_unused_parts_went_to_the_flood(self) -> None:
@@ -191,6 +202,20 @@
             intake.observe(0.0)
         self.assertEqual(MAX_INTAKE, intake.limit)
 
+    # FAIR: the limit fell by half in each sample, before one of the taken requests had
+    # ended, to a small part of what there was time for; then nobody was taken.
+    def test_limit_fell_again_before_its_fall_had_an_effect(self) -> None:
+        intake = IntakeLimit()
+        for _ in range(100):
+            intake.begin("a")
+        for _ in range(10):
+            intake.observe(2 * INTAKE_DELAY_SECONDS)
+        self.assertEqual(50.0, intake.limit)
+        for _ in range(60):
+            intake.end("a")
+        intake.observe(2 * INTAKE_DELAY_SECONDS)
+        self.assertEqual(20.0, intake.limit)
+
     def test_counts_end_with_their_requests(self) -> None:
         intake = IntakeLimit()
         for account_id in ("a", "b", "a"):
