Read what refused clients have sent before closing at a stop

What callers saw: at a planned stop a refused request whose body had arrived could end with a reset in place of its 503 (LOST).

Cause: Screening.close closed refused connections with unread input; the periodic close reads first. Both now do the same.

test_refused_client_is_not_reset_by_a_stop failed before with ECONNRESET.

--- a/pistachiolever/http1/screening.py
+++ b/pistachiolever/http1/screening.py
@@ -3,6 +3,7 @@
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
+from math import inf
 from select import POLLIN, poll
 from socket import SHUT_WR, socket
 from typing import Protocol
@@ -75,15 +76,14 @@
                 await self._wake.wait()
             await sleep(SCREENING_SECONDS)
             self._review_waiting()
-            self._close_refused()
+            self._close_refused(current_time())
 
     def close(self) -> None:
         """Serve the waiting connections; close the refused ones."""
         for descriptor in list(self.waiting):
             held = self._stop_waiting(descriptor)
             self.serve(held.raw, held.received)
-        while self.refused:
-            self.refused.popleft().raw.close()
+        self._close_refused(inf)
 
     def _review_waiting(self) -> None:
         """Decide on waiting connections that have input or whose time is over.
@@ -149,9 +149,8 @@
         self.refused.append(HeldSocket(raw, current_time() + LINGER_SECONDS))
         self._wake.set()
 
-    def _close_refused(self) -> None:
+    def _close_refused(self, now: float) -> None:
         """Close the refused connections whose time is over."""
-        now = current_time()
         while self.refused and self.refused[0].until <= now:
             raw = self.refused.popleft().raw
             # Closing with unread input would reset the connection.
--- a/tests/http1/test_screening.py
+++ b/tests/http1/test_screening.py
@@ -154,6 +154,22 @@
             near.close()
             far.close()
 
+    # A refused request whose body had arrived was reset at a planned stop.
+    def test_refused_client_is_not_reset_by_a_stop(self) -> None:
+        near, far = socketpair()
+
+        async def play() -> None:
+            screening = Screening(PathScreen(), lambda raw, received: None)
+            far.send((REQUEST % b"no")[:-4])
+            screening.offer(near)
+            far.send(b"body")
+            screening.close()
+
+        run(play, backend_options={"use_uvloop": self.use_uvloop})
+        self.assertEqual(REFUSED, far.recv(READ_BYTES))
+        self.assertEqual(b"", far.recv(READ_BYTES))
+        far.close()
+
     def test_inactive_screen_sees_nothing(self) -> None:
         screen = PathScreen(active=False)
         received, paths = self.serve(screen, REQUEST % b"no")
