--- a/tests/gateway/test_event_stream.py
+++ b/tests/gateway/test_event_stream.py
@@ -48,6 +48,13 @@
         splitter.feed(event(1) + event(3))
         self.assertEqual(splitter.fault, "an event is missing")
 
+    # An event that came alone was taken without a look at its number.
+    def test_missing_event_is_detected_in_single_events(self) -> None:
+        splitter = EventSplitter()
+        out = b"".join(splitter.feed(event(n)) for n in (1, 2, 4, 5))
+        self.assertEqual(out, event(1) + event(2))
+        self.assertEqual(splitter.fault, "an event is missing")
+
     def test_events_without_ids_prevent_resumption(self) -> None:
         for data, resumable in (
             (event(1), True),
