Log what an overloaded router spends its time on

OVERLOAD_CHANGED tells that a router has too little processor time, but not what it does with the time it has: a request that is refused before its body is read leaves no line, nor does a bid that is withdrawn since its reply came too late, and connections are only gauges.

OVERLOAD_WORK (E128) says it once a second while a router is overloaded: processor seconds, connections accepted, heads read, requests refused at once, bids, bids withdrawn, connections opened. Nothing is logged otherwise; no decision changes.

--- a/pistachiolever/edge/peers.py
+++ b/pistachiolever/edge/peers.py
@@ -39,6 +39,7 @@
     max_idle: int = MAX_IDLE_CONNECTIONS
     max_open: int = MAX_OPEN_CONNECTIONS
     open_count: int = 0
+    opened_count: int = 0
 
     async def acquire(self, address: str, connect_seconds: float) -> ClientConnection:
         """Return an idle connection that is still usable, or a new one."""
@@ -60,6 +61,7 @@
         try:
             connection = await open_connection(address, connect_seconds)
             opened = True
+            self.opened_count += 1
         finally:
             self.open_count -= not opened
         connection.on_close = self._count_closed
--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -145,5 +145,7 @@
 # Shortest time for which a router sends callers to others: a load balancer needs two
 # checks to notice.
 MIN_BUSY_SECONDS: Final = 3.0
+# Interval at which an overloaded router logs what it does.
+WORK_REPORT_SECONDS: Final = 1.0
 # Retry-After of a router that has no processor time; other routers may have.
 OVERLOAD_RETRY_AFTER_SECONDS: Final = 0.3
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -113,6 +113,7 @@
     applied_change: int = -1
     incarnation: str = field(init=False)
     bid_count: int = 0
+    withdrawn_count: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Create the connection pool, the placement and the retry budget."""
--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -1,5 +1,7 @@
 """The gateway process: callers' server, readiness and graceful shutdown."""
 
+from time import process_time
+
 from anyio import CancelScope, create_task_group, move_on_after, sleep
 from attrs import define, field
 
@@ -23,6 +25,7 @@
 from pistachiolever.gateway.request_processor import RequestProcessor
 from pistachiolever.gateway.settings import GatewaySettings
 from pistachiolever.gateway.stream_origins import StreamOrigins
+from pistachiolever.gateway.work_counts import WorkCounts, WorkReporter
 from pistachiolever.http1.connection import Exchange
 from pistachiolever.http1.models import Header, HttpLimits
 from pistachiolever.http1.server import HttpServer
@@ -61,6 +64,9 @@
     origins: StreamOrigins = field(init=False)
     was_ready: bool = False
     guard: OverloadGuard = field(factory=OverloadGuard)
+    work_reporter: WorkReporter = field(factory=WorkReporter)
+    request_count: int = 0
+    shed_count: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Create the servers and register the gauges."""
@@ -119,6 +125,33 @@
                     delay=round(self.guard.delay, 3),
                     busy=self.public_server.busy_count(),
                 )
+            self._report_work(max(level, known), now)
+
+    def _report_work(self, level: Overload, now: float) -> None:
+        """Log what the router did in the last interval if it was overloaded."""
+        work = self.work_reporter.take(self._count_work(), now)
+        if work is None or level is Overload.NONE:
+            return
+        self.fleet.events.record(
+            EventCode.OVERLOAD_WORK,
+            level=level.name,
+            delay=round(self.guard.delay, 3),
+            busy=self.public_server.busy_count(),
+            connections=len(self.public_server.connections),
+            **work,
+        )
+
+    def _count_work(self) -> WorkCounts:
+        """Return the work of this router since its start."""
+        return WorkCounts(
+            process_time(),
+            self.public_server.accepted_count,
+            self.request_count,
+            self.shed_count,
+            self.fleet.bid_count,
+            self.fleet.withdrawn_count,
+            self.fleet.pool.opened_count + self.fleet.client.pool.opened_count,
+        )
 
     async def drain(self) -> None:
         """Report not ready, finish running requests, return within the grace period.
@@ -220,6 +253,7 @@
     async def _handle_request(self, exchange: Exchange) -> None:
         """Serve a caller's request."""
         arrived_at = self.fleet.now()
+        self.request_count += 1
         if self.guard.level is Overload.SHEDDING:
             await self._shed(exchange)
             return
@@ -259,6 +293,7 @@
     async def _shed(self, exchange: Exchange) -> None:
         """Refuse a request before reading its body: there is no time to serve it."""
         seconds = OVERLOAD_RETRY_AFTER_SECONDS * (0.5 + self.fleet.rng.random())
+        self.shed_count += 1
         self.fleet.instruments.count(SHED)
         await exchange.respond(503, [(b"retry-after", b"%.2f" % seconds)], b"")
 
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -321,6 +321,7 @@
             handle.bid_scopes.discard(scope)
             handle.bidding_tokens -= tokens
         if reply is None:
+            fleet.withdrawn_count += 1
             return None
         fleet.update_free(handle)
         if reply.granted and request.service.engine:
--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -53,6 +53,7 @@
     draining: bool = False
     closing: bool = False
     connections: dict[ServerConnection, None] = field(factory=dict)
+    accepted_count: int = 0
     _accepting: CancelScope = field(factory=CancelScope)
     _room: Event = field(factory=Event)
     _opening_count: int = 0
@@ -119,6 +120,7 @@
             except OSError as error:
                 return error
             self._opening_count += 1
+            self.accepted_count += 1
             group.start_soon(self._open_connection, accepted)
         return None
 
