Count whose requests an overloaded router refuses or never reads

What a router refuses for lack of processor time was counted without its account, what its callers gave up before it was read was not counted at all, and a scrape of a large fleet began with thousands of characters by endpoint, at which the users' monitoring cut it.

`pistachiolever_shed` has the account as a label, `pistachiolever_unread` is new, OVERLOAD_CHANGED names both sums, gauges come first in a scrape and counters by endpoint after the others. No decision changes.

--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -3,6 +3,7 @@
 from anyio import CancelScope, create_task_group, move_on_after, sleep
 from attrs import define, field
 
+from pistachiolever.edge.keys import bearer_key
 from pistachiolever.events.const import EventCode
 from pistachiolever.gateway.const import (
     BALANCER_REMOVAL_SECONDS,
@@ -26,7 +27,7 @@
 from pistachiolever.http1.connection import Exchange
 from pistachiolever.http1.models import Header, HttpLimits
 from pistachiolever.http1.server import HttpServer
-from pistachiolever.metrics.instruments import REQUESTS, SHED
+from pistachiolever.metrics.instruments import REQUESTS, SHED, UNREAD
 from pistachiolever.registry.stream_lookup import StreamLookup
 from pistachiolever.registry.watcher import RegistryWatcher
 from pistachiolever.routing.models import ProxyAccount, ProxyRoute, RequestKind
@@ -61,6 +62,8 @@
     origins: StreamOrigins = field(init=False)
     was_ready: bool = False
     guard: OverloadGuard = field(factory=OverloadGuard)
+    shed_count: int = 0
+    unread_count: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Create the servers and register the gauges."""
@@ -75,6 +78,7 @@
             self._limits,
             int(CALLER_CONNECTION_FRACTION * self.settings.max_descriptors),
             self._record_limit,
+            self._count_unread,
         )
         self.readiness_server = HttpServer(
             self.settings.ready_address, self._handle_readiness
@@ -118,6 +122,8 @@
                     level=level.name,
                     delay=round(self.guard.delay, 3),
                     busy=self.public_server.busy_count(),
+                    shed=self.shed_count,
+                    unread=self.unread_count,
                 )
 
     async def drain(self) -> None:
@@ -192,6 +198,11 @@
             EventCode.CONNECTIONS_LIMITED, reason=reason, connections=connections
         )
 
+    def _count_unread(self) -> None:
+        """Count a request whose caller left before it was read."""
+        self.unread_count += 1
+        self.fleet.instruments.count(UNREAD)
+
     # Readiness.
 
     def is_ready(self) -> bool:
@@ -259,9 +270,17 @@
     async def _shed(self, exchange: Exchange) -> None:
         """Refuse a request before reading its body: there is no time to serve it."""
         seconds = OVERLOAD_RETRY_AFTER_SECONDS * (0.5 + self.fleet.rng.random())
-        self.fleet.instruments.count(SHED)
+        self.shed_count += 1
+        self.fleet.instruments.count(SHED, self._account_id(exchange))
         await exchange.respond(503, [(b"retry-after", b"%.2f" % seconds)], b"")
 
+    def _account_id(self, exchange: Exchange) -> str:
+        """Return the account of a caller's key, empty if it is unknown."""
+        table = self.fleet.table
+        value = (exchange.head.value(b"authorization") or b"").decode("latin-1")
+        account = table.account_by_key.get(bearer_key(value)) if table else None
+        return account.account_id if account else ""
+
     def _record_cancelled(
         self, request: ProxyRequest, processor: RequestProcessor
     ) -> None:
--- a/pistachiolever/http1/connection.py
+++ b/pistachiolever/http1/connection.py
@@ -77,6 +77,7 @@
     limits: Callable[[], HttpLimits]
     draining: Callable[[], bool]
     closing: Callable[[], bool]
+    report_unread: Callable[[], None]
     protocol: Connection = field(init=False)
     disconnected: bool = False
     busy: bool = False
@@ -189,6 +190,7 @@
                 return
             if has_left(self.stream):
                 # It waited here for longer than its client would.
+                self.report_unread()
                 return
             if not await self._serve_request(Exchange(self, head)) or self.closing():
                 return
--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -34,6 +34,10 @@
     """Ignore that a limit of connections was reached."""
 
 
+def ignore_unread() -> None:
+    """Ignore that a client left before its request was read."""
+
+
 @define(eq=False)
 class HttpServer:
     """Listens on one address.
@@ -42,7 +46,8 @@
     connections are closed after the current request. At `max_connections` the newest
     idle connection is closed for a new one; if none is idle, clients wait to be
     accepted. `report_limit` is called when a limit is reached, at most once in
-    LIMIT_REPORT_SECONDS.
+    LIMIT_REPORT_SECONDS, `report_unread` for each request whose client left before it
+    was read.
     """
 
     address: str
@@ -50,6 +55,7 @@
     limits: Callable[[], HttpLimits] = HttpLimits
     max_connections: int = DEFAULT_MAX_CONNECTIONS
     report_limit: Callable[[str, int], None] = ignore_limit
+    report_unread: Callable[[], None] = ignore_unread
     draining: bool = False
     closing: bool = False
     connections: dict[ServerConnection, None] = field(factory=dict)
@@ -143,6 +149,7 @@
             self.limits,
             lambda: self.draining,
             lambda: self.closing,
+            self.report_unread,
         )
         self.connections[connection] = None
         await self._serve_connection(connection)
--- a/pistachiolever/metrics/exposition.py
+++ b/pistachiolever/metrics/exposition.py
@@ -71,6 +71,10 @@
         )
 
         family: Any
+        for gauge in GAUGES:
+            value = self.gauges.get(gauge.name)
+            if value is not None:
+                yield GaugeMetricFamily(gauge.name, gauge.documentation, value)
         for counter in COUNTERS:
             family = CounterMetricFamily(
                 counter.name, counter.documentation, labels=counter.label_names
@@ -91,10 +95,6 @@
                     labels, _cumulative_buckets(durations), durations.total
                 )
             yield family
-        for gauge in GAUGES:
-            value = self.gauges.get(gauge.name)
-            if value is not None:
-                yield GaugeMetricFamily(gauge.name, gauge.documentation, value)
 
 
 def _cumulative_buckets(durations: Durations) -> list[tuple[str, float]]:
--- a/pistachiolever/metrics/instruments.py
+++ b/pistachiolever/metrics/instruments.py
@@ -66,7 +66,10 @@
     ("endpoint", "notice"),
 )
 SHED: Final = Instrument(
-    "pistachiolever_shed", "Requests refused for lack of processor time"
+    "pistachiolever_shed", "Requests refused for lack of processor time", ("account",)
+)
+UNREAD: Final = Instrument(
+    "pistachiolever_unread", "Requests whose callers left before they were read"
 )
 FIRST_CHUNK: Final = Instrument(
     "pistachiolever_first_part_seconds",
@@ -97,16 +100,19 @@
 ANNOUNCEMENTS: Final = Instrument(
     "pistachiolever_announcements", "Endpoint announcements received", ("outcome",)
 )
+# Those with a time series for each endpoint come last: a large fleet has many, and
+# monitoring may cut a scrape.
 COUNTERS: Final = (
     REQUESTS,
-    ATTEMPTS,
+    SHED,
+    UNREAD,
     RETRIES,
     STREAM_ENDS,
-    HELD_BACK,
-    SHED,
     GRANTS,
     CONFIGURATIONS,
     ANNOUNCEMENTS,
+    ATTEMPTS,
+    HELD_BACK,
 )
 HISTOGRAMS: Final = (FIRST_CHUNK, QUEUED, ENGINE_FIRST_CHUNK, GRANT_WAIT)
 GAUGES: Final = (
--- a/tests/gateway/test_overload.py
+++ b/tests/gateway/test_overload.py
@@ -1,11 +1,23 @@
 """A router without processor time: all callers at one router, without network."""
 
+from anyio import run
+from attrs import evolve
+
+from pistachiolever.edge.peers import PeerClient
+from pistachiolever.emulator.clock import EmulatedLoop
 from pistachiolever.gateway.const import (
     DELAY_SAMPLE_SECONDS,
     MIN_BUSY_SECONDS,
 )
 from pistachiolever.gateway.overload import Overload, OverloadGuard
+from pistachiolever.http1.models import RequestHead
+from pistachiolever.metrics.instruments import SHED, UNREAD
+from pistachiolever.routing.models import ProxyAccount
+from pistachiolever.routing.table import RouteTable
+from tests.gateway.test_rate_limits import make_router
+from tests.gateway.test_relay import CONFIGURATION
 from tests.support.cases import CaseTest
+from tests.support.crowded_fleet import EmulatedExchange
 
 
 def observe(guard: OverloadGuard, delay: float, seconds: float, now: float) -> float:
@@ -66,3 +78,27 @@
         now = observe(guard, 0.15, 1.0, 0.0)
         now = observe(guard, 0.0, MIN_BUSY_SECONDS / 2, now)
         self.assertIs(guard.level, Overload.BUSY)
+
+
+class RefusedRequestTest(CaseTest):
+    """Requests that no bid was made for are counted for their accounts."""
+
+    # Nothing told whose requests an overloaded router refused or never read.
+    def test_refused_and_unread_requests_were_counted_for_no_account(self) -> None:
+        async def refuse() -> None:
+            process = make_router(0, PeerClient())
+            accounts = [ProxyAccount("a", ["key"])]
+            process.fleet.table = RouteTable(evolve(CONFIGURATION, accounts=accounts))
+            process.guard.level = Overload.SHEDDING
+            for key in (b"Bearer key", b"Bearer none"):
+                head = RequestHead(b"GET", b"/read/1", [(b"authorization", key)])
+                exchange = EmulatedExchange(head, 0.0)
+                await process.public_server.handler(exchange)  # type: ignore[arg-type]
+                self.assertEqual(exchange.status, 503)
+            process.public_server.report_unread()
+            counts = process.fleet.instruments.count_by_name
+            self.assertEqual(counts[SHED.name], {("a",): 1.0, ("",): 1.0})
+            self.assertEqual(counts[UNREAD.name], {(): 1.0})
+            self.assertEqual((process.shed_count, process.unread_count), (2, 1))
+
+        run(refuse, backend_options={"loop_factory": EmulatedLoop})
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -161,7 +161,12 @@
     def test_request_of_a_client_that_has_left_is_not_handled(self) -> None:
         async def test() -> int:
             echo = Echo()
-            server = HttpServer(free_address(), echo.handle, lambda: LIMITS)
+            server = HttpServer(
+                free_address(),
+                echo.handle,
+                lambda: LIMITS,
+                report_unread=lambda: unread.append(1),
+            )
             async with create_task_group() as group:
                 group.start_soon(server.serve)
                 await sleep(0.05)
@@ -174,7 +179,9 @@
                 group.cancel_scope.cancel()
             return len(echo.requests)
 
+        unread: list[int] = []
         self.assertEqual(run(test), 0)
+        self.assertEqual(len(unread), 1)
 
     # A router without processor time reset the connections of callers that were still
     # sending the requests which it refused.
--- a/tests/metrics/test_instruments.py
+++ b/tests/metrics/test_instruments.py
@@ -11,10 +11,14 @@
     GAUGES,
     HISTOGRAMS,
     MAX_LABEL_VALUES,
+    SHED,
+    UNREAD,
     Instruments,
 )
 from tests.support.cases import CaseTest
 
+# Of a scrape, monitoring kept about so much.
+MOST_KEPT_CHARACTERS = 4000
 PAGE = Path(__file__).parents[2] / "docs" / "METRICS.md"
 
 
@@ -39,6 +43,22 @@
         ):
             self.assertIn(line, text)
 
+    # Monitoring kept only the beginning of a scrape, which were counts by endpoint.
+    def test_overload_was_not_among_the_first_metrics(self) -> None:
+        instruments = Instruments()
+        instruments.count(SHED, "a1")
+        instruments.count(UNREAD)
+        instruments.gauge("pistachiolever_overload", lambda: 2)
+        for number in range(MAX_LABEL_VALUES):
+            instruments.count(ATTEMPTS, f"e{number}", "RAN")
+        text = render(instruments, instruments.read_gauges()).decode()
+        for line in (
+            "pistachiolever_overload 2.0",
+            'pistachiolever_shed_total{account="a1"} 1.0',
+            "pistachiolever_unread_total 1.0",
+        ):
+            self.assertIn(line, text[:MOST_KEPT_CHARACTERS])
+
     def test_label_values_are_bounded(self) -> None:
         instruments = Instruments()
         for number in range(MAX_LABEL_VALUES * 3):
