--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -33,7 +33,7 @@
 from pistachiolever.http1.connection import Exchange
 from pistachiolever.http1.models import Header, HttpLimits
 from pistachiolever.http1.server import HttpServer
-from pistachiolever.metrics.instruments import REQUESTS, SHED
+from pistachiolever.metrics.instruments import REQUESTS, SHED, UNREAD
 from pistachiolever.registry.stream_lookup import StreamLookup
 from pistachiolever.registry.watcher import RegistryWatcher
 from pistachiolever.routing.models import ProxyAccount, ProxyRoute, RequestKind
@@ -101,6 +101,7 @@
     request_count: int = 0
     shed_count: int = 0
     intake: IntakeLimit = field(factory=IntakeLimit)
+    unread_count: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Create the servers and register the gauges."""
@@ -115,7 +116,8 @@
             self._limits,
             int(CALLER_CONNECTION_FRACTION * self.settings.max_descriptors),
             self._record_limit,
-            screen=IntakeScreen(self),
+            self._count_unread,
+            IntakeScreen(self),
         )
         self.readiness_server = HttpServer(
             self.settings.ready_address, self._handle_readiness
@@ -162,6 +164,8 @@
                     delay=round(self.guard.delay, 3),
                     busy=self.public_server.busy_count(),
                     limit=round(self.intake.limit),
+                    shed=self.shed_count,
+                    unread=self.unread_count,
                 )
             self._report_work(max(level, known), now)
 
@@ -264,6 +268,11 @@
             EventCode.CONNECTIONS_LIMITED, reason=reason, connections=connections
         )
 
+    def _count_unread(self) -> None:
+        """Count a request whose caller left before it was read."""
+        self.unread_count += 1
+        self.fleet.instruments.count(UNREAD)
+
     # Readiness.
 
     def is_ready(self) -> bool:
--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -42,6 +42,10 @@
     """Ignore that a limit of connections was reached."""
 
 
+def ignore_unread() -> None:
+    """Ignore that a client left before its request was read."""
+
+
 @define(eq=False)
 class HttpServer:
     """Listens on one address.
@@ -51,7 +55,8 @@
     idle connection is closed for a new one; if none is idle, clients wait to be
     accepted. An active `screen` refuses new connections before they are set up.
     `report_limit` is called when a limit is reached, at most once in
-    LIMIT_REPORT_SECONDS.
+    LIMIT_REPORT_SECONDS, `report_unread` for each request whose client left before it
+    was read.
     """
 
     address: str
@@ -59,6 +64,7 @@
     limits: Callable[[], HttpLimits] = HttpLimits
     max_connections: int = DEFAULT_MAX_CONNECTIONS
     report_limit: Callable[[str, int], None] = ignore_limit
+    report_unread: Callable[[], None] = ignore_unread
     screen: ConnectionScreen | None = None
     draining: bool = False
     closing: bool = False
@@ -173,6 +179,7 @@
             self.limits,
             lambda: self.draining,
             lambda: self.closing,
+            self.report_unread,
         )
         connection.feed(received)
         self.connections[connection] = None
