Refuse announcements whose numbers, names or addresses no endpoint can have

Reported by another operator: one odd entry, deeply nested, with a number too large or a port out of range, and the machines that read the list ended again and again, or stopped following it.

Here such entries were acknowledged and told to all members and routers: ports of 0, 70000, a superscript two and 5,000 digits, hosts with a zero byte or of 300 letters, ids with spaces, numbers up to 2**64 - 1, texts of any length. Nothing ended, but a router that chose one answered 502, and an entry with the id of a sound endpoint and a number too large as its start or sequence took its place: no later heartbeat of that endpoint counted. A DELETE with such a start time left a tombstone that blocked the id as well.

discovery/check.py says what can be used, with bounds far above what engines send. Decoding refuses the rest with 400. The directory checks as well, since an entry may come from a member of an earlier version that has accepted it: members and routers do not take it from there, and go on with the others.

The emulator's endpoints get ports, as theirs had none.

--- a/pistachiolever/discovery/directory.py
+++ b/pistachiolever/discovery/directory.py
@@ -2,6 +2,7 @@
 
 from attrs import define, evolve, field
 
+from pistachiolever.discovery.check import find_problem
 from pistachiolever.discovery.const import (
     ENDPOINT_EXPIRY_SECONDS,
     EXPIRY_KEPT_SECONDS,
@@ -44,10 +45,15 @@
     _versions_change: int = -1
 
     def merge(self, announcement: Announcement, now: float) -> bool:
-        """Merge an announcement; return whether more than its sequence changed."""
+        """Merge an announcement; return whether more than its sequence changed.
+
+        One that names no endpoint to use changes nothing.
+        """
         record = self.record_by_id.get(announcement.endpoint_id)
         if record is not None and announcement.sort_key <= record.announcement.sort_key:
             return False
+        if find_problem(announcement):
+            return False
         if announcement.state is not EndpointState.GONE:
             if self._is_blocked(announcement, record, now):
                 return False
--- a/pistachiolever/emulator/fleet.py
+++ b/pistachiolever/emulator/fleet.py
@@ -135,18 +135,18 @@
             engine, self._make_event_logger(), Random(self.seed * 1000 + number)
         )
         agent.controller.core.set_policy(self.admission)
-        self.engine_by_address[f"engine{number}"] = engine
-        self.agent_by_address[f"agent{number}"] = agent
-        self.api_by_address[f"agent{number}"] = agent.api()
-        self.domain_by_address[f"engine{number}"] = domain_id
-        self.domain_by_address[f"agent{number}"] = domain_id
+        self.engine_by_address[f"engine{number}:80"] = engine
+        self.agent_by_address[f"agent{number}:81"] = agent
+        self.api_by_address[f"agent{number}:81"] = agent.api()
+        self.domain_by_address[f"engine{number}:80"] = domain_id
+        self.domain_by_address[f"agent{number}:81"] = domain_id
         return number
 
     def _start_engine(self, number: int, background: TaskGroup) -> None:
         """Start the tasks of an engine and its agent."""
-        background.start_soon(self.engine_by_address[f"engine{number}"].run)
-        background.start_soon(self.agent_by_address[f"agent{number}"].run)
-        background.start_soon(self._report_usage, f"agent{number}")
+        background.start_soon(self.engine_by_address[f"engine{number}:80"].run)
+        background.start_soon(self.agent_by_address[f"agent{number}:81"].run)
+        background.start_soon(self._report_usage, f"agent{number}:81")
 
     async def _report_usage(self, address: str) -> None:
         """Report an agent's usage and load to the only member of the registry."""
@@ -198,7 +198,7 @@
 
     def _announcement(self, number: int) -> Announcement:
         """Return the announcement of an engine."""
-        address = f"engine{number}"
+        address = f"engine{number}:80"
         return Announcement(
             f"e{number}",
             ENGINE_START_MS,
@@ -208,7 +208,7 @@
             address,
             self.domain_by_address[address],
             self.shape.engine.slots,
-            agent=f"agent{number}",
+            agent=f"agent{number}:81",
         )
 
     def _make_router(self, router_id: str, domain_id: str) -> FleetView:
--- a/pistachiolever/platform/endpoints.py
+++ b/pistachiolever/platform/endpoints.py
@@ -7,6 +7,7 @@
 
 from pistachiolever.admission.const import REPORT_TIMEOUT_SECONDS
 from pistachiolever.admission.models import EngineReport, EngineRun
+from pistachiolever.discovery.check import MAX_BORN_MS, find_problem
 from pistachiolever.discovery.models import Announcement, EndpointState
 from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.peers import PeerClient
@@ -28,10 +29,8 @@
     if state not in (EndpointState.READY.value, EndpointState.DRAINING.value):
         raise InvalidAnnouncementError("state: is not ready or draining")
     address = _string(fields, "address")
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise InvalidAnnouncementError("address: is not HOST:PORT")
-    return Announcement(
+    host = address.rpartition(":")[0]
+    announcement = Announcement(
         endpoint_id,
         _integer(fields, "born"),
         _integer(fields, "seq"),
@@ -44,19 +43,26 @@
         f"{host}:{peer_port}" if fields.get("models") else "",
         _string(fields, "version"),
     )
+    if problem := find_problem(announcement):
+        raise InvalidAnnouncementError(problem)
+    return announcement
 
 
 def decode_start_time(body: bytes) -> int | None:
-    """Return the start time in milliseconds, or None if it is missing or invalid.
+    """Return the start time in milliseconds, or None if it is missing or unreadable.
 
-    The body is that of a deregistration.
+    The body is that of a deregistration. Raise InvalidAnnouncementError if no
+    endpoint can have started at that time.
     """
     if not body:
         return None
     try:
-        return _integer(_object(body), "born")
+        born_ms = _integer(_object(body), "born")
     except InvalidAnnouncementError:
         return None
+    if born_ms > MAX_BORN_MS:
+        raise InvalidAnnouncementError("born: is out of range")
+    return born_ms
 
 
 def decode_report(body: bytes) -> EngineReport:
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -343,12 +343,13 @@
     retry_ratio: float = 1,
     retry_slack: float = 99,
     limit_seconds: float = 15.0,
+    announced: tuple[Announcement, ...] = (),
 ) -> list[Result]:
     """Send requests through one router, each after a pause in seconds.
 
     `copies` of each are sent at the same time, with the same id. Each endpoint has
     `slots`; `retry_ratio` and `retry_slack` limit the fleet's retries. All must end
-    within `limit_seconds`.
+    within `limit_seconds`. The router learns of the `announced` endpoints first.
     """
     request = (
         b"GET %s HTTP/%s\r\nHost: x\r\nX-Request-Id: id$\r\n"
@@ -366,6 +367,7 @@
         retry_ratio,
         retry_slack,
         limit_seconds,
+        announced,
     )
 
 
@@ -379,6 +381,7 @@
     retry_ratio: float,
     retry_slack: float,
     limit_seconds: float,
+    announced: tuple[Announcement, ...],
 ) -> list[Result]:
     """Run a router, its endpoints and one caller."""
     settings = GatewaySettings(
@@ -413,6 +416,7 @@
     with fail_after(limit_seconds):
         async with create_task_group() as group:
             group.start_soon(process.run)
+            fleet.apply_announcements(list(announced))
             for number, endpoint in enumerate(endpoints):
                 listener = await create_tcp_listener(local_host="127.0.0.1")
                 port = listener.extra(SocketAttribute.local_port)
