Send a request that an endpoint refused there again on a new connection only

Reported by another operator: a faulty engine wrote an earlier refusal once more on a kept connection; clients were told that a request had not run which had, or it ran twice.

A request keeps its id on every attempt, and the id alone tells the copy of another response from the own one. Where the only endpoint of a service refused a request, the router sent it there again on the same connection. A copy of the first refusal then passed for the answer to the second attempt, which the endpoint ran: the caller got 503, or the request was sent a third time and ran twice.

An attempt at an endpoint to which its request was sent before now opens a connection. Nothing that comes there can be the copy of an earlier response; on a kept connection the request is new, so what carries its id is its own. That costs a connection where a router repeats a request at the same endpoint, which it does only if no other one can be asked.

The pools of the emulator and of test_pause_backlog, which replace acquire() by connections without a socket, now replace open().

--- a/pistachiolever/emulator/links.py
+++ b/pistachiolever/emulator/links.py
@@ -206,15 +206,22 @@
 
     async def acquire(self, address: str, connect_seconds: float) -> ClientConnection:
         """Return an idle connection, or open one in a round trip."""
-        engine = self.engine_by_address[address]
-        if engine.gone:
-            raise PeerClosedError(f"cannot connect to {address}", False)
         idle = self.idle_by_address.setdefault(address, [])
-        if idle:
-            idle.pop()
-        else:
-            await sleep(2 * self.latency_seconds(address))
-        # There is no socket: the engine is called directly.
+        if not idle or self.engine_by_address[address].gone:
+            return await self.open(address, connect_seconds)
+        idle.pop()
+        return self._connect(address)
+
+    async def open(self, address: str, connect_seconds: float) -> ClientConnection:
+        """Open a connection in a round trip."""
+        if self.engine_by_address[address].gone:
+            raise PeerClosedError(f"cannot connect to {address}", False)
+        await sleep(2 * self.latency_seconds(address))
+        return self._connect(address)
+
+    def _connect(self, address: str) -> EmulatedConnection:
+        """Return a connection: there is no socket, the engine is called directly."""
+        engine = self.engine_by_address[address]
         no_stream: Any = None
         return EmulatedConnection(
             address,
--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -105,6 +105,7 @@
 
     `bid_id` is the bid that the endpoint granted. `find_successor` returns whether
     another endpoint has granted the request while the response was still stalled.
+    `is_repeated` is true if the request was sent to this endpoint before.
     """
 
     fleet: FleetView
@@ -116,6 +117,7 @@
     expected_prefill_seconds: float = 0.0
     bid_id: str = ""
     find_successor: Callable[[Callable[[], bool]], Awaitable[bool]] = keep_waiting
+    is_repeated: bool = False
     connection: ClientConnection | None = None
     first_chunk_at: float | None = None
     framing: Framing | None = None
@@ -137,9 +139,7 @@
         address = self.handle.endpoint.address
         remaining = self.request.remaining_seconds(self.fleet.now())
         try:
-            self.connection = await self.fleet.pool.acquire(
-                address, min(1.0, remaining)
-            )
+            self.connection = await self._connect(address, min(1.0, remaining))
         except PeerClosedError as error:
             if error.is_local:
                 return AttemptResult(
@@ -172,6 +172,16 @@
             if self.connection is not None:
                 await self.connection.close()
 
+    async def _connect(self, address: str, seconds: float) -> ClientConnection:
+        """Return a connection; raise PeerClosedError.
+
+        On a kept one, a copy of the endpoint's earlier response to the same request
+        could not be told from the response to this attempt.
+        """
+        pool = self.fleet.pool
+        connect = pool.open if self.is_repeated else pool.acquire
+        return await connect(address, seconds)
+
     def _held_back_reason(self) -> str:
         """Return why the request must not be sent now; empty if it may be."""
         if not self.fleet.may_send(self.handle):
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -396,6 +396,7 @@
         """Send the request to an endpoint that granted it."""
         request, fleet = self.request, self.fleet
         endpoint_id = handle.endpoint.endpoint_id
+        is_repeated = endpoint_id in request.tried_endpoint_ids
         request.tried_endpoint_ids.add(endpoint_id)
         if request.attempt_count:
             self.splitter.resume()
@@ -411,6 +412,7 @@
             self.expected_prefill_seconds,
             bid_id,
             self._find_successor,
+            is_repeated,
         )
         result = AttemptResult(Verdict.MAY_HAVE_RUN, reason="cancelled")
         try:
--- a/tests/gateway/test_pause_backlog.py
+++ b/tests/gateway/test_pause_backlog.py
@@ -120,7 +120,7 @@
 
     endpoint: PausingEndpoint = field(kw_only=True)
 
-    async def acquire(self, address: str, connect_seconds: float) -> ClientConnection:
+    async def open(self, address: str, connect_seconds: float) -> ClientConnection:
         """Return a new connection."""
         no_stream: Any = None
         return PausingConnection(address, no_stream, endpoint=self.endpoint)
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -53,6 +53,12 @@
     ProxyRoute("slow", "x", "/slow/", RequestKind.IDEMPOTENT, SERVICES, 40, 0.3, 0, 2),
     ProxyRoute("bulk", "x", "/bulk/", RequestKind.NON_IDEMPOTENT, SERVICES, 9, 0.3),
     ProxyRoute("tale", "x", "/tale/", RequestKind.STREAM, SERVICES, 9, 1),
+    ProxyRoute(
+        "sell", "x", "/sell/", RequestKind.NON_IDEMPOTENT, SERVICES, 2, 0.3, 0, 3
+    ),
+    ProxyRoute(
+        "epic", "x", "/epic/", RequestKind.STREAM, SERVICES, 4, 1, 0, 4, resumable=True
+    ),
 ]
 CONFIGURATION = ProxyConfiguration(
     1, ROUTES, [ProxyService("s")], [ProxyAccount("one", ["key"])]
