Take for the rest of a stream only what can be its rest

Reported by another operator: a stream had begun and broke off, the next engine answered with an error, and clients found its text, at times its whole head, in the middle of their stream, or the stream ended as if it were complete.

But whatever came with a signed 2xx was taken for the rest of the stream. Text with an empty line passed for an event, also the head of a second response within an unframed one; a response without any event, or with 204, completed the stream; a 202 or 206, another content type and an encoded body were joined. An event that was missing also moved the position in the stream, so that a third endpoint could not continue it.

What continues a stream must now have status 200, no other content type than that of events, and no content encoding. In it, an event without an id that is more than a comment is a fault, and so is text that is no event behind events with ids in any response. Nothing behind a fault is forwarded and the position stays, so that the next attempt continues there. A response that continues a stream ends it only after an event. The same holds where the caller resumes a stream.

The check of a missing event in test_event_stream reads the new field; it is as strict.

--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -1,7 +1,7 @@
 """One attempt to serve a request at an endpoint, up to its verdict."""
 
 from collections.abc import Awaitable, Callable
-from typing import Protocol
+from typing import Final, Protocol
 
 from anyio import CancelScope, create_task_group, move_on_after, sleep
 from anyio.lowlevel import checkpoint_if_cancelled
@@ -35,6 +35,9 @@
 from pistachiolever.routing.models import RequestKind
 from pistachiolever.streams.models import StreamOrigin
 
+# The media type of a stream of events.
+EVENT_STREAM: Final = b"text/event-stream"
+
 
 class ResponseSink(Protocol):
     """Receives the response: the caller's connection."""
@@ -94,6 +97,17 @@
         self.result = result
 
 
+def continues_stream(response: ResponseHead) -> bool:
+    """Return whether the head of a response can be that of a stream's rest."""
+    content_type = response.value(b"content-type")
+    media_type = (content_type or EVENT_STREAM).split(b";")[0].strip().lower()
+    return (
+        response.status == 200
+        and media_type == EVENT_STREAM
+        and response.value(b"content-encoding") is None
+    )
+
+
 async def keep_waiting(is_stalled: Callable[[], bool]) -> bool:
     """Find no endpoint that takes over."""
     return False
@@ -416,18 +430,17 @@
         self, connection: ClientConnection, response: ResponseHead
     ) -> AttemptResult:
         """Forward an event stream, in whole events if it is resumable."""
+        if self._is_continued() and not continues_stream(response):
+            return self._unknown_outcome("not the rest of a stream")
         while (data := await connection.read_chunk()) is not None:
             # Events that come when the attempt is given up would count as sent.
             await checkpoint_if_cancelled()
             events = self._accept_stream(data)
             if events:
                 await self._send_events(response, events)
-        reason = ""
-        if self.boundary.unfinished_bytes:
-            reason = "the stream ended within an event"
-        elif response.framing is Framing.CLOSE and not self.boundary.received_bytes:
-            reason = "the stream ended before its first event"
-        if reason:
+            if self.splitter.fault:
+                return self._unknown_outcome(self.splitter.fault)
+        if reason := self._find_unfinished(response):
             return evolve(self._unknown_outcome(reason), connection_ended=True)
         self.is_sending = True
         if not self.sink.started:
@@ -441,6 +454,20 @@
             connection_ended=response.framing is Framing.CLOSE,
         )
 
+    def _is_continued(self) -> bool:
+        """Return whether the caller has a part of the stream already."""
+        return self.request.route.resumable and self.splitter.is_continued
+
+    def _find_unfinished(self, response: ResponseHead) -> str:
+        """Return why the stream has not ended here; empty if it has."""
+        if self.boundary.unfinished_bytes:
+            return "the stream ended within an event"
+        if self._is_continued() and not self.splitter.is_whole():
+            return "the rest of the stream has no event"
+        if response.framing is Framing.CLOSE and not self.boundary.received_bytes:
+            return "the stream ended before its first event"
+        return ""
+
     def _accept_stream(self, data: bytes) -> bytes:
         """Track received data; return what can be forwarded now.
 
@@ -454,14 +481,9 @@
             reason = "an event has too many chunks"
         elif self.boundary.received_bytes > MAX_RESPONSE_BYTES:
             reason = "a response is too long"
-        events = data
-        if not reason and self.request.route.resumable:
-            events = self.splitter.feed(data)
-            if self.splitter.gap_found:
-                reason = "an event is missing"
         if reason:
             raise UnusableResponseError(self._unknown_outcome(reason))
-        return events
+        return self.splitter.feed(data) if self.request.route.resumable else data
 
     def _is_stalled(self) -> bool:
         """Return whether the response is overdue and another endpoint can take over.
--- a/pistachiolever/gateway/event_stream.py
+++ b/pistachiolever/gateway/event_stream.py
@@ -50,9 +50,11 @@
     """Buffers incomplete events; tracks the id of the last complete one.
 
     Events up to `skip_through` were sent before and are dropped. `data_event_count`
-    leaves out comments and retry times. `gap_found` is set
-    when an event id does not follow its predecessor, `resumable` is cleared by an event
-    with data but without an id.
+    leaves out comments and retry times. `resumable` is cleared by an event with data
+    but without an id. `fault` is why what follows belongs to no stream: an event whose
+    id does not follow its predecessor, or text that is no event. Nothing is accepted
+    behind it. A stream is `is_continued` if the caller has a part of it; then `seen_id`
+    is the last id in the response that continues it.
     """
 
     last_id: int = 0
@@ -60,7 +62,9 @@
     data_event_count: int = 0
     buffer: bytes = b""
     skip_through: int = 0
-    gap_found: bool = False
+    is_continued: bool = False
+    seen_id: int = 0
+    fault: str = ""
     resumable: bool = True
 
     def feed(self, data: bytes) -> bytes:
@@ -69,15 +73,40 @@
         events: list[bytes] = []
         start = 0
         for match in EVENT_END.finditer(buffered):
-            events.append(buffered[start : match.end()])
+            event = buffered[start : match.end()]
             start = match.end()
+            self.fault = self.fault or self._find_fault(event)
+            if not self.fault and self._accept(event):
+                events.append(event)
         self.buffer = buffered[start:]
-        return b"".join(event for event in events if self._accept(event))
+        return b"".join(events)
 
     def resume(self) -> None:
         """Prepare for a resumed stream: drop the incomplete event."""
         self.buffer = b""
+        self.fault = ""
         self.skip_through = self.last_id
+        self.seen_id = 0
+        self.is_continued = self.is_continued or self.event_count > 0
+
+    def is_whole(self) -> bool:
+        """Return whether the stream may end here.
+
+        A response that continues a stream has an event, the last one if no more.
+        """
+        return not self.is_continued or self.seen_id >= max(1, self.last_id)
+
+    def _find_fault(self, event: bytes) -> str:
+        """Return why an event can't be the next one of the stream; empty if it can."""
+        event_id = event_id_of(event)
+        if event_id is not None:
+            is_next = event_id <= self.skip_through or event_id == self.last_id + 1
+            return "" if is_next or not self.last_id else "an event is missing"
+        if not (self.is_continued or self.last_id) or is_comment(event):
+            return ""
+        if self.is_continued or not has_data(event):
+            return "text that is no event"
+        return ""
 
     def _accept(self, event: bytes) -> bool:
         """Count an event; return whether it is new to the caller."""
@@ -89,10 +118,9 @@
                 self.resumable = False
             return True
         self.data_event_count += 1
+        self.seen_id = event_id
         if event_id <= self.skip_through:
             return False
-        if self.last_id and event_id != self.last_id + 1:
-            self.gap_found = True
         self.last_id = event_id
         self.event_count += 1
         return True
@@ -110,3 +138,9 @@
 def has_data(event: bytes) -> bool:
     """Return whether an event has data, unlike a comment or a retry time."""
     return any(line.startswith(b"data") for line in event.splitlines())
+
+
+def is_comment(event: bytes) -> bool:
+    """Return whether an event has nothing but comments and a retry time."""
+    lines = [line for line in event.splitlines() if line]
+    return all(line.startswith((b":", b"retry:")) for line in lines)
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -75,7 +75,9 @@
     def __attrs_post_init__(self) -> None:
         """Skip events that the caller has already received."""
         last = self.request.metadata.last_event_id
-        self.splitter = EventSplitter(last_id=last, skip_through=last)
+        self.splitter = EventSplitter(
+            last_id=last, skip_through=last, is_continued=last > 0
+        )
 
     async def run(self) -> None:
         """Process the request; return once its response is complete or broken off."""
--- a/tests/gateway/test_event_stream.py
+++ b/tests/gateway/test_event_stream.py
@@ -35,7 +35,7 @@
         splitter.resume()
         out += splitter.feed(event(3) + event(4))
         self.assertEqual(out, b"".join(event(n) for n in range(1, 5)))
-        self.assertFalse(splitter.gap_found)
+        self.assertEqual(splitter.fault, "")
 
     def test_events_from_a_restarted_stream_are_not_repeated(self) -> None:
         splitter = EventSplitter()
@@ -46,7 +46,7 @@
     def test_missing_event_is_detected(self) -> None:
         splitter = EventSplitter()
         splitter.feed(event(1) + event(3))
-        self.assertTrue(splitter.gap_found)
+        self.assertEqual(splitter.fault, "an event is missing")
 
     def test_events_without_ids_prevent_resumption(self) -> None:
         for data, resumable in (
