Let an agent go on whatever numbers or nesting its engine reports

A deeply nested id of a run raised RecursionError where only format errors are expected, in the task that polls the engine, and the agent's process ended. A run with 1e300 tokens became an integer of 301 digits; numbers up to 2**64 - 1 were kept, whose sums fit into no message.

Every number of a report is checked for its range and an id must be a string; anything else is a malformed report, which counts as none, like an engine that does not answer.

--- a/pistachiolever/platform/endpoints.py
+++ b/pistachiolever/platform/endpoints.py
@@ -1,6 +1,6 @@
 """Decodes announcements of endpoints and load reports of engines."""
 
-from typing import Any
+from typing import Any, Final
 
 from attrs import define
 from orjson import JSONDecodeError, loads
@@ -14,6 +14,11 @@
 from pistachiolever.http1.models import RequestHead
 from pistachiolever.platform.names import REPORT_PATH
 
+# Larger numbers are a mistake, and sums of them fit into no message.
+MAX_NUMBER: Final = 2**53
+# The leading fields of a running request in a report.
+RUN_FIELDS: Final = 3
+
 
 class InvalidAnnouncementError(Exception):
     """An announcement or report is malformed."""
@@ -57,27 +62,23 @@
     if not body:
         return None
     try:
-        born_ms = _integer(_object(body), "born")
+        born_ms = _object(body).get("born")
     except InvalidAnnouncementError:
         return None
-    if born_ms > MAX_BORN_MS:
-        raise InvalidAnnouncementError("born: is out of range")
-    return born_ms
+    if isinstance(born_ms, bool) or not isinstance(born_ms, int) or born_ms < 0:
+        return None
+    return _checked(born_ms, "born", MAX_BORN_MS)
 
 
 def decode_report(body: bytes) -> EngineReport:
-    """Return the load report of an engine.
-
-    Raise InvalidAnnouncementError, or for malformed runs ValueError, TypeError or
-    LookupError.
-    """
+    """Return the load report of an engine; raise InvalidAnnouncementError."""
     fields = _object(body)
-    runs = [
-        EngineRun(str(run[0]), int(run[1]), int(run[2]))
-        for run in fields.get("runs") or []
-    ]
+    entries = fields.get("runs") or []
+    if not isinstance(entries, list):
+        raise InvalidAnnouncementError("runs: must be a list")
+    runs = [_run(entry) for entry in entries]
     return EngineReport(
-        _integer(fields, "born"),
+        _integer(fields, "born", MAX_BORN_MS),
         _integer(fields, "waiting"),
         _integer(fields, "running"),
         _integer(fields, "kvUsed"),
@@ -105,7 +106,7 @@
             raise PeerError(f"report returned status {head.status}", True, head.status)
         try:
             return decode_report(body)
-        except (InvalidAnnouncementError, ValueError, TypeError, LookupError) as error:
+        except InvalidAnnouncementError as error:
             raise PeerError(f"invalid report: {error}", True) from error
 
 
@@ -128,9 +129,32 @@
     return value
 
 
-def _integer(fields: dict[str, Any], name: str) -> int:
-    """Return a required integer that is not negative."""
-    value = fields.get(name)
-    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
-        raise InvalidAnnouncementError(f"{name}: must be an integer of 0 or more")
+def _integer(fields: dict[str, Any], name: str, maximum: int = MAX_NUMBER) -> int:
+    """Return a required integer from 0 to a maximum."""
+    return _checked(fields.get(name), name, maximum)
+
+
+def _run(entry: Any) -> EngineRun:
+    """Return a running request of a report: its id, tokens in memory and events.
+
+    The numbers may have fractions.
+    """
+    if not isinstance(entry, list) or len(entry) < RUN_FIELDS:
+        raise InvalidAnnouncementError("runs: must have lists of an id and numbers")
+    request_id, tokens, events = entry[:RUN_FIELDS]
+    if not isinstance(request_id, str):
+        raise InvalidAnnouncementError("runs: an id must be a string")
+    if isinstance(tokens, float):
+        tokens = int(tokens)
+    if isinstance(events, float):
+        events = int(events)
+    return EngineRun(request_id, _checked(tokens, "runs"), _checked(events, "runs"))
+
+
+def _checked(value: Any, name: str, maximum: int = MAX_NUMBER) -> int:
+    """Return a value that must be an integer from 0 to a maximum."""
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise InvalidAnnouncementError(f"{name}: must be an integer")
+    if not 0 <= value <= maximum:
+        raise InvalidAnnouncementError(f"{name}: is out of range")
     return value
--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -239,6 +239,36 @@
         self.assertEqual([run.request_id for run in report.runs], ["id1", "id2"])
         self.assertEqual((report.born_ms, report.waiting), (5, 1))
 
+    # A deeply nested run or a number too large for a message ended the agent.
+    def test_odd_reports_are_refused(self) -> None:
+        fields = {"born": 5, "waiting": 1, "running": 2, "kvUsed": 3, "kvTotal": 9}
+        text = dumps(fields)[:-1]
+        deep = b"[" * 990 + b"]" * 990
+        runs = [
+            b'["id",1,%s]' % deep,
+            b"[%s,1,2]" % deep,
+            b'["id",1e300,2]',
+            b'["id",1,18446744073709551615]',
+            b'["id",-1,2]',
+            b'["id",true,2]',
+            b'["id",1,"2"]',
+            b"[5,1,2]",
+            b'["id"]',
+            b'{"a":1}',
+            b'"abc"',
+        ]
+        cases = [text + b',"runs":[' + run + b"]}" for run in runs]
+        cases += [text + b',"runs":{"a":1}}', text + b',"runs":"abc"}']
+        for name in fields:
+            cases.append(dumps(fields | {name: 2**64 - 1}))
+            cases.append(dumps(fields | {name: 10**17}))
+        for body in cases:
+            with (
+                self.subTest(body[:120]),
+                self.assertRaises(InvalidAnnouncementError),
+            ):
+                decode_report(body)
+
 
 SETTINGS = """
 node = "front-1"
