Read no numbers of thousands of digits from headers and events

Text of more than 4,300 digits passes isdigit() and int() then raises ValueError, which nobody expects there. An engine's load or keep-alive time of that kind replaced its whole answer by 502, an event id broke the stream off, and a caller got 502 for a malformed header. parse_whole_number() bounds the digits and the number; what is longer counts as no number, and a caller's request with it is answered with 400.

--- a/pistachiolever/gateway/event_stream.py
+++ b/pistachiolever/gateway/event_stream.py
@@ -5,6 +5,8 @@
 
 from attrs import define
 
+from pistachiolever.core.numbers import parse_whole_number
+
 # Empty lines end an event; lines end with LF, CR LF or CR.
 EVENT_END: Final = compile_pattern(rb"(?:\r?\n\r?\n|\r\r)[\r\n]*")
 # The longest end of an event, without its last byte.
@@ -75,8 +77,9 @@
         for match in EVENT_END.finditer(buffered):
             event = buffered[start : match.end()]
             start = match.end()
-            self.fault = self.fault or self._find_fault(event)
-            if not self.fault and self._accept(event):
+            event_id = event_id_of(event)
+            self.fault = self.fault or self._find_fault(event, event_id)
+            if not self.fault and self._accept(event, event_id):
                 events.append(event)
         self.buffer = buffered[start:]
         return b"".join(events)
@@ -96,9 +99,8 @@
         """
         return not self.is_continued or self.seen_id >= max(1, self.last_id)
 
-    def _find_fault(self, event: bytes) -> str:
+    def _find_fault(self, event: bytes, event_id: int | None) -> str:
         """Return why an event can't be the next one of the stream; empty if it can."""
-        event_id = event_id_of(event)
         if event_id is not None:
             is_next = event_id <= self.skip_through or event_id == self.last_id + 1
             return "" if is_next or not self.last_id else "an event is missing"
@@ -108,9 +110,8 @@
             return "text that is no event"
         return ""
 
-    def _accept(self, event: bytes) -> bool:
+    def _accept(self, event: bytes, event_id: int | None) -> bool:
         """Count an event; return whether it is new to the caller."""
-        event_id = event_id_of(event)
         if event_id is None:
             self.event_count += 1
             if has_data(event):
@@ -130,8 +131,7 @@
     """Return the id of an event, None if it has no numeric one."""
     for line in event.splitlines():
         if line.startswith(b"id:"):
-            value = line[3:].strip()
-            return int(value) if value.isdigit() else None
+            return parse_whole_number(line[3:])
     return None
 
 
--- a/pistachiolever/gateway/header_format.py
+++ b/pistachiolever/gateway/header_format.py
@@ -5,6 +5,7 @@
 from attrs import field, frozen
 
 from pistachiolever.admission.models import Load, PromptPart
+from pistachiolever.core.numbers import parse_whole_number
 from pistachiolever.edge.keys import bearer_key
 from pistachiolever.gateway.const import (
     DEFAULT_KEEP_ALIVE_SECONDS,
@@ -35,8 +36,6 @@
         b"content-length",
     }
 )
-# Larger numbers in a header are a mistake or an attack.
-MAX_HEADER_NUMBER: Final = 2**53
 # Numbers of running requests, of waiting ones and of slots.
 LOAD_NUMBERS: Final = 3
 # Further parts of a prompt are ignored.
@@ -165,10 +164,11 @@
 
 def _parse_load(value: bytes | None) -> Load | None:
     """Return the load that an endpoint told; None if it is absent or malformed."""
-    numbers = (value or b"").split(b",")
-    if len(numbers) != LOAD_NUMBERS or not all(n.strip().isdigit() for n in numbers):
+    texts = (value or b"").split(b",")
+    numbers = [n for text in texts if (n := parse_whole_number(text)) is not None]
+    if not len(texts) == len(numbers) == LOAD_NUMBERS:
         return None
-    running, waiting, slots = (min(int(n), MAX_HEADER_NUMBER) for n in numbers)
+    running, waiting, slots = numbers
     return Load(running=running, waiting=waiting, slots=max(1, slots))
 
 
@@ -180,8 +180,9 @@
     value = head.value(b"keep-alive") or b""
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
-        if name.strip().lower() == b"timeout" and number.strip().isdigit():
-            seconds = int(number.strip()) - KEEP_ALIVE_MARGIN_SECONDS
+        timeout = parse_whole_number(number)
+        if name.strip().lower() == b"timeout" and timeout is not None:
+            seconds = timeout - KEEP_ALIVE_MARGIN_SECONDS
             return min(MAX_KEEP_ALIVE_SECONDS, max(0.0, seconds))
     return DEFAULT_KEEP_ALIVE_SECONDS
 
@@ -190,10 +191,10 @@
     """Return a non-negative integer; raise BadRequestError."""
     if value is None:
         return None
-    text = value.strip()
-    if not text.isdigit() or int(text) > MAX_HEADER_NUMBER:
+    number = parse_whole_number(value)
+    if number is None:
         raise BadRequestError(400, f"the {what} is not a whole number")
-    return int(text)
+    return number
 
 
 def _parse_token_counts(value: bytes | None) -> tuple[int, int]:
--- a/pistachiolever/platform/endpoints.py
+++ b/pistachiolever/platform/endpoints.py
@@ -7,6 +7,7 @@
 
 from pistachiolever.admission.const import REPORT_TIMEOUT_SECONDS
 from pistachiolever.admission.models import EngineReport, EngineRun
+from pistachiolever.core.numbers import MAX_NUMBER
 from pistachiolever.discovery.check import MAX_BORN_MS, find_problem
 from pistachiolever.discovery.models import Announcement, EndpointState
 from pistachiolever.edge.errors import PeerError
@@ -14,8 +15,6 @@
 from pistachiolever.http1.models import RequestHead
 from pistachiolever.platform.names import REPORT_PATH
 
-# Larger numbers are a mistake, and sums of them fit into no message.
-MAX_NUMBER: Final = 2**53
 # The leading fields of a running request in a report.
 RUN_FIELDS: Final = 3
 
