Keep the settings of a process beside a settings file that is written in part

A file of which only the beginning was there can be valid TOML. Its fields were first looked at after the check for errors, in the task that reads the file, so a missing one ended the process; so did deep nesting, a number of 5,000 digits, and ports or seeds of another type. Seeds without a host were used.

Reading the file now also reads the addresses in it, and anything that can't be used is an invalid document: the process logs it and keeps its settings.

tests.platform_adapter.test_formats failed before, each of these once or more: KeyError: 'seeds' (117 lengths of the file) RecursionError: maximum recursion depth exceeded IndexError: list index out of range AssertionError: Lists differ: ['10.1.0.35:70000', ...] != ['10.1.0.35:7400', ...]

--- a/pistachiolever/platform/control.py
+++ b/pistachiolever/platform/control.py
@@ -3,6 +3,7 @@
 from attrs import define
 from orjson import dumps
 
+from pistachiolever.discovery.fields import InvalidAnnouncementError
 from pistachiolever.edge.peers import JSON_HEADER
 from pistachiolever.events.const import EventCode
 from pistachiolever.http1.connection import Exchange
@@ -12,7 +13,6 @@
     Instrument,
 )
 from pistachiolever.platform.endpoints import (
-    InvalidAnnouncementError,
     decode_announcement,
     decode_start_time,
 )
--- a/pistachiolever/platform/settings.py
+++ b/pistachiolever/platform/settings.py
@@ -1,12 +1,13 @@
 """Translates the settings file of the platform into settings of the processes."""
 
 from pathlib import Path
-from tomllib import TOMLDecodeError, loads
+from tomllib import loads
 from typing import Any, Final
 
 from attrs import frozen
 
 from pistachiolever.admission.settings import AgentSettings
+from pistachiolever.core.addresses import split_address
 from pistachiolever.gateway.const import (
     DEFAULT_DRAIN_SECONDS,
     DEFAULT_MAX_DESCRIPTORS,
@@ -50,7 +51,7 @@
     @property
     def seeds(self) -> list[str]:
         """Return the seeds' addresses for internal calls."""
-        hosts = [seed.rpartition(":")[0] for seed in self.fields["seeds"]]
+        hosts = [split_address(seed)[0] for seed in self.fields["seeds"]]
         return [f"{host}:{self.peer_port}" for host in hosts]
 
     @property
@@ -114,8 +115,23 @@
 
 
 def read_settings(path: Path) -> PlatformSettings:
-    """Return the settings in a file; raise InvalidDocumentError."""
+    """Return the settings in a file; raise InvalidDocumentError.
+
+    The file may be read while only a part of it is written.
+    """
     try:
-        return PlatformSettings(loads(path.read_text()))
-    except (OSError, TOMLDecodeError, UnicodeDecodeError) as error:
-        raise InvalidDocumentError([Problem(str(path), "", str(error))]) from error
+        settings = PlatformSettings(loads(path.read_text()))
+        for address in (settings.peer_address, *settings.seeds):
+            split_address(address)
+    except (
+        OSError,
+        ValueError,
+        KeyError,
+        IndexError,
+        TypeError,
+        AttributeError,
+        RecursionError,
+    ) as error:
+        detail = f"{type(error).__name__}: {error}"
+        raise InvalidDocumentError([Problem(str(path), "", detail)]) from error
+    return settings
--- a/tests/discovery/test_check.py
+++ b/tests/discovery/test_check.py
@@ -6,9 +6,9 @@
 from orjson import dumps
 
 from pistachiolever.discovery.directory import EndpointDirectory
+from pistachiolever.discovery.fields import InvalidAnnouncementError
 from pistachiolever.discovery.models import Announcement, EndpointState
 from pistachiolever.platform.endpoints import (
-    InvalidAnnouncementError,
     decode_announcement,
     decode_start_time,
 )
--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -8,14 +8,16 @@
 from hypothesis import given, strategies as st
 from orjson import dumps
 
+from pistachiolever.discovery.fields import InvalidAnnouncementError
 from pistachiolever.discovery.models import EndpointState
+from pistachiolever.events.logger import make_log_writer
 from pistachiolever.platform.configuration import decode_configuration
 from pistachiolever.platform.endpoints import (
-    InvalidAnnouncementError,
     decode_announcement,
     decode_report,
     decode_start_time,
 )
+from pistachiolever.platform.main import RoleContext
 from pistachiolever.platform.settings import read_settings
 from pistachiolever.routing.errors import InvalidConfigurationError
 from pistachiolever.routing.models import RequestKind
@@ -304,3 +306,28 @@
             path.write_text(SETTINGS[:40])
             with self.assertRaises(InvalidDocumentError):
                 read_settings(path)
+
+    # A process that reloaded a file of which only the beginning was there ended.
+    def test_process_keeps_its_settings_beside_an_unusable_file(self) -> None:
+        seeds = 'seeds = ["10.1.0.35:8785","10.2.0.19:8785"]'
+        unusable = [
+            SETTINGS.replace("[7400,7415]", text)
+            for text in ("[]", '"x"', '["a"]', "[70000]", "[0]", "5")
+        ]
+        unusable += [
+            SETTINGS.replace(seeds, f"seeds = {text}")
+            for text in ("[5]", '"x"', '[["a"]]', '["10.1.0.35"]', '["a b:80"]', "3")
+        ]
+        unusable += [SETTINGS[:end] for end in range(len(SETTINGS))]
+        unusable += ["a = " + "[" * 5000, "a = " + "9" * 5000, SETTINGS + "\x00"]
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / "local.toml"
+            path.write_text(SETTINGS)
+            settings = read_settings(path)
+            context = RoleContext(path, settings, make_log_writer("a", lambda: 0))
+            for text in unusable:
+                with self.subTest(text[-60:]):
+                    path.write_text(text)
+                    context.reload()
+                    self.assertEqual(context.settings.seeds, settings.seeds)
+                    self.assertEqual(context.settings.peer_port, 7400)
