Refuse configurations with numbers that fit into no message

Found while looking for the cause of the report on odd announcements elsewhere. A configuration with a priority of 10**17 for an account was acknowledged and put in force; a thousand times that is in each bid for the account, which could not be encoded, so that its requests got 502. Numbers up to 2**64 - 1 and 1e300 passed for every other field, too. Numbers beyond 2**53 either way, which JSON does not keep exactly, now make a configuration invalid.

tests.platform_adapter.test_formats failed before: AssertionError: InvalidConfigurationError not raised (51 cases) and encoding a bid of such an account: TypeError: Integer exceeds 64-bit range

--- a/pistachiolever/routing/document.py
+++ b/pistachiolever/routing/document.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from pistachiolever.core.numbers import MAX_NUMBER
 from pistachiolever.routing.errors import InvalidConfigurationError
 
 
@@ -31,6 +32,8 @@
         value = self.fields.get(name, default)
         if isinstance(value, bool) or not isinstance(value, int | float):
             raise self.error(name, "must be a number")
+        if abs(value) > MAX_NUMBER:
+            raise self.error(name, "is out of range")
         return float(value)
 
     def integer(self, name: str, default: int | None = None) -> int:
@@ -38,6 +41,8 @@
         value = self.fields.get(name, default)
         if isinstance(value, bool) or not isinstance(value, int):
             raise self.error(name, "must be an integer")
+        if abs(value) > MAX_NUMBER:
+            raise self.error(name, "is out of range")
         return value
 
     def boolean(self, name: str) -> bool:
--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -139,6 +139,33 @@
                     decode_configuration(document)
                 self.assertEqual(caught.exception.path, error_path.strip())
 
+    # It was acknowledged, and then the numbers made of it fitted into no message.
+    def test_numbers_out_of_range(self) -> None:
+        paths: list[tuple[Any, ...]] = [
+            ("version",),
+            ("routes", 0, "priority"),
+            ("routes", 0, "timeoutMs"),
+            ("routes", 0, "targetLatencyMs"),
+            ("routes", 0, "maxAttempts"),
+            ("routes", 0, "targetGapMs"),
+            ("routes", 0, "trafficSplit", 0, "weight"),
+            ("services", 0, "maxConns"),
+            ("services", 0, "engine", "slots"),
+            ("services", 0, "engine", "kvCapacityTokens"),
+            ("services", 0, "engine", "stride"),
+            ("tenants", 0, "priority"),
+            ("limits", "tokensPerS"),
+            ("limits", "idleTimeoutMs"),
+            ("limits", "maxHeaderBytes"),
+        ]
+        for path in paths:
+            for value in (2**64 - 1, 2**53 + 1, -(2**60), 1e300, -1e300):
+                with (
+                    self.subTest(path=path, value=value),
+                    self.assertRaises(InvalidConfigurationError),
+                ):
+                    decode_configuration(changed(*path, value=value))
+
     @STATEFUL
     @given(
         value=st.recursive(
