Let no announcement for a service that is not named displace an endpoint

An entry for a service that no configuration names can serve nobody. With the id or the address of a sound endpoint and a later start time it ended that endpoint in the directory all the same, and the endpoint's later heartbeats did not count for as long as its end is kept, 60 s.

The member that gets such an entry refuses it while an endpoint of another service has the id or the address. Otherwise it is accepted as before: a service may be named later, and an endpoint of a service that was removed needs its drain acknowledged. The directories still merge whatever members accepted, in any order, as members may have different configurations for a while.

tests.registry.test_odd_entries failed before: AssertionError: InvalidAnnouncementError not raised (test_unnamed_service_takes_no_place_of_an_endpoint, with the check taken out)

--- a/pistachiolever/discovery/directory.py
+++ b/pistachiolever/discovery/directory.py
@@ -76,6 +76,16 @@
         self._set(EndpointRecord(announcement, now, number))
         return changed
 
+    def has_other_service(self, announcement: Announcement) -> bool:
+        """Return whether an endpoint of another service has its id or address."""
+        ids = self._ids_by_address.get(announcement.address, set())
+        return any(
+            record.announcement.service_id != announcement.service_id
+            for endpoint_id in ids | {announcement.endpoint_id}
+            if (record := self.record_by_id.get(endpoint_id)) is not None
+            and record.announcement.state is not EndpointState.GONE
+        )
+
     def mark_gone(
         self, endpoint_id: str, born_ms: int | None, now: float
     ) -> Announcement:
--- a/pistachiolever/platform/configuration.py
+++ b/pistachiolever/platform/configuration.py
@@ -45,6 +45,15 @@
     return decode_configuration(document).version
 
 
+def configuration_services(document: str) -> set[str]:
+    """Return the ids of the services; none if the document is invalid."""
+    try:
+        services = decode_configuration(document.encode()).services
+    except InvalidConfigurationError:
+        return set()
+    return {service.service_id for service in services}
+
+
 def _route(entry: FieldReader) -> ProxyRoute:
     """Return one route."""
     try:
--- a/pistachiolever/platform/main.py
+++ b/pistachiolever/platform/main.py
@@ -32,6 +32,7 @@
 from pistachiolever.metrics.exposition import LoopDelay, MetricsApi
 from pistachiolever.metrics.instruments import Instruments
 from pistachiolever.platform.configuration import (
+    configuration_services,
     configuration_version,
     decode_configuration,
 )
@@ -190,6 +191,7 @@
         context.events,
         SystemRandom(),
         instruments=context.instruments,
+        service_ids=configuration_services,
     )
     api = ControlApi(process, context.settings.peer_port)
     peer_server = HttpServer(
--- a/pistachiolever/registry/endpoint_replicator.py
+++ b/pistachiolever/registry/endpoint_replicator.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 
 from pistachiolever.discovery.directory import EndpointDirectory
+from pistachiolever.discovery.fields import InvalidAnnouncementError
 from pistachiolever.discovery.models import Announcement, EndpointState
 from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.peers import PeerClient
@@ -52,7 +53,8 @@
 
     `peers` returns the addresses of the other members; `on_change` is called when
     there are updates for watchers. Endpoints time out only while `may_expire` returns
-    true: a member that is cut off hears of none of them.
+    true: a member that is cut off hears of none of them. `names_service` returns
+    whether the configuration names a service.
     """
 
     client: PeerClient
@@ -61,6 +63,7 @@
     peers: Callable[[], list[str]]
     on_change: Callable[[], None]
     may_expire: Callable[[], bool] = lambda: True
+    names_service: Callable[[str], bool] = lambda _: True
     directory: EndpointDirectory = field(factory=EndpointDirectory)
     queue_by_peer: dict[str, PeerQueue] = field(factory=dict)
     sent_at_by_id: dict[str, float] = field(factory=dict)
@@ -74,8 +77,16 @@
     async def announce(self, announcement: Announcement) -> None:
         """Merge an announcement from an endpoint.
 
-        Raise UnavailableError if a draining announcement cannot be replicated.
+        Raise UnavailableError if a draining announcement cannot be replicated, and
+        InvalidAnnouncementError if it would take the place of an endpoint for a service
+        that the configuration does not name.
         """
+        if not self.names_service(
+            announcement.service_id
+        ) and self.directory.has_other_service(announcement):
+            raise InvalidAnnouncementError(
+                "service: is not named, and another has its id or address"
+            )
         changed = self.directory.merge(announcement, self.now())
         if changed:
             self._record(announcement, "announced")
--- a/pistachiolever/registry/process.py
+++ b/pistachiolever/registry/process.py
@@ -78,12 +78,18 @@
         """Return the version; raise InvalidConfigurationError."""
 
 
+def name_no_services(document: str) -> set[str]:
+    """Return that the services of a configuration are not known."""
+    return set()
+
+
 @define
 class RegistryProcess:
     """One member of the registry.
 
     `incarnation` identifies this run of the process. The incarnation in a member id
-    identifies a data folder instead.
+    identifies a data folder instead. `service_ids` returns the services that a
+    configuration names, none if they are not known.
     """
 
     settings: RegistrySettings
@@ -94,6 +100,7 @@
     client: PeerClient = field(factory=PeerClient)
     instruments: Instruments = field(factory=Instruments)
     now: Callable[[], float] = current_time
+    service_ids: Callable[[str], set[str]] = name_no_services
     incarnation: str = field(init=False)
     started_at: float = field(init=False)
     identity: Identity = field(init=False)
@@ -107,6 +114,8 @@
     new_senders: Mailbox[RaftSender] = field(factory=Mailbox)
     known_addresses: list[str] = field(factory=list)
     recorded_version: int = -1
+    named_version: int = -1
+    named_services: set[str] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         """Restore the state from disk."""
@@ -133,6 +142,7 @@
             self._other_addresses,
             lambda: self.watches.directory_changed.set(),
             lambda: not self.watches.is_behind(),
+            self._names_service,
         )
         aggregate = UsageAggregate(
             self.settings.address, self.incarnation, self.settings.failure_domain
@@ -371,6 +381,14 @@
         unique.pop(self.settings.address, None)
         return list(unique)
 
+    def _names_service(self, service_id: str) -> bool:
+        """Return whether the configuration names a service, as far as it is known."""
+        current = self.state.configuration
+        if current.version > self.named_version:
+            self.named_version = current.version
+            self.named_services = self.service_ids(current.document)
+        return not self.named_services or service_id in self.named_services
+
     # Notifications from consensus.
 
     def applied(self) -> None:
--- a/tests/registry/test_odd_entries.py
+++ b/tests/registry/test_odd_entries.py
@@ -7,6 +7,7 @@
 from orjson import dumps
 
 from pistachiolever.discovery.directory import EndpointRecord
+from pistachiolever.discovery.fields import InvalidAnnouncementError
 from pistachiolever.discovery.models import Announcement, EndpointState
 from pistachiolever.edge.peers import PeerClient
 from pistachiolever.http1.models import Header, RequestHead
@@ -119,3 +120,37 @@
             self.assertTrue(member.endpoints.directory.active())
 
         run_with_fleet(test)
+
+    # It took the place of the endpoint, whose later heartbeats no longer counted.
+    def test_unnamed_service_takes_no_place_of_an_endpoint(self) -> None:
+        async def test(fleet: Fleet) -> None:
+            await fleet.start_founders()
+            member = fleet.member_by_name["b"].process
+            member.service_ids = lambda _: {"s", "other"}
+            odd = evolve(SOUND, service_id="x", born_ms=10)
+            # Without a configuration, any service may be named later.
+            await member.endpoints.announce(
+                evolve(odd, endpoint_id="e3", address="a:1")
+            )
+            await fleet.store(document(4))
+            await fleet.until(lambda: member.state.configuration.version == 4)
+            await member.endpoints.announce(SOUND)
+            for entry in (odd, evolve(odd, endpoint_id="e2")):
+                for state in (EndpointState.READY, EndpointState.DRAINING):
+                    with self.assertRaises(InvalidAnnouncementError):
+                        await member.endpoints.announce(evolve(entry, state=state))
+            self.assertIn(SOUND, member.endpoints.directory.active())
+            # At an address of its own, its end can be acknowledged.
+            await member.endpoints.announce(
+                evolve(
+                    odd, endpoint_id="e2", address="a:2", state=EndpointState.DRAINING
+                )
+            )
+            # Addresses are used again by endpoints of other named services.
+            reused = evolve(odd, endpoint_id="e4", service_id="other")
+            await member.endpoints.announce(reused)
+            active = member.endpoints.directory.active()
+            self.assertIn(reused, active)
+            self.assertNotIn(SOUND, active)
+
+        run_with_fleet(test)
