--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -63,7 +63,7 @@
     process: "GatewayProcess"
 
     def is_active(self) -> bool:
-        """Return whether some requests are refused now."""
+        """Return whether some requests may be refused now."""
         process = self.process
         is_shedding = process.guard.level is Overload.SHEDDING
         return is_shedding or process.intake.is_near()
