--- a/pistachiolever/http1/connection.py
+++ b/pistachiolever/http1/connection.py
@@ -262,8 +262,9 @@
 
 def checked_head(head: RequestHead, limits: HttpLimits) -> RequestHead:
     """Return the head of a request; raise BadRequestError if it is unsafe."""
+    # A line has at least a colon and a line feed, too.
     size = len(head.target) + sum(
-        len(name) + len(value) for name, value in head.headers
+        len(name) + len(value) + 2 for name, value in head.headers
     )
     if size > limits.max_head_bytes:
         # The reader limits only heads that arrive in several reads.
@@ -305,7 +306,9 @@
         connection = self.connection
         if connection.protocol.awaits_continue:
             await connection.stream.send(connection.protocol.encode_continue())
-        while self._take_body(parts, sum(map(len, parts))) is not None:
+        size = sum(map(len, parts))
+        while (total := self._take_body(parts, size)) is not None:
+            size = total
             if not await connection.wait_for_input():
                 raise BadRequestError(400, "the body is not whole")
         return b"".join(parts)
