Let bids wait for as long as this router's event loop is behind

What callers saw (SHORT): at an overloaded router requests waited while their bids were withdrawn and made anew, up to 12 times, although the agents replied within milliseconds.

Cause: a bid is withdrawn after a quarter of the target if there are other endpoints. It takes several turns of the event loop to connect, send and read the reply; with a delay of some 50 ms a turn, as the limit of requests allows, that is longer than a quarter of a target of 0.6 s. Withdrawing closes the connection, so the next bid needs one turn more.

The time is now longer by ten times the smoothed delay of the event loop.

test_bid_is_not_repeated_by_an_overloaded_router failed before (3 bids instead of 2). Not fixed: an undecided bid is still repeated without a bound until the deadline, and a stop of seconds is still taken for the agent's silence (listed).

--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -90,6 +90,8 @@
 MAX_UNREPORTED_RUNS: Final = 1000
 # An agent replies within the target; after this additional time it is unresponsive.
 BID_TIMEOUT_MARGIN_SECONDS: Final = 0.5
+# A bid takes about so many turns of the event loop: to connect, to send and to read.
+BID_TURNS: Final = 10
 # Idle connections kept for each endpoint: as many as an engine has slots.
 MAX_IDLE_ENDPOINT_CONNECTIONS: Final = 64
 # Interval at which a draining router checks for open connections.
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -81,7 +81,7 @@
     `expired_ids` are the endpoints that the registry has not heard of for long. They
     are forgotten when they accept no connection. `draining_since_by_id` are the times
     at which this router learned that endpoints drain. `streams` are those that it has
-    forwarded.
+    forwarded. `loop_delay` is the smoothed delay of the event loop, in seconds.
     """
 
     settings: GatewaySettings
@@ -114,6 +114,7 @@
     applied_change: int = -1
     incarnation: str = field(init=False)
     bid_count: int = 0
+    loop_delay: float = 0.0
     withdrawn_count: int = 0
 
     def __attrs_post_init__(self) -> None:
--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -154,6 +154,7 @@
             delay = max(0.0, now - started_at - DELAY_SAMPLE_SECONDS)
             level = self.guard.observe(delay, now)
             self.intake.observe(delay)
+            self.fleet.loop_delay = self.guard.delay
             self.public_server.draining = self.draining or level > Overload.NONE
             if level is not known:
                 self.fleet.events.record(
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -16,6 +16,7 @@
     ResponseSink,
 )
 from pistachiolever.gateway.const import (
+    BID_TURNS,
     CONTINUED_TARGET_FACTOR,
     DEFAULT_RETRY_AFTER_SECONDS,
     MAX_PREFERRED_RESUMPTIONS,
@@ -295,12 +296,16 @@
         return [choice for choice in ranked if choice.wait < max_wait]
 
     def _bid_timeout_seconds(self, has_alternatives: bool) -> float:
-        """Return how long to wait for a reply before trying another endpoint."""
+        """Return how long to wait for a reply before trying another endpoint.
+
+        The delay of this process says nothing about the endpoint's agent.
+        """
         remaining = self.request.remaining_seconds(self.fleet.now())
         if not has_alternatives:
             return remaining
         fraction = self.fleet.policy.rebid_share
-        return min(remaining, fraction * self.request.route.target_seconds)
+        seconds = fraction * self.request.route.target_seconds
+        return min(remaining, seconds + BID_TURNS * self.fleet.loop_delay)
 
     async def _submit_bid(
         self, choice: RankedEndpoint, timeout_seconds: float
--- a/tests/gateway/test_router_load.py
+++ b/tests/gateway/test_router_load.py
@@ -11,6 +11,7 @@
     LoadResult,
     RouterLoad,
     grant,
+    ignore_connection,
     random_times,
 )
 
@@ -24,6 +25,8 @@
 # Longer than a router waits for a connection or for the reply to a message.
 STOP_SECONDS = 2.0
 FAST = 1e-3
+# Two thirds of the time that a bid waits if there are other endpoints.
+SLOW_AGENT_SECONDS = 0.1
 
 
 @cache
@@ -94,6 +97,21 @@
 class LateReadingTest(CaseTest):
     """What came in time is not late because this process reads it late."""
 
+    # SHORT: an overloaded router withdrew bids whose replies it read late, and made
+    # them anew on new connections, which took the time for requests.
+    def test_bid_is_not_repeated_by_an_overloaded_router(self) -> None:
+        def reply(answerer: Answerer, head: bytes) -> None:
+            peers = answerer.peers
+            peers.at(peers.now + SLOW_AGENT_SECONDS, lambda: grant(answerer, head))
+
+        def delay_loop() -> None:
+            load.on_agent_connect = ignore_connection
+            for number in range(50):
+                load.stop_after(0.5 + 0.1 * number, 0.09)
+
+        load = RouterLoad(FAST, reply=reply, on_agent_connect=delay_loop)
+        self.assertEqual(load.play([0.0, 2.5]).bid_count, 2)
+
     # SHORT: bids were withdrawn and made anew, again and again, though the agents had
     # accepted the connections and would have granted them within milliseconds.
     def test_connection_to_agent_is_noticed_late(self) -> None:
