Bound the bids that a router withdraws undecided

Cause: a bid that an agent had not decided after a quarter of the target was withdrawn and made anew, as often as the deadline allowed; only refusals were counted. An agent refuses a bid as late when the target, at least half of it, has passed, so a bid that is always withdrawn before is never refused, and an agent that does not reply never counts as unresponsive by its bids.

After three undecided bids, as many as may be refused, the next one waits for the agent's decision, or until the agent counts as unresponsive.

Evidence: test_undecided_bids_are_not_repeated_without_a_bound, agents that confirm progress and never decide: 40 bids and no response in 6 s before; 4 bids, served after 1.5 s, now.

--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -186,6 +186,7 @@
         `elsewhere` leaves out those to which the request was sent before.
         """
         refused: set[str] = set()
+        undecided_count = 0
         request = self.request
         started_at = self.fleet.now()
         try:
@@ -195,8 +196,12 @@
                     return None
                 choice = ranked[0]
                 bid_handle = self.fleet.handle_by_id[choice.endpoint.endpoint_id]
-                timeout_seconds = self._bid_timeout_seconds(len(ranked) > 1)
+                may_withdraw = undecided_count < self.fleet.policy.most_bids
+                timeout_seconds = self._bid_timeout_seconds(
+                    may_withdraw and len(ranked) > 1
+                )
                 reply = await self._submit_bid(choice, timeout_seconds)
+                undecided_count += reply is None
                 handle = self.fleet.handle_by_id.get(choice.endpoint.endpoint_id)
                 if reply is not None and reply.granted and handle is None:
                     # The endpoint is gone: release the grant.
@@ -295,13 +300,14 @@
         max_wait = self.fleet.policy.idle_share * self.request.route.target_seconds
         return [choice for choice in ranked if choice.wait < max_wait]
 
-    def _bid_timeout_seconds(self, has_alternatives: bool) -> float:
+    def _bid_timeout_seconds(self, may_withdraw: bool) -> float:
         """Return how long to wait for a reply before trying another endpoint.
 
+        An agent decides within the target, unless the bid is withdrawn before.
         The delay of this process says nothing about the endpoint's agent.
         """
         remaining = self.request.remaining_seconds(self.fleet.now())
-        if not has_alternatives:
+        if not may_withdraw:
             return remaining
         fraction = self.fleet.policy.rebid_share
         seconds = fraction * self.request.route.target_seconds
--- a/tests/gateway/test_router_load.py
+++ b/tests/gateway/test_router_load.py
@@ -7,6 +7,7 @@
 from tests.support.router_load import (
     AGENT_SECONDS,
     DEADLINE_SECONDS,
+    ENDPOINTS,
     Answerer,
     LoadResult,
     RouterLoad,
@@ -97,6 +98,18 @@
 class LateReadingTest(CaseTest):
     """What came in time is not late because this process reads it late."""
 
+    # SHORT: callers were kept until their deadlines while bids that agents had not yet
+    # decided were withdrawn and made anew without a bound.
+    def test_undecided_bids_are_not_repeated_without_a_bound(self) -> None:
+        def reply(answerer: Answerer, head: bytes) -> None:
+            if BID_PATH.encode() not in head:
+                grant(answerer, head)
+
+        result = RouterLoad(FAST, reply=reply).play([0.0])
+        self.assertLessEqual(result.bid_count, ENDPOINTS)
+        ended_after = result.callers[0].ended_after or 0.0
+        self.assertLess(ended_after, MAX_HELD_SHARE * DEADLINE_SECONDS)
+
     # SHORT: an overloaded router withdrew bids whose replies it read late, and made
     # them anew on new connections, which took the time for requests.
     def test_bid_is_not_repeated_by_an_overloaded_router(self) -> None:
