--- a/tests/gateway/test_crashing_prompts.py
+++ b/tests/gateway/test_crashing_prompts.py
@@ -37,7 +37,7 @@
     value,
 )
 from tests.registry.test_process import make_discarding_logger
-from tests.support.addresses import free_address
+from tests.support.addresses import free_address, wait_until_listening
 from tests.support.cases import CaseTest
 
 BAD_PART = b"bad0"
@@ -140,7 +140,9 @@
             view.apply_announcements([evolve(base, address=address)])
 
         group.start_soon(endpoint.listen, announce)
-    await sleep(0.1)
+    await wait_until_listening(front)
+    while len(view.handle_by_id) < ENDPOINTS:
+        await sleep(0.01)
     return Fleet(front, endpoints, path)
 
 
--- a/tests/gateway/test_drain.py
+++ b/tests/gateway/test_drain.py
@@ -39,7 +39,7 @@
 )
 from tests.http1.test_server import read_all
 from tests.registry.test_process import make_discarding_logger
-from tests.support.addresses import free_address
+from tests.support.addresses import free_address, wait_until_listening
 from tests.support.cases import CaseTest
 
 GRACE_SECONDS = 6.0
@@ -119,7 +119,7 @@
             "e", 1, 1, EndpointState.READY, "s", f"127.0.0.1:{port}", "north", 64
         )
         fleet.apply_announcements([announcement])
-        await sleep(0.1)
+        await wait_until_listening(self.settings.front_address)
 
     async def send(self, request: bytes) -> bytes:
         """Send a request on a connection of its own; return the raw answer."""
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -29,7 +29,7 @@
 from pistachiolever.routing.table import RouteTable
 from tests.gateway.test_relay import CONFIGURATION, HEAD, Endpoint, _exchange, id_of
 from tests.registry.test_process import make_discarding_logger
-from tests.support.addresses import free_address
+from tests.support.addresses import free_address, wait_until_listening
 from tests.support.cases import CaseTest
 
 ROUTERS = 3
@@ -156,7 +156,8 @@
                 for router in routers:
                     group.start_soon(router.run)
                     router.fleet.apply_announcements([announcement])
-                await sleep(0.1)
+                for router in routers:
+                    await wait_until_listening(router.settings.front_address)
                 started_at = current_time()
                 async with create_task_group() as callers:
                     for router in routers:
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -50,7 +50,7 @@
     value,
 )
 from tests.registry.test_process import Fleet as Registry, make_discarding_logger
-from tests.support.addresses import free_address
+from tests.support.addresses import free_address, wait_until_listening
 from tests.support.cases import CaseTest
 
 EVENT_COUNT = 30
@@ -213,6 +213,7 @@
         self.group.start_soon(router.run)
         while len(fleet.handle_by_id) < len(self.endpoints):
             await sleep(0.02)
+        await wait_until_listening(settings.front_address)
         return router
 
 
--- a/tests/http1/test_descriptors.py
+++ b/tests/http1/test_descriptors.py
@@ -112,7 +112,7 @@
             )
             async with create_task_group() as group:
                 group.start_soon(server.serve)
-                await sleep(0.05)
+                await until_listening(server.address)
                 kept = [await connect(server.address) for _ in range(3)]
                 for stream in kept:
                     self.assertTrue(await is_open(stream))
@@ -139,7 +139,7 @@
 
             async with create_task_group() as group:
                 group.start_soon(server.serve)
-                await sleep(0.05)
+                await until_listening(server.address)
                 with fail_after(5):
                     async with create_task_group() as callers:
                         for _ in range(12):
@@ -162,7 +162,7 @@
             async with create_task_group() as group:
                 for server in servers:
                     group.start_soon(server.serve)
-                await sleep(0.05)
+                await until_listening(server.address)
                 first = await pool.acquire(servers[0].address, 1.0)
                 second = await pool.acquire(servers[1].address, 1.0)
                 with self.assertRaises(PeerClosedError) as raised:
@@ -187,7 +187,7 @@
             pool = ConnectionPool()
             async with create_task_group() as group:
                 group.start_soon(server.serve)
-                await sleep(0.05)
+                await until_listening(server.address)
                 opened = await pool.open(server.address, 1.0)
                 await pool.release(opened, 1.0)
                 acquired = await pool.acquire(server.address, 1.0)
