Read spaces in heads and chunk sizes in linear time

Seen: one request head of 64 KiB that arrives in one read, with a header of spaces and an illegal byte behind them, stops the event loop of its router for half a minute, so all other requests on it run into their deadlines. The same holds for an extension of a chunk and for a trailer, also those of an endpoint.

Cause: the expressions match optional spaces twice in a row around a value that may be empty (and spaces behind an extension that takes them as well). If the line does not match, each division of the spaces between the two is tried.

The spaces before a value, which can't start with one, are matched possessively; an extension takes all up to its end.

--- a/pistachiolever/http1/heads.py
+++ b/pistachiolever/http1/heads.py
@@ -15,10 +15,12 @@
 TOKEN: Final = rb"[-!#$%&'*+.^_`|~0-9a-zA-Z]+"
 VALUE: Final = rb"(?:[^\x00\s]+(?:[ \t]+[^\x00\s]+)*)?"
 VERSION: Final = rb"HTTP/([0-9]\.[0-9])"
-FIELD: Final = compile_pattern(rb"(%s):[ \t]*(%s)[ \t]*" % (TOKEN, VALUE))
+# Spaces before a value are matched possessively (as are those in the extension of a
+# chunk): giving them up one by one would take time quadratic in their number.
+FIELD: Final = compile_pattern(rb"(%s):[ \t]*+(%s)[ \t]*" % (TOKEN, VALUE))
 # All lines of a head as nearly all of them come: with CR LF, none folded.
 PLAIN_FIELDS: Final = compile_pattern(
-    rb"(?m)^(%s):[ \t]*(%s)[ \t]*\r\n" % (TOKEN, VALUE)
+    rb"(?m)^(%s):[ \t]*+(%s)[ \t]*\r\n" % (TOKEN, VALUE)
 )
 WRITTEN_FIELDS: Final = compile_pattern(rb"(?:%s: %s\r\n)*" % (TOKEN, VALUE))
 METHOD: Final = compile_pattern(TOKEN)
--- a/pistachiolever/http1/reader.py
+++ b/pistachiolever/http1/reader.py
@@ -16,7 +16,7 @@
 HEAD_END: Final = compile_pattern(rb"\n\r?\n")
 EMPTY_LINES: Final = (b"\n", b"\r\n")
 PLAIN_CHUNK_SIZE: Final = compile_pattern(rb"([0-9A-Fa-f]{1,20})\r\n")
-CHUNK_SIZE: Final = compile_pattern(rb"([0-9A-Fa-f]{1,20})(?:;.*)?[ \t]*")
+CHUNK_SIZE: Final = compile_pattern(rb"([0-9A-Fa-f]{1,20})(?:;.*+|[ \t]*+)")
 FIRST_PRINTABLE: Final = 0x21
 
 
