Count the size of a request's body once, not anew with each piece

Seen: a body that comes in many small pieces takes processor time quadratic in their number: 20 000 pieces of one byte take 6.1 s instead of 0.6 s, and 2000 take 0.11 instead of 0.06 s. One slow client can use up the processor of its router this way within the 30 s that a body may take.

--- a/pistachiolever/http1/connection.py
+++ b/pistachiolever/http1/connection.py
@@ -305,7 +305,9 @@
         connection = self.connection
         if connection.protocol.awaits_continue:
             await connection.stream.send(connection.protocol.encode_continue())
-        while self._take_body(parts, sum(map(len, parts))) is not None:
+        size = sum(map(len, parts))
+        while (total := self._take_body(parts, size)) is not None:
+            size = total
             if not await connection.wait_for_input():
                 raise BadRequestError(400, "the body is not whole")
         return b"".join(parts)
