Wait until the server of a test listens before connecting

Seen: test_server failed in 3 of 5 runs at a load of 16 to 18. In the two whose output was kept, one and three connections were refused: they were opened 0.05 s after the task of the server was started.

The tests wait with a connection of their own now. Where connections are counted or the listener is closed next, the pause stays behind it, so that connection is gone by then. What is asserted stays the same.

--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -20,7 +20,7 @@
 from pistachiolever.http1.connection import Exchange
 from pistachiolever.http1.models import HttpLimits
 from pistachiolever.http1.server import HttpServer
-from tests.support.addresses import free_address
+from tests.support.addresses import free_address, wait_until_listening
 from tests.support.cases import CaseTest
 
 BURST = 200
@@ -91,7 +91,7 @@
     with fail_after(5):
         async with create_task_group() as group:
             group.start_soon(server.serve)
-            await sleep(0.05)
+            await wait_until_listening(server.address)
             host, _, port = server.address.rpartition(":")
             async with await connect_tcp(host, int(port)) as stream:
                 await stream.send(sent)
@@ -169,7 +169,7 @@
             )
             async with create_task_group() as group:
                 group.start_soon(server.serve)
-                await sleep(0.05)
+                await wait_until_listening(server.address)
                 host, _, port = server.address.rpartition(":")
                 with socket() as client:
                     client.connect((host, int(port)))
@@ -190,7 +190,7 @@
             server = HttpServer(free_address(), Refusing().handle)
             async with create_task_group() as group:
                 group.start_soon(server.serve)
-                await sleep(0.05)
+                await wait_until_listening(server.address)
                 host, _, port = server.address.rpartition(":")
                 async with await connect_tcp(host, int(port)) as stream:
                     await stream.send(b"POST / HTTP/1.1\r\nHost: x\r\n")
@@ -211,7 +211,7 @@
             server = HttpServer(free_address(), Refusing().handle)
             async with create_task_group() as group:
                 group.start_soon(server.serve)
-                await sleep(0.05)
+                await wait_until_listening(server.address)
                 host, _, port = server.address.rpartition(":")
                 async with await connect_tcp(host, int(port)) as stream:
                     await stream.send(b"POST / HTTP/1.1\r\nHost: x\r\n")
@@ -251,7 +251,7 @@
         answers: list[bytes] = []
         async with create_task_group() as group:
             group.start_soon(server.serve)
-            await sleep(0.05)
+            await wait_until_listening(server.address)
             host, _, port = server.address.rpartition(":")
             with socket() as client:
                 client.connect((host, int(port)))
@@ -294,6 +294,8 @@
 
             async with create_task_group() as group:
                 group.start_soon(server.serve)
+                await wait_until_listening(server.address)
+                # The server sees the end of that connection.
                 await sleep(0.05)
                 host, _, port = server.address.rpartition(":")
                 sockets = [socket() for _ in range(BURST)]
@@ -315,7 +317,7 @@
             server = HttpServer(free_address(), Echo().handle)
             async with create_task_group() as group:
                 group.start_soon(server.serve)
-                await sleep(0.05)
+                await wait_until_listening(server.address)
                 host, _, port = server.address.rpartition(":")
                 for _ in range(3):
                     with socket() as client:
@@ -344,6 +346,8 @@
             clients: list[socket] = []
             async with create_task_group() as group:
                 group.start_soon(server.serve)
+                await wait_until_listening(server.address)
+                # The server sees the end of that connection.
                 await sleep(0.05)
                 server.stop_listening()
                 while True:
