Count the lines of a head, not only their names and values, against its limit

Seen: a head of 64 KiB with 16 000 empty headers ("a:") passes a limit of 16 KiB if it arrives in one read, and would go on to an endpoint with 80 KB.

Cause: the check of such a head leaves out the colon and the end of each line.

Evidence: the new case of test_rejected_with_status got status 200 before, 431 now. What is counted is never more than what came, as a line has a colon and a line feed at least, so no head within the limit is refused.

--- a/pistachiolever/http1/connection.py
+++ b/pistachiolever/http1/connection.py
@@ -262,8 +262,9 @@
 
 def checked_head(head: RequestHead, limits: HttpLimits) -> RequestHead:
     """Return the head of a request; raise BadRequestError if it is unsafe."""
+    # A line has at least a colon and a line feed, too.
     size = len(head.target) + sum(
-        len(name) + len(value) for name, value in head.headers
+        len(name) + len(value) + 2 for name, value in head.headers
     )
     if size > limits.max_head_bytes:
         # The reader limits only heads that arrive in several reads.
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -123,6 +123,7 @@
             "chunked body too large": (chunked + b"\r\n3e9\r\n" + b"x" * 1001, 413),
             "invalid chunk size": (chunked + b"\r\nzz\r\nabc", 400),
             "head too large": (b"X: " + b"x" * 3000 + b"\r\n\r\n", 431),
+            "many headers": (b"a:\r\n" * 1000 + b"\r\n", 431),
             "slow head": (b"X: 1\r\n", 408),
             "duplicate host": (b"Host: y\r\nContent-Length: 0\r\n\r\n", 400),
             "space in a header name": (b"X : 1\r\n\r\n", 400),
