Notice that a client leaves also after a long body was read at once

Seen: a client on a kept connection sends a body of 190 KB while its router is busy for a moment, and then leaves. The request goes on until its response is sent, so an endpoint works for nobody.

Cause: reading pauses when over 128 KiB wait. It went on only when more input was waited for, which a body that is there as a whole does not need. While reading is paused, the end of the connection is not reported.

After the end of a body, reading goes on unless too much of the next requests waits.

--- a/pistachiolever/http1/connection.py
+++ b/pistachiolever/http1/connection.py
@@ -124,6 +124,12 @@
         if self._request_scope is not None:
             self._request_scope.cancel()
 
+    def resume_input(self) -> None:
+        """Read on, unless too much is still unprocessed."""
+        self._unprocessed_bytes = len(self.protocol.reader.buffer)
+        if self._unprocessed_bytes <= MAX_UNPROCESSED_BYTES:
+            self.stream.resume_reading()
+
     async def wait_for_input(self) -> bool:
         """Wait for more input; return false after a disconnect."""
         self._unprocessed_bytes = 0
@@ -327,7 +333,10 @@
                 raise BadRequestError(413, f"a body of over {max_bytes} bytes")
             if connection.request_bytes > max_bytes + MAX_FRAMING_BYTES:
                 raise BadRequestError(413, "too many bytes beside the body")
-        return None if connection.protocol.reader.is_complete else size
+        if not connection.protocol.reader.is_complete:
+            return size
+        connection.resume_input()
+        return None
 
     async def start(self, status: int, headers: list[Header]) -> None:
         """Send the head of the response."""
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -12,6 +12,7 @@
     fail_after,
     run,
     sleep,
+    to_thread,
     wait_readable,
 )
 from anyio.abc import SocketStream
@@ -158,6 +159,41 @@
         run(send_raw, echo, one, True)
         self.assertEqual((len(echo.requests), echo.cancelled), (1, 1))
 
+    # A body that came while the process did not run paused reading, and the leaving of
+    # its client was noticed only when the response was sent.
+    def test_client_that_leaves_after_a_body_read_late(self) -> None:
+        head = b"HEAD / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
+        sent = head % 190_000 + b"x" * 190_000
+
+        async def test() -> int:
+            echo = Echo()
+            server = HttpServer(free_address(), echo.handle)
+            async with create_task_group() as group:
+                group.start_soon(server.serve)
+                await wait_until_listening(server.address)
+                host, _, port = server.address.rpartition(":")
+                with socket() as client:
+                    client.connect((host, int(port)))
+                    # The system's buffers grow with the first requests.
+                    for _ in range(20):
+                        await to_thread.run_sync(client.sendall, sent)
+                        await wait_readable(client)
+                        client.recv(1000)
+                    echo.delay_seconds = 2.0
+                    # The server does not run meanwhile.
+                    client.sendall(sent)
+                    with fail_after(1):
+                        while len(echo.requests) < 21:
+                            await sleep(0.01)
+                await sleep(0.5)
+                cancelled = echo.cancelled
+                group.cancel_scope.cancel()
+            return cancelled
+
+        for options in ({}, {"use_uvloop": True}):
+            with self.subTest(options):
+                self.assertEqual(run(test, backend_options=options), 1)
+
     # A busy router served requests whose clients had given up before it read them.
     def test_request_of_a_client_that_has_left_is_not_handled(self) -> None:
         async def test() -> int:
