--- a/pistachiolever/http1/heads.py
+++ b/pistachiolever/http1/heads.py
@@ -164,6 +164,13 @@
     return any(key == name and item in _items(value) for key, value in headers)
 
 
+def proposes_upgrade(headers: list[Header]) -> bool:
+    """Return whether a request names another protocol (lowercase names)."""
+    return any(
+        item for key, value in headers if key == b"upgrade" for item in _items(value)
+    )
+
+
 def _items(value: bytes) -> list[bytes]:
     """Return the items of a comma-separated value."""
     return [part.strip() for part in value.lower().split(b",")]
--- a/pistachiolever/http1/protocol.py
+++ b/pistachiolever/http1/protocol.py
@@ -18,6 +18,7 @@
     keeps_alive,
     parse_request,
     parse_response,
+    proposes_upgrade,
 )
 from pistachiolever.http1.models import (
     Framing,
@@ -65,7 +66,9 @@
         self._method = head.method
         values = dict(head.headers)
         # The other protocol that such a request proposes is never spoken.
-        is_proposal = head.method == b"CONNECT" or b"upgrade" in values
+        is_proposal = head.method == b"CONNECT" or (
+            b"upgrade" in values and proposes_upgrade(head.headers)
+        )
         self._keeps_alive = not is_proposal and keeps_alive(head.headers, self.version)
         self.awaits_continue = (
             b"expect" in values
@@ -207,7 +210,7 @@
         if body:
             parts.append(body)
         self.is_idle, self._is_answered, self._method = False, False, head.method
-        self._proposes_upgrade = first_value(lowered, b"upgrade") is not None
+        self._proposes_upgrade = proposes_upgrade(lowered)
         self._keeps_alive = keeps_alive(lowered, b"1.1")
         return parts
 
--- a/tests/http1/test_protocol.py
+++ b/tests/http1/test_protocol.py
@@ -263,6 +263,8 @@
     @settings(max_examples=600, deadline=None)
     @given(streams(REQUESTS))
     @example([REQUESTS[2].replace(b"\r\n\r\n", b"\r\n" + CHUNKED)])
+    # An empty Upgrade ended a connection on which another request had come.
+    @example([b"GET / HTTP/1.1\r\nHost: x\r\nUpgrade:\r\n\r\n" * 2])
     def test_requests(self, pieces: list[bytes]) -> None:
         expected, own = H11Server(), OwnServer()
         for piece in pieces:
