--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -17,7 +17,7 @@
     decode_report,
     decode_start_time,
 )
-from pistachiolever.platform.main import RoleContext
+from pistachiolever.platform.roles import RoleContext
 from pistachiolever.platform.settings import read_settings
 from pistachiolever.routing.errors import InvalidConfigurationError
 from pistachiolever.routing.models import RequestKind
