Do not continue streams at an endpoint that may have restarted

Cause: an agent that had just started did not know when its engine had started and granted streams for the announced incarnation; while no agent answered, the router compared nothing. An agent now grants them only while its engine answers, and a router without an agent asks the engine for its start time before it sends.

--- a/benchmarks/router_cost.py
+++ b/benchmarks/router_cost.py
@@ -28,7 +28,6 @@
 from pistachiolever.core import clock
 from pistachiolever.core.clock import wall_ms
 from pistachiolever.discovery.models import Announcement, EndpointState
-from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.peers import PeerClient
 from pistachiolever.events.logger import make_log_writer
 from pistachiolever.gateway.fleet import FleetView
@@ -202,12 +201,12 @@
 # Engines, agents and callers.
 
 
-class SilentProbe:
-    """An engine that reports nothing."""
+class IdleProbe:
+    """An engine that started as announced and lists no runs."""
 
     async def report(self) -> EngineReport:
-        """Raise PeerError."""
-        raise PeerError("no report", False)
+        """Return the report."""
+        return EngineReport(1, 1, 0, 0, 0)
 
 
 class Engine(asyncio.Protocol):
@@ -327,7 +326,7 @@
             host, _, port = engine.rpartition(":")
             await loop.create_server(Engine, host, int(port))
             output = make_log_writer("agent", wall_ms)
-            process = AgentProcess(SilentProbe(), output.logger, Random(1))
+            process = AgentProcess(IdleProbe(), output.logger, Random(1))
             group.start_soon(process.run)
             group.start_soon(HttpServer(agent, process.api().handle).serve)
             self.engine_addresses.append(f"{engine}/{agent}")
--- a/pistachiolever/admission/agent.py
+++ b/pistachiolever/admission/agent.py
@@ -15,6 +15,7 @@
 from pistachiolever.admission.controller import AdmissionController
 from pistachiolever.admission.core import AdmissionCore, Capacity
 from pistachiolever.admission.models import (
+    Bid,
     BidCall,
     BidReply,
     EngineReport,
@@ -39,7 +40,11 @@
 
 @define
 class AgentProcess:
-    """Admission control for the engine on this VM."""
+    """Admission control for the engine on this VM.
+
+    `engine_known` is true while the engine answers: what runs there is then the
+    incarnation that started at `engine_born_ms`.
+    """
 
     probe: EngineProbe
     events: EventLogger
@@ -48,6 +53,7 @@
     controller: AdmissionController = field(init=False)
     engine_born_ms: int = 0
     engine_unresponsive: bool = False
+    engine_known: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Create the controller with one slot and register the gauges.
@@ -91,8 +97,7 @@
         bid, service = call.bid, self.controller.core.service
         self.controller.handle_progress(call.progress)
         started_at = self.controller.now()
-        if 0 < bid.born_ms < self.engine_born_ms:
-            # The router has not heard of the restart; the version may be another one.
+        if self._may_have_restarted(bid):
             load = self.controller.load()
             reply = BidReply(False, load, "restarted", MIN_RETRY_AFTER_SECONDS)
         else:
@@ -127,6 +132,16 @@
         )
         return reply
 
+    def _may_have_restarted(self, bid: Bid) -> bool:
+        """Return whether the engine may not be the incarnation that a bid names.
+
+        Its version may then be another one than the router knows. A start time that is
+        later than the reported one comes from the engine itself.
+        """
+        if not bid.born_ms:
+            return False
+        return not self.engine_known or bid.born_ms < self.engine_born_ms
+
     async def _handle_progress(self, progress: Progress) -> ProgressReply:
         """Apply a router's progress message; return the load after it."""
         self.controller.handle_progress(progress)
@@ -135,19 +150,25 @@
     async def _watch_engine(self) -> None:
         """Poll the engine's reports and reconcile the granted runs with them."""
         while True:
+            await self._read_report()
             await sleep(REPORT_INTERVAL_SECONDS)
-            try:
-                report = await self.probe.report()
-            except PeerError as error:
-                self._record_unresponsive(str(error))
-                continue
-            if self.engine_unresponsive:
-                self.engine_unresponsive = False
-                self.events.record(EventCode.ENGINE_ANSWERS, born=report.born_ms)
-            if self.engine_born_ms not in (0, report.born_ms):
-                self.controller.handle_restart()
-            self.engine_born_ms = report.born_ms
-            self.controller.handle_report(report)
+
+    async def _read_report(self) -> None:
+        """Read one report of the engine and reconcile the granted runs with it."""
+        try:
+            report = await self.probe.report()
+        except PeerError as error:
+            self.engine_known = False
+            self._record_unresponsive(str(error))
+            return
+        if self.engine_unresponsive:
+            self.engine_unresponsive = False
+            self.events.record(EventCode.ENGINE_ANSWERS, born=report.born_ms)
+        if self.engine_born_ms not in (0, report.born_ms):
+            self.controller.handle_restart()
+        self.engine_born_ms = report.born_ms
+        self.engine_known = True
+        self.controller.handle_report(report)
 
     def _record_unresponsive(self, error: str) -> None:
         """Log the first of a series of failed reports."""
--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -47,12 +47,17 @@
 # may be used if the endpoint is there.
 CRASH_CHECK_SECONDS: Final = 0.3
 CRASH_CHECK_KEEP_ALIVE_SECONDS: Final = 1.0
+# The start time that an endpoint has told is used for this time: no endpoint restarts
+# within it.
+INCARNATION_CHECK_SECONDS: Final = 0.5
 # Reason of a refusal: endpoints crashed under this request, or a part of its prompt.
 QUARANTINED: Final = "quarantined"
 # Reasons of refusals of a stream that its caller resumes: no endpoint of its version
 # is left, or nobody knows its version.
 VERSION_GONE: Final = "version-gone"
 VERSION_UNKNOWN: Final = "version-unknown"
+# Reason of a refused bid: the endpoint may have restarted, with another version.
+INCARNATION_UNKNOWN: Final = "incarnation-unknown"
 # The rest of a stream may wait this many times the target of its route. So often it is
 # not limited by its account's share, at one router.
 CONTINUED_TARGET_FACTOR: Final = 2.0
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -39,6 +39,7 @@
 from pistachiolever.gateway.endpoint_handle import EndpointHandle
 from pistachiolever.gateway.endpoint_index import ServiceIndex
 from pistachiolever.gateway.fair_shares import FairShares
+from pistachiolever.gateway.incarnations import IncarnationCheck, StartTimeProbe
 from pistachiolever.gateway.models import ProxyRequest, ResponseMetadata
 from pistachiolever.gateway.notices import EndpointNotices, Restriction
 from pistachiolever.gateway.placement import Candidate, Placement
@@ -92,6 +93,7 @@
     now: Callable[[], float]
     instruments: Instruments = field(factory=Instruments)
     policy: PlacementPolicy = PlacementPolicy()
+    start_time_probe: StartTimeProbe | None = None
     table: RouteTable | None = None
     directory: EndpointDirectory = field(factory=EndpointDirectory)
     expired_ids: set[str] = field(factory=set)
@@ -103,6 +105,7 @@
     placement: Placement = field(init=False)
     budget: RetryBudget = field(init=False)
     notices: EndpointNotices = field(init=False)
+    incarnations: IncarnationCheck = field(init=False)
     shares: FairShares = field(factory=FairShares)
     new_admission_clients: Mailbox[AdmissionClient] = field(factory=Mailbox)
     gone_addresses: Mailbox[str] = field(factory=Mailbox)
@@ -131,6 +134,7 @@
             self.settings.retry_slack,
         )
         self.notices = EndpointNotices(self.settings.drain_seconds)
+        self.incarnations = IncarnationCheck(self.now, self.start_time_probe)
         self.quarantine = Quarantine(self.settings.node_id)
         self.reporter = UsageReporter(
             self.settings.node_id, RecentService(), quarantine=self.quarantine
@@ -302,6 +306,7 @@
         if self.handle_by_agent.get(known.agent) is handle:
             del self.handle_by_agent[known.agent]
         handle.close()
+        self.incarnations.forget(known.address)
         self.gone_addresses.put(known.address)
 
     def index(self, service_id: str, version: str | None = None) -> ServiceIndex:
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -20,6 +20,7 @@
     BID_TURNS,
     CONTINUED_TARGET_FACTOR,
     DEFAULT_RETRY_AFTER_SECONDS,
+    INCARNATION_UNKNOWN,
     MAX_PREFERRED_RESUMPTIONS,
     MIN_ATTEMPT_SECONDS,
     QUARANTINED,
@@ -219,6 +220,9 @@
                 if reply.granted and not self.fleet.may_send(handle):
                     handle.admission.report_end(request.bid_id, 0)
                     continue
+                if reply.granted and not await self._is_known_incarnation(handle):
+                    handle.admission.report_end(request.bid_id, 0)
+                    reply = BidReply(False, reply.load, INCARNATION_UNKNOWN)
                 if reply.granted:
                     load = reply.load
                     self.expected_prefill_seconds = load.unread_tokens / max(
@@ -232,6 +236,27 @@
             if not elsewhere:
                 self.queued_seconds += self.fleet.now() - started_at
 
+    async def _is_known_incarnation(self, handle: EndpointHandle) -> bool:
+        """Return whether an endpoint has the version that its announcement names.
+
+        Only streams that can be resumed depend on it. An agent compares the start time
+        of the bid with that of its engine itself.
+        """
+        if not self.request.route.resumable or not handle.endpoint.agent:
+            return True
+        if not handle.is_without_agent():
+            return True
+        is_current = await self.fleet.incarnations.is_current(handle.endpoint)
+        if not is_current:
+            self.fleet.events.record(
+                EventCode.BID_REFUSED,
+                self.request.request_id,
+                endpoint=handle.endpoint.endpoint_id,
+                born=handle.endpoint.born_ms,
+                reason=INCARNATION_UNKNOWN,
+            )
+        return is_current
+
     def _no_grant_reason(self) -> str:
         """Return why no endpoint granted the request."""
         service_id = self.request.service.service_id
--- a/pistachiolever/platform/endpoints.py
+++ b/pistachiolever/platform/endpoints.py
@@ -110,6 +110,18 @@
             raise PeerError(f"invalid report: {error}", True) from error
 
 
+@define
+class StartTimes:
+    """Asks engines when they started."""
+
+    client: PeerClient
+
+    async def __call__(self, address: str) -> int:
+        """Return the start time in ms since the epoch; raise PeerError."""
+        report = await EngineClient(address, self.client).report()
+        return report.born_ms
+
+
 def _run(entry: Any) -> EngineRun:
     """Return a running request of a report: its id, tokens in memory and events.
 
--- a/pistachiolever/platform/roles.py
+++ b/pistachiolever/platform/roles.py
@@ -5,19 +5,15 @@
 from os import environ
 from pathlib import Path
 from random import SystemRandom
-from signal import SIGHUP, SIGINT, SIGTERM
 from typing import Final
 
 from anyio import (
-    Event,
     create_task_group,
     current_time,
     move_on_after,
-    open_signal_receiver,
     run,
     sleep,
 )
-from attrs import define, field
 
 from pistachiolever.admission.agent import AgentProcess
 from pistachiolever.control.storage import FolderDisk, LogStorage
@@ -25,31 +21,26 @@
 from pistachiolever.core.early_signals import EarlySignals
 from pistachiolever.edge.peers import PeerClient
 from pistachiolever.events.const import EventCode
-from pistachiolever.events.logger import EventLogger, LogWriter, make_log_writer
+from pistachiolever.events.logger import make_log_writer
 from pistachiolever.gateway.fleet import FleetView
 from pistachiolever.gateway.process import GatewayProcess
 from pistachiolever.http1.models import HttpLimits
 from pistachiolever.http1.server import HttpServer
-from pistachiolever.metrics.exposition import LoopDelay, MetricsApi
-from pistachiolever.metrics.instruments import Instruments
 from pistachiolever.platform.configuration import (
     configuration_services,
     configuration_version,
     decode_configuration,
 )
 from pistachiolever.platform.control import ControlApi
-from pistachiolever.platform.endpoints import EngineClient
+from pistachiolever.platform.endpoints import EngineClient, StartTimes
 from pistachiolever.platform.names import HEADER_FORMAT, METRICS_PATH, SETTINGS_VARIABLE
 from pistachiolever.platform.settings import PlatformSettings, read_settings
 from pistachiolever.registry.const import LEADER_TRANSFER_SECONDS
-from pistachiolever.registry.member_choice import MemberChoice
 from pistachiolever.registry.process import RegistryProcess
 from pistachiolever.registry.usage_reporting import UsageReporting
 from pistachiolever.registry.watcher import RegistryWatcher
-from pistachiolever.settings.errors import InvalidDocumentError
+from pistachiolever.runtime.context import RoleContext
 
-# The settings file is polled because it may change without a signal.
-SETTINGS_POLL_SECONDS: Final = 1.0
 # Parts of the sockets for calls of other processes, and of operators and endpoints.
 PEER_CONNECTION_FRACTION: Final = 0.5
 CONTROL_CONNECTION_FRACTION: Final = 0.3
@@ -57,79 +48,10 @@
 CONTROL_LIMITS: Final = HttpLimits(max_body_bytes=16 * 1024 * 1024)
 
 
-@define
-class RoleContext:
-    """What every role uses: settings, log, metrics and the stop event."""
+PlatformContext = RoleContext[PlatformSettings]
 
-    path: Path
-    settings: PlatformSettings
-    output: LogWriter
-    early_signals: EarlySignals = field(factory=EarlySignals)
-    stop: Event = field(factory=Event)
-    instruments: Instruments = field(factory=Instruments)
 
-    @property
-    def events(self) -> EventLogger:
-        """Return the event log of the process."""
-        return self.output.logger
-
-    def max_connections(self, fraction: float) -> int:
-        """Return a part of the sockets that the process may have."""
-        return int(fraction * self.settings.max_sockets)
-
-    def record_limit(self, reason: str, connections: int) -> None:
-        """Record that callers wait to be accepted."""
-        self.events.record(
-            EventCode.CONNECTIONS_LIMITED, reason=reason, connections=connections
-        )
-
-    def choose_members(self, node_id: str, failure_domain: str) -> MemberChoice:
-        """Return the choice among the members of the registry for a process."""
-        return MemberChoice(node_id, failure_domain, lambda: self.settings.seeds)
-
-    async def serve_metrics(self) -> None:
-        """Serve the metrics of the process."""
-        delay = LoopDelay()
-        self.instruments.gauge(
-            "pistachiolever_loop_delay_seconds", lambda: delay.seconds
-        )
-        api = MetricsApi(METRICS_PATH, self.instruments)
-        async with create_task_group() as group:
-            group.start_soon(delay.run)
-            group.start_soon(
-                HttpServer(self.settings.metrics_address, api.handle).serve
-            )
-
-    async def watch_signals(self) -> None:
-        """Stop on SIGTERM or SIGINT; reload the settings on SIGHUP."""
-        with open_signal_receiver(SIGTERM, SIGINT, SIGHUP) as signals:
-            if self.early_signals.asks_to_stop():
-                self.stop.set()
-            async for number in signals:
-                if number == SIGHUP:
-                    self.reload()
-                    continue
-                self.stop.set()
-
-    async def watch_settings(self) -> None:
-        """Reload the settings file at regular intervals."""
-        while True:
-            await sleep(SETTINGS_POLL_SECONDS)
-            self.reload()
-
-    def reload(self) -> None:
-        """Reload the settings file; keep the old settings if it cannot be read."""
-        try:
-            settings = read_settings(self.path)
-        except InvalidDocumentError as error:
-            self.events.record(EventCode.SETTINGS_CHANGED, error=str(error))
-            return
-        if settings != self.settings:
-            self.settings = settings
-            self.events.record(EventCode.SETTINGS_CHANGED, seeds=settings.seeds)
-
-
-async def run_router(context: RoleContext) -> None:
+async def run_router(context: PlatformContext) -> None:
     """Run a router until the stop event is set."""
     settings = context.settings.gateway()
     client = PeerClient()
@@ -142,6 +64,7 @@
         rng,
         loop_time,
         context.instruments,
+        start_time_probe=StartTimes(client),
     )
     choice = context.choose_members(settings.node_id, settings.failure_domain)
     watcher = RegistryWatcher(choice, client, fleet, context.events)
@@ -157,7 +80,7 @@
         group.cancel_scope.cancel()
 
 
-async def run_agent(context: RoleContext) -> None:
+async def run_agent(context: PlatformContext) -> None:
     """Run the agent of an engine until the stop event is set."""
     settings = context.settings.agent()
     client = PeerClient()
@@ -184,7 +107,7 @@
         group.cancel_scope.cancel()
 
 
-async def run_control(context: RoleContext) -> None:
+async def run_control(context: PlatformContext) -> None:
     """Run a member of the registry until the stop event is set."""
     settings = context.settings.registry()
     disk = FolderDisk(Path(settings.data_folder))
@@ -225,7 +148,7 @@
         group.cancel_scope.cancel()
 
 
-ROLE_BY_NAME: dict[str, Callable[[RoleContext], Awaitable[None]]] = {
+ROLE_BY_NAME: dict[str, Callable[[PlatformContext], Awaitable[None]]] = {
     "router": run_router,
     "sidecar": run_agent,
     "control": run_control,
@@ -239,13 +162,13 @@
     """
     settings = read_settings(path)
     output = make_log_writer(settings.node, wall_ms)
-    context = RoleContext(path, settings, output, early_signals)
+    context = RoleContext(path, read_settings, settings, output, early_signals)
     context.events.record(EventCode.PROCESS_STARTED, role=name, seeds=settings.seeds)
     async with create_task_group() as group:
         group.start_soon(output.run)
         group.start_soon(context.watch_signals)
         group.start_soon(context.watch_settings)
-        group.start_soon(context.serve_metrics)
+        group.start_soon(context.serve_metrics, METRICS_PATH)
         try:
             await ROLE_BY_NAME[name](context)
         finally:
--- /dev/null
+++ b/pistachiolever/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""What every process of a role needs, whatever starts it."""
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -15,11 +15,13 @@
 )
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 from attrs import define, evolve, field
+from nose2.tools import params
 
 from pistachiolever.admission.agent import AgentProcess
-from pistachiolever.admission.models import BidCall, BidReply
+from pistachiolever.admission.models import BidCall, BidReply, EngineReport, EngineRun
 from pistachiolever.admission.settings import AgentSettings
 from pistachiolever.discovery.models import Announcement, EndpointState
+from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.peers import PeerClient
 from pistachiolever.gateway.fleet import FleetView
 from pistachiolever.gateway.header_format import HeaderFormat
@@ -88,6 +90,20 @@
     await stream.send(b"0\r\n\r\n")
 
 
+@define
+class ListingProbe:
+    """An engine that started at 1 ms and lists all runs that its agent granted."""
+
+    agent: AgentProcess | None = None
+
+    async def report(self) -> EngineReport:
+        """Return the report."""
+        assert self.agent is not None
+        granted = self.agent.controller.core.run_by_id.values()
+        runs = [EngineRun(run.bid.request_id, 0, 0) for run in granted]
+        return EngineReport(1, 0, len(runs), 0, 0, runs)
+
+
 @define
 class Router:
     """A router that can lose power."""
@@ -178,7 +194,8 @@
     async def _run_agent(self, address: str, scope: CancelScope) -> None:
         """Run an agent until stopped."""
         events = make_discarding_logger(address)
-        process = AgentProcess(SilentProbe(), events, Random(1))
+        probe = ListingProbe()
+        process = probe.agent = AgentProcess(probe, events, Random(1))
         settings = AgentSettings(address, "north", address)
         choice = MemberChoice(address, "north", lambda: self.registry.seeds)
         reporting = UsageReporting(
@@ -451,15 +468,52 @@
     def test_agent_refuses_a_stream_for_an_earlier_incarnation(self) -> None:
         for born_ms, is_granted in ((0, True), (5, False), (7, True), (9, True)):
             with self.subTest(born_ms=born_ms):
-                reply = run(self.bid_for, born_ms)
+                reply = run(self.bid_for, born_ms, True)
                 self.assertEqual(reply.granted, is_granted, reply)
                 if not is_granted:
                     self.assertGreater(reply.retry_after_seconds, 0)
 
-    async def bid_for(self, born_ms: int) -> BidReply:
+    # An agent that had just started granted streams for the incarnation before.
+    def test_agent_that_does_not_know_its_engine_refuses_streams(self) -> None:
+        for born_ms, is_granted in ((0, True), (5, False), (7, False), (9, False)):
+            with self.subTest(born_ms=born_ms):
+                reply = run(self.bid_for, born_ms, False)
+                self.assertEqual(reply.granted, is_granted, reply)
+
+    # While the agent did not answer, the router granted the request itself and did not
+    # know that the endpoint had restarted with another version.
+    @params((1, 200), (2, 503), (None, 503))
+    def test_router_without_agent_asks_the_endpoint(
+        self, told_ms: int | None, status: int
+    ) -> None:
+        self.assertEqual(run(self.resume_without_agent, told_ms), status)
+
+    async def resume_without_agent(self, told_ms: int | None) -> int:
+        """Resume a stream at an endpoint that tells a start time, if any."""
+
+        async def tell(address: str) -> int:
+            """Return the start time."""
+            if told_ms is None:
+                raise PeerError("no answer", True)
+            return told_ms
+
+        with TemporaryDirectory() as root, fail_after(20):
+            async with create_task_group() as group:
+                system = await start_system(group, root, "v1")
+                system.endpoints[0].breaks_after = 5
+                router = await system.start_router()
+                begun = await send(router, "a")
+                system.endpoints[0].breaks_after = EVENT_COUNT
+                await system.lose(("agents",))
+                router.process.fleet.incarnations.probe = tell
+                resumed = await resume_stream(router, "a", begun, 1)
+                group.cancel_scope.cancel()
+        return resumed.status
+
+    async def bid_for(self, born_ms: int, engine_known: bool) -> BidReply:
         """Return an agent's reply to a bid for one incarnation of its engine."""
         agent = AgentProcess(SilentProbe(), make_discarding_logger("a"), Random(1))
-        agent.engine_born_ms = 7
+        agent.engine_born_ms, agent.engine_known = 7, engine_known
         submitted = evolve(BID, prompt_tokens=10, born_ms=born_ms)
         with fail_after(5):
             return await agent._handle_bid(BidCall(submitted))
--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -17,10 +17,10 @@
     decode_report,
     decode_start_time,
 )
-from pistachiolever.platform.roles import RoleContext
 from pistachiolever.platform.settings import read_settings
 from pistachiolever.routing.errors import InvalidConfigurationError
 from pistachiolever.routing.models import RequestKind
+from pistachiolever.runtime.context import RoleContext
 from pistachiolever.settings.errors import InvalidDocumentError
 from tests.support.cases import CaseTest
 from tests.support.profile import STATEFUL
@@ -351,7 +351,9 @@
             path = Path(folder) / "local.toml"
             path.write_text(SETTINGS)
             settings = read_settings(path)
-            context = RoleContext(path, settings, make_log_writer("a", lambda: 0))
+            context = RoleContext(
+                path, read_settings, settings, make_log_writer("a", lambda: 0)
+            )
             for text in unusable:
                 with self.subTest(text[-60:]):
                     path.write_text(text)
