Let only endpoints of named services take an id or an address

Cause: a member that had just started knew no configuration and let an entry of another writer end the endpoint at the same address; routers and other members took that end over. The directory now asks whether a service is named: without a configuration nothing is displaced, and addresses are settled once it is known.

--- a/pistachiolever/discovery/directory.py
+++ b/pistachiolever/discovery/directory.py
@@ -1,5 +1,7 @@
 """Merges announcements that arrive late, duplicated or out of order."""
 
+from collections.abc import Callable
+
 from attrs import define, evolve, field
 
 from pistachiolever.discovery.check import find_problem
@@ -34,8 +36,13 @@
 
     The result of merging does not depend on the order, so the directories of several
     processes converge when they exchange announcements.
+
+    `names_service` returns whether the configuration names a service, None if there is
+    no configuration yet. Only an announcement for a named service may take the id or
+    the address of another endpoint: anybody can send one.
     """
 
+    names_service: Callable[[str], bool | None] = lambda _: True
     record_by_id: dict[str, EndpointRecord] = field(factory=dict)
     expired_by_id: dict[str, EndpointRecord] = field(factory=dict)
     change_number: int = 0
@@ -50,16 +57,12 @@
         One that names no endpoint to use changes nothing.
         """
         record = self.record_by_id.get(announcement.endpoint_id)
-        if record is not None and announcement.sort_key <= record.announcement.sort_key:
-            return False
-        if find_problem(announcement):
+        if not self._is_newer(announcement, record) or find_problem(announcement):
             return False
         if announcement.state is not EndpointState.GONE:
             if self._is_blocked(announcement, record, now):
                 return False
-            if not self._holds_address(
-                announcement, record
-            ) and not self._claim_address(announcement, now):
+            if not self._claim_address(announcement, now):
                 return False
         known = record.announcement if record else None
         if known is not None:
@@ -76,6 +79,18 @@
         self._set(EndpointRecord(announcement, now, number))
         return changed
 
+    def restore(self, departure: Announcement, now: float) -> bool:
+        """Restore the recorded departure of an endpoint; return whether it is news.
+
+        It says nothing of which versions have served recently.
+        """
+        record = self.record_by_id.get(departure.endpoint_id)
+        if record is not None and departure.sort_key <= record.announcement.sort_key:
+            return False
+        self.change_number += 1
+        self._set(EndpointRecord(departure, now, self.change_number))
+        return True
+
     def has_other_service(self, announcement: Announcement) -> bool:
         """Return whether an endpoint of another service has its id or address."""
         ids = self._ids_by_address.get(announcement.address, set())
@@ -183,34 +198,75 @@
         is_unknown = record.announcement.born_ms == 0
         return is_unknown and now - record.received_at < UNKNOWN_TOMBSTONE_SECONDS
 
-    def _holds_address(
+    def _is_newer(
         self, announcement: Announcement, record: EndpointRecord | None
     ) -> bool:
-        """Return whether the same incarnation already holds the address."""
-        if record is None or record.announcement.state is EndpointState.GONE:
-            return False
+        """Return whether an announcement replaces what is known of its id.
+
+        While the id belongs to another service, that depends on which of the two
+        services are named.
+        """
+        if record is None:
+            return True
         known = record.announcement
-        return (known.born_ms, known.address) == (
-            announcement.born_ms,
-            announcement.address,
-        )
+        if announcement.state is EndpointState.GONE or (
+            known.service_id in ("", announcement.service_id)
+        ):
+            return announcement.sort_key > known.sort_key
+        if not self.names_service(announcement.service_id):
+            return False
+        if self.names_service(known.service_id) is False:
+            return True
+        return announcement.sort_key > known.sort_key
 
     def _claim_address(self, announcement: Announcement, now: float) -> bool:
-        """Mark older holders of the address gone; return False if one is newer."""
-        for endpoint_id in list(self._ids_by_address.get(announcement.address, ())):
-            other = self.record_by_id[endpoint_id].announcement
-            if endpoint_id == announcement.endpoint_id:
-                continue
-            if other.state is EndpointState.GONE:
+        """Mark older holders of the address gone; return False if one is newer.
+
+        Endpoints of services that are not named neither take an address nor hold one.
+        """
+        if not self.names_service(announcement.service_id):
+            return True
+        older: list[Announcement] = []
+        for other in self._holders(announcement.address):
+            if other.endpoint_id == announcement.endpoint_id:
                 continue
             if other.born_ms > announcement.born_ms:
                 return False
-            self.change_number += 1
-            self._record_version(other, now)
-            ended = evolve(other, state=EndpointState.GONE)
-            self._set(EndpointRecord(ended, now, self.change_number))
+            older.append(other)
+        for other in older:
+            self._end(other, now)
         return True
 
+    def _holders(self, address: str) -> list[Announcement]:
+        """Return the endpoints of named services that hold an address."""
+        known = [
+            self.record_by_id[endpoint_id].announcement
+            for endpoint_id in self._ids_by_address.get(address, ())
+        ]
+        return [
+            announcement
+            for announcement in known
+            if announcement.state is not EndpointState.GONE
+            and self.names_service(announcement.service_id)
+        ]
+
+    def _end(self, announcement: Announcement, now: float) -> None:
+        """Record the end of an endpoint whose address another one holds."""
+        self.change_number += 1
+        self._record_version(announcement, now)
+        ended = evolve(announcement, state=EndpointState.GONE)
+        self._set(EndpointRecord(ended, now, self.change_number))
+
+    def settle_addresses(self, now: float) -> None:
+        """Let the newest endpoint hold each address, after services were named."""
+        for address, ids in list(self._ids_by_address.items()):
+            if len(ids) < 2:
+                continue
+            holders = self._holders(address)
+            holders.sort(key=lambda holder: (holder.born_ms, holder.endpoint_id))
+            for older in holders[:-1]:
+                self._end(older, now)
+
     def _record_version(self, announcement: Announcement, now: float) -> None:
         """Record that a version serves, or has just ended."""
         if announcement.service_id:
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -95,7 +95,7 @@
     policy: PlacementPolicy = PlacementPolicy()
     start_time_probe: StartTimeProbe | None = None
     table: RouteTable | None = None
-    directory: EndpointDirectory = field(factory=EndpointDirectory)
+    directory: EndpointDirectory = field(init=False)
     expired_ids: set[str] = field(factory=set)
     draining_since_by_id: dict[str, float] = field(factory=dict)
     handle_by_id: dict[str, EndpointHandle] = field(factory=dict)
@@ -122,6 +122,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Create the connection pool, the placement and the retry budget."""
+        self.directory = EndpointDirectory(self._names_service)
         self.incarnation = new_id(self.rng)[:BID_PREFIX_DIGITS]
         self.pool = ConnectionPool(
             max_idle=MAX_IDLE_ENDPOINT_CONNECTIONS,
@@ -166,6 +167,9 @@
             )
             return
         self.table = RouteTable(configuration)
+        self.directory.settle_addresses(self.now())
+        self._sync_handles()
+        self._list_agents()
         self.events.record(
             EventCode.CONFIGURATION_IN_FORCE,
             version=version,
@@ -290,12 +294,24 @@
         handle.endpoint = announcement
         if was_ready and announcement.state is EndpointState.DRAINING:
             self.draining_since_by_id[endpoint_id] = self.now()
-        if announcement.agent:
+        if announcement.agent and self._names_service(announcement.service_id):
             self.handle_by_agent[announcement.agent] = handle
         if announcement.state is EndpointState.READY:
             self.draining_since_by_id.pop(endpoint_id, None)
             self._list(announcement)
 
+    def _list_agents(self) -> None:
+        """List the agents of the endpoints whose services are named."""
+        self.handle_by_agent = {
+            handle.endpoint.agent: handle
+            for handle in self.handle_by_id.values()
+            if handle.endpoint.agent and self._names_service(handle.endpoint.service_id)
+        }
+
+    def _names_service(self, service_id: str) -> bool | None:
+        """Return whether the configuration names a service, None without one."""
+        return service_id in self.table.service_by_id if self.table else None
+
     def _drop_handle(self, endpoint_id: str) -> None:
         """Stop using an incarnation of an endpoint."""
         handle = self.handle_by_id.pop(endpoint_id)
--- a/pistachiolever/registry/endpoint_replicator.py
+++ b/pistachiolever/registry/endpoint_replicator.py
@@ -54,7 +54,7 @@
     `peers` returns the addresses of the other members; `on_change` is called when
     there are updates for watchers. Endpoints time out only while `may_expire` returns
     true: a member that is cut off hears of none of them. `names_service` returns
-    whether the configuration names a service.
+    whether the configuration names a service, None without a configuration.
     """
 
     client: PeerClient
@@ -63,11 +63,15 @@
     peers: Callable[[], list[str]]
     on_change: Callable[[], None]
     may_expire: Callable[[], bool] = lambda: True
-    names_service: Callable[[str], bool] = lambda _: True
-    directory: EndpointDirectory = field(factory=EndpointDirectory)
+    names_service: Callable[[str], bool | None] = lambda _: True
+    directory: EndpointDirectory = field(init=False)
     queue_by_peer: dict[str, PeerQueue] = field(factory=dict)
     sent_at_by_id: dict[str, float] = field(factory=dict)
 
+    def __attrs_post_init__(self) -> None:
+        """Create an empty directory."""
+        self.directory = EndpointDirectory(self.names_service)
+
     async def run(self) -> None:
         """Run until cancelled."""
         async with create_task_group() as group:
@@ -81,9 +85,8 @@
         InvalidAnnouncementError if it would take the place of an endpoint for a service
         that the configuration does not name.
         """
-        if not self.names_service(
-            announcement.service_id
-        ) and self.directory.has_other_service(announcement):
+        is_unnamed = self.names_service(announcement.service_id) is False
+        if is_unnamed and self.directory.has_other_service(announcement):
             raise InvalidAnnouncementError(
                 "service: is not named, and another has its id or address"
             )
--- a/pistachiolever/registry/process.py
+++ b/pistachiolever/registry/process.py
@@ -381,13 +381,13 @@
         unique.pop(self.settings.address, None)
         return list(unique)
 
-    def _names_service(self, service_id: str) -> bool:
-        """Return whether the configuration names a service, as far as it is known."""
+    def _names_service(self, service_id: str) -> bool | None:
+        """Return whether the configuration names a service, None if none is known."""
         current = self.state.configuration
         if current.version > self.named_version:
             self.named_version = current.version
             self.named_services = self.service_ids(current.document)
-        return not self.named_services or service_id in self.named_services
+        return service_id in self.named_services if self.named_services else None
 
     # Notifications from consensus.
 
