Commit the departure of an endpoint before it is acknowledged

Cause: that an endpoint drains or has left was kept in memory; after the loss of all members a late announcement made it ready again. It now goes through the replicated log, once for each incarnation, and members restore it at their start.

--- a/pistachiolever/control/commands.py
+++ b/pistachiolever/control/commands.py
@@ -9,6 +9,7 @@
 
 from pistachiolever.control.const import MAX_OUTCOME_BYTES
 from pistachiolever.core.verdict import Verdict
+from pistachiolever.discovery.models import Announcement
 
 
 @frozen
@@ -56,7 +57,16 @@
     document: str
 
 
-Command = ApplyDeclarations | OpenClaim | CloseClaim | StoreConfiguration
+@frozen
+class RecordDeparture:
+    """Remember that an incarnation of an endpoint drains or has ended."""
+
+    announcement: Announcement
+
+
+Command = (
+    ApplyDeclarations | OpenClaim | CloseClaim | StoreConfiguration | RecordDeparture
+)
 
 
 @frozen
@@ -67,6 +77,11 @@
     changed: bool
 
 
+@frozen
+class DepartureRecorded:
+    """Result of RecordDeparture."""
+
+
 @frozen
 class ChangeResult:
     """Result of ApplyDeclarations.
--- a/pistachiolever/control/consensus.py
+++ b/pistachiolever/control/consensus.py
@@ -281,8 +281,9 @@
             if proposal.term == term:
                 proposal.result = result
             proposal.done.set()
-        if text:
-            self.listener.applied()
+        # Entries without a command count, too: a member whose snapshot covers all
+        # commands has caught up with the first entry of the current term.
+        self.listener.applied()
 
     def _complete_skipped(self, index: int) -> None:
         """Complete the proposals up to an index that a snapshot covers.
--- a/pistachiolever/control/const.py
+++ b/pistachiolever/control/const.py
@@ -23,5 +23,8 @@
 MAX_DECLARATIONS_BYTES: Final = 8 * 1024 * 1024
 # Attempts abandoned before their claim arrived that are remembered.
 MAX_CLOSED_BEFORE_OPEN: Final = 10_000
+# Departures of endpoints that are kept: more than leave while a late announcement of
+# one of them can still arrive.
+MAX_DEPARTURES: Final = 1_000
 # Delay before a failed write, for example to a full disk, is retried.
 DISK_RETRY_SECONDS: Final = 0.1
--- a/pistachiolever/control/state.py
+++ b/pistachiolever/control/state.py
@@ -10,7 +10,9 @@
     CloseClaim,
     Command,
     ConfigurationStored,
+    DepartureRecorded,
     OpenClaim,
+    RecordDeparture,
     StoreConfiguration,
     decode_command,
 )
@@ -18,10 +20,12 @@
     CLAIM_TIMEOUT_SECONDS,
     MAX_CHANGE_IDS,
     MAX_CLOSED_BEFORE_OPEN,
+    MAX_DEPARTURES,
     MAX_HISTORY,
     MAX_OUTCOME_BYTES,
 )
 from pistachiolever.core.verdict import Verdict
+from pistachiolever.discovery.models import Announcement, EndpointState
 from pistachiolever.wire.models import ClaimAnswer, ClaimClosed
 
 
@@ -56,12 +60,18 @@
     document: str = ""
 
 
-Result = ChangeResult | ClaimAnswer | ClaimClosed | ConfigurationStored
+Result = (
+    ChangeResult | ClaimAnswer | ClaimClosed | ConfigurationStored | DepartureRecorded
+)
 
 
 @define
 class ControlState:
-    """The deterministic state machine that every control process replicates."""
+    """The deterministic state machine that every control process replicates.
+
+    `departure_by_endpoint` holds the newest departures, `departure_count` their number
+    since the first start.
+    """
 
     claim_window_seconds: float
     revisions: list[StoredRevision] = field(factory=list)
@@ -70,6 +80,8 @@
     key_by_attempt: dict[str, str] = field(factory=dict)
     closed_before_open: dict[str, int] = field(factory=dict)
     configuration: StoredConfiguration = StoredConfiguration()
+    departure_by_endpoint: dict[str, Announcement] = field(factory=dict)
+    departure_count: int = 0
 
     def apply(self, command: Command) -> Result:
         """Apply one committed command."""
@@ -79,6 +91,8 @@
             return self._open_claim(command)
         if isinstance(command, StoreConfiguration):
             return self._store_configuration(command)
+        if isinstance(command, RecordDeparture):
+            return self._record_departure(command.announcement)
         return self._close_claim(command)
 
     def apply_text(self, text: str) -> Result:
@@ -102,6 +116,8 @@
         self.key_by_attempt = other.key_by_attempt
         self.closed_before_open = other.closed_before_open
         self.configuration = other.configuration
+        self.departure_by_endpoint = other.departure_by_endpoint
+        self.departure_count = other.departure_count
 
     # Configurations.
 
@@ -112,6 +128,27 @@
             self.configuration = StoredConfiguration(command.version, command.document)
         return ConfigurationStored(self.configuration.version, changed)
 
+    # Departures of endpoints.
+
+    def knows_departure(self, announcement: Announcement) -> bool:
+        """Return whether the departure of an incarnation is recorded."""
+        known = self.departure_by_endpoint.get(announcement.endpoint_id)
+        if known is None or known.born_ms < announcement.born_ms:
+            return False
+        if known.born_ms > announcement.born_ms:
+            return True
+        return known.state in (EndpointState.GONE, announcement.state)
+
+    def _record_departure(self, announcement: Announcement) -> DepartureRecorded:
+        """Record a departure, unless a later one of the endpoint is known."""
+        if not self.knows_departure(announcement):
+            self.departure_by_endpoint.pop(announcement.endpoint_id, None)
+            self.departure_by_endpoint[announcement.endpoint_id] = announcement
+            self.departure_count += 1
+            if len(self.departure_by_endpoint) > MAX_DEPARTURES:
+                del self.departure_by_endpoint[next(iter(self.departure_by_endpoint))]
+        return DepartureRecorded()
+
     # Declarations.
 
     def _apply_declarations(self, command: ApplyDeclarations) -> ChangeResult:
--- a/pistachiolever/registry/const.py
+++ b/pistachiolever/registry/const.py
@@ -6,6 +6,7 @@
 JOIN_PATH: Final = "/registry/join"
 STORE_PATH: Final = "/registry/store"
 READ_PATH: Final = "/registry/read"
+COMMIT_PATH: Final = "/registry/commit"
 ANNOUNCE_PATH: Final = "/registry/announce"
 SYNC_PATH: Final = "/registry/sync"
 WATCH_PATH: Final = "/registry/watch"
@@ -21,6 +22,9 @@
 LEADER_RETRY_SECONDS: Final = 0.03
 # Raft messages are not retried: the next heartbeat replaces a lost one.
 RAFT_CALL_SECONDS: Final = 0.5
+# Time to commit that an endpoint leaves, after other members were told of it: the
+# endpoint waits one second for its acknowledgement.
+DEPARTURE_COMMIT_SECONDS: Final = 0.45
 # Interval between join requests, and the timeout of each.
 JOIN_SECONDS: Final = 0.4
 # A voter that has had no leader for this long sends join requests, in case the others
--- a/pistachiolever/registry/endpoint_replicator.py
+++ b/pistachiolever/registry/endpoint_replicator.py
@@ -1,6 +1,6 @@
 """Replicates the announcements of endpoints between the members of the registry."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from anyio import create_task_group, sleep
 from anyio.abc import TaskGroup
@@ -47,6 +47,10 @@
         return announcements
 
 
+async def commit_nothing(announcement: Announcement) -> None:
+    """Take a departure for recorded."""
+
+
 @define
 class EndpointReplicator:
     """The directory of one member and the announcements it has yet to send.
@@ -55,6 +59,8 @@
     there are updates for watchers. Endpoints time out only while `may_expire` returns
     true: a member that is cut off hears of none of them. `names_service` returns
     whether the configuration names a service, None without a configuration.
+    `commit_departure` returns once the disks of a majority hold that an endpoint
+    leaves, or raises UnavailableError.
     """
 
     client: PeerClient
@@ -64,6 +70,7 @@
     on_change: Callable[[], None]
     may_expire: Callable[[], bool] = lambda: True
     names_service: Callable[[str], bool | None] = lambda _: True
+    commit_departure: Callable[[Announcement], Awaitable[None]] = commit_nothing
     directory: EndpointDirectory = field(init=False)
     queue_by_peer: dict[str, PeerQueue] = field(factory=dict)
     sent_at_by_id: dict[str, float] = field(factory=dict)
@@ -96,8 +103,10 @@
             self.on_change()
         if announcement.state is EndpointState.DRAINING:
             # Draining is acknowledged only once enough members know of it to inform
-            # the routers. This also holds for a repeated announcement.
+            # the routers, and no restart can undo it. This also holds for a repeated
+            # announcement.
             await self._replicate(announcement)
+            await self.commit_departure(announcement)
         elif changed or self._is_refresh_due(announcement):
             self._queue_for_all([announcement])
 
@@ -113,6 +122,13 @@
         self._record(announcement, "left")
         self.on_change()
         await self._replicate(announcement)
+        await self.commit_departure(announcement)
+
+    def restore(self, departures: list[Announcement]) -> None:
+        """Restore departures that were recorded before a restart, or elsewhere."""
+        now = self.now()
+        if [a for a in departures if self.directory.restore(a, now)]:
+            self.on_change()
 
     def merge_batch(self, batch: AnnounceBatch) -> AnnounceReply:
         """Merge announcements of another member; return newer ones that it lacks."""
--- a/pistachiolever/registry/models.py
+++ b/pistachiolever/registry/models.py
@@ -35,6 +35,13 @@
     version: int
 
 
+@frozen
+class CommitRequest:
+    """Asks the leader to commit an encoded command."""
+
+    command: str
+
+
 @frozen
 class ReadRequest:
     """Asks the leader for a linearizable read of the configuration."""
--- a/pistachiolever/registry/process.py
+++ b/pistachiolever/registry/process.py
@@ -8,18 +8,15 @@
 from anyio import create_task_group, current_time, move_on_after, sleep
 from attrs import define, field
 
-from pistachiolever.control.commands import ConfigurationStored, StoreConfiguration
-from pistachiolever.control.consensus import (
-    ConsensusNode,
-    NotLeaderError,
-    OutcomeUnknownError,
-)
+from pistachiolever.control.commands import RecordDeparture
+from pistachiolever.control.consensus import ConsensusNode
 from pistachiolever.control.raft_sender import RaftSender
 from pistachiolever.control.state import ControlState
 from pistachiolever.control.storage import Identity, LogStorage
 from pistachiolever.core.ids import new_id
 from pistachiolever.core.mailbox import Mailbox
-from pistachiolever.edge.errors import CallRefusedError, PeerError
+from pistachiolever.discovery.models import Announcement
+from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.peers import PeerApi, PeerClient
 from pistachiolever.events.const import EventCode
 from pistachiolever.events.logger import EventLogger
@@ -29,26 +26,23 @@
 from pistachiolever.raft.models import Join, RaftEnvelope, Received, RoleChanged
 from pistachiolever.registry.const import (
     ANNOUNCE_PATH,
+    DEPARTURE_COMMIT_SECONDS,
     DIGEST_PATH,
     FOUNDER_INCARNATION,
     JOIN_PATH,
     JOIN_SECONDS,
-    LEADER_CALL_SECONDS,
     LEADER_RETRY_SECONDS,
     LEADER_TIMEOUT_SECONDS,
     LEADER_TRANSFER_SECONDS,
-    OPERATOR_TIMEOUT_SECONDS,
     RAFT_CALL_SECONDS,
     RAFT_PATH,
-    READ_PATH,
     REPORT_PATH,
-    STORE_PATH,
     STREAMS_PATH,
     SYNC_PATH,
     WATCH_PATH,
 )
 from pistachiolever.registry.endpoint_replicator import EndpointReplicator
-from pistachiolever.registry.errors import UnavailableError
+from pistachiolever.registry.leader_calls import LeaderCalls
 from pistachiolever.registry.models import (
     Accepted,
     AnnounceBatch,
@@ -56,9 +50,7 @@
     JoinReply,
     JoinRequest,
     ReadReply,
-    ReadRequest,
     ReportReply,
-    StoreReply,
     StoreRequest,
     SyncRequest,
     WatchRequest,
@@ -107,6 +99,7 @@
     state: ControlState = field(init=False)
     core: RaftCore = field(init=False)
     consensus: ConsensusNode = field(init=False)
+    leader_calls: LeaderCalls = field(init=False)
     endpoints: EndpointReplicator = field(init=False)
     watches: WatchService = field(init=False)
     usage: UsageExchange = field(init=False)
@@ -116,6 +109,7 @@
     recorded_version: int = -1
     named_version: int = -1
     named_services: set[str] = field(factory=set)
+    restored_departures: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Restore the state from disk."""
@@ -135,6 +129,9 @@
         self.consensus = ConsensusNode(
             self.core, self.storage, self.state, self, self._send, self.now
         )
+        self.leader_calls = LeaderCalls(
+            self.core, self.consensus, self.state, self.client
+        )
         self.endpoints = EndpointReplicator(
             self.client,
             self.events,
@@ -143,6 +140,7 @@
             lambda: self.watches.directory_changed.set(),
             lambda: not self.watches.is_behind(),
             self._names_service,
+            self._commit_departure,
         )
         aggregate = UsageAggregate(
             self.settings.address, self.incarnation, self.settings.failure_domain
@@ -162,6 +160,7 @@
             self._other_addresses,
             self.watches.notify,
         )
+        self._restore_departures()
         self.known_addresses = list(self.settings.seeds)
         gauge = self.instruments.gauge
         gauge(
@@ -233,8 +232,7 @@
         api = PeerApi(self.client.secret)
         api.add(RAFT_PATH, list[RaftEnvelope], self._handle_raft)
         api.add(JOIN_PATH, JoinRequest, self._handle_join)
-        api.add(STORE_PATH, StoreRequest, self._handle_store)
-        api.add(READ_PATH, ReadRequest, self._handle_read)
+        self.leader_calls.add_to(api)
         api.add(ANNOUNCE_PATH, AnnounceBatch, self._handle_announcements)
         api.add(SYNC_PATH, SyncRequest, self._handle_sync)
         api.add(WATCH_PATH, WatchRequest, self.watches.handle_watch)
@@ -253,76 +251,28 @@
         """
         version = self.validate(document)
         request = StoreRequest(version, document.decode())
-        with move_on_after(OPERATOR_TIMEOUT_SECONDS):
-            while True:
-                reply = await self._try_store(request)
-                if reply is not None:
-                    self.events.record(
-                        EventCode.CONFIGURATION_ACKNOWLEDGED,
-                        version=version,
-                        in_force=reply.version,
-                    )
-                    return reply.version
-                await sleep(LEADER_RETRY_SECONDS)
-        raise UnavailableError("no leader committed the configuration in time")
-
-    async def _try_store(self, request: StoreRequest) -> StoreReply | None:
-        """Commit here or at the leader; return None if that failed."""
-        try:
-            if self.core.is_leader:
-                return await self._commit(request)
-            if not self.core.leader:
-                return None
-            return await self.client.call(
-                address_of(self.core.leader),
-                STORE_PATH,
-                request,
-                StoreReply,
-                LEADER_CALL_SECONDS,
-            )
-        except (NotLeaderError, OutcomeUnknownError, PeerError):
-            return None
-
-    async def _commit(self, request: StoreRequest) -> StoreReply:
-        """Commit a configuration as the leader."""
-        command = StoreConfiguration(request.version, request.document)
-        result = await self.consensus.propose(command, OPERATOR_TIMEOUT_SECONDS)
-        if not isinstance(result, ConfigurationStored):
-            raise OutcomeUnknownError
-        return StoreReply(result.version)
+        reply = await self.leader_calls.store(request)
+        self.events.record(
+            EventCode.CONFIGURATION_ACKNOWLEDGED,
+            version=version,
+            in_force=reply.version,
+        )
+        return reply.version
 
     async def read(self) -> ReadReply:
         """Return the newest configuration; raise UnavailableError if unconfirmed."""
-        with move_on_after(OPERATOR_TIMEOUT_SECONDS):
-            while True:
-                reply = await self._try_read()
-                if reply is not None:
-                    return reply
-                await sleep(LEADER_RETRY_SECONDS)
-        raise UnavailableError("no quorum confirmed the newest configuration in time")
+        return await self.leader_calls.read()
 
-    async def _try_read(self) -> ReadReply | None:
-        """Read here or at the leader; return None if that failed."""
-        try:
-            if self.core.is_leader:
-                return await self._linearizable_read()
-            if not self.core.leader:
-                return None
-            return await self.client.call(
-                address_of(self.core.leader),
-                READ_PATH,
-                ReadRequest(),
-                ReadReply,
-                LEADER_CALL_SECONDS,
-            )
-        except (NotLeaderError, PeerError):
-            return None
+    async def _commit_departure(self, announcement: Announcement) -> None:
+        """Commit that an endpoint leaves; raise UnavailableError if it may not be.
 
-    async def _linearizable_read(self) -> ReadReply:
-        """Return the configuration after a quorum confirmed that this member leads."""
-        await self.consensus.read_barrier(LEADER_CALL_SECONDS)
-        current = self.state.configuration
-        return ReadReply(current.version, current.document)
+        A restart of all members would otherwise forget it, and a late announcement
+        would make the endpoint ready again.
+        """
+        if not self.state.knows_departure(announcement):
+            await self.leader_calls.commit(
+                RecordDeparture(announcement), DEPARTURE_COMMIT_SECONDS
+            )
 
     # Raft messages and membership.
 
@@ -402,8 +352,16 @@
                 index=self.core.applied_index,
                 term=self.core.term,
             )
+        self._restore_departures()
         self.watches.handle_applied()
 
+    def _restore_departures(self) -> None:
+        """Let the directory know what was committed of endpoints that leave."""
+        if self.state.departure_count == self.restored_departures:
+            return
+        self.restored_departures = self.state.departure_count
+        self.endpoints.restore(list(self.state.departure_by_endpoint.values()))
+
     def members_changed(self, members: list[str]) -> None:
         """Record the new voters, stop sending to replaced ones, notify the watchers."""
         self.events.record(EventCode.MEMBERS_CHANGED, members=members)
@@ -438,20 +396,6 @@
         self.consensus.inbox.put(Join(request.member_id))
         return JoinReply(list(self.core.members))
 
-    async def _handle_store(self, request: StoreRequest) -> StoreReply:
-        """Commit a configuration on behalf of another member."""
-        try:
-            return await self._commit(request)
-        except (NotLeaderError, OutcomeUnknownError) as error:
-            raise CallRefusedError(409) from error
-
-    async def _handle_read(self, _request: ReadRequest) -> ReadReply:
-        """Read the configuration on behalf of another member."""
-        try:
-            return await self._linearizable_read()
-        except NotLeaderError as error:
-            raise CallRefusedError(409) from error
-
     async def _handle_announcements(self, batch: AnnounceBatch) -> AnnounceReply:
         """Merge announcements received by another member."""
         return self.endpoints.merge_batch(batch)
