--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -218,7 +218,7 @@
     """Return the endpoint for a prompt."""
     index, now = router.index(SERVICE), router.now()
     plan = router.placement.plan("m", 12_000, parts, index, now)
-    found = router.candidates(SERVICE, set(), plan.shared_part_id)
+    found = router.selection.candidates(SERVICE, set(), plan.shared_part_id)
     return router.placement.rank(plan, found, now)[0].endpoint.endpoint_id
 
 
--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -200,11 +200,11 @@
 
     def _held_back_reason(self) -> str:
         """Return why the request must not be sent now; empty if it may be."""
-        if not self.fleet.may_send(self.handle):
+        if not self.fleet.selection.may_send(self.handle):
             return "held-back"
         if not self.request.may_run_at(self.handle.endpoint):
             return "version"
-        if not self.fleet.may_send_parts(self.request.suspect_ids):
+        if not self.fleet.parts.may_send_parts(self.request.suspect_ids):
             return QUARANTINED
         return ""
 
@@ -279,7 +279,7 @@
         metadata = self.header_format.parse_response(response)
         # Status 421 comes from another endpoint, which has taken over the address.
         if response.status != 421:
-            self.fleet.record_notices(
+            self.fleet.notice_recorder.record(
                 self.handle, request.request_id, metadata, self.sent_at
             )
             if metadata.load is not None:
@@ -336,7 +336,9 @@
             return False
         if not fleet.quarantine.may_repeat(request.suspect_ids, now):
             return False
-        return fleet.has_usable(service_id, request.tried_endpoint_ids, request.version)
+        return fleet.selection.has_usable(
+            service_id, request.tried_endpoint_ids, request.version
+        )
 
     def _response_timeout_seconds(self) -> float:
         """Return how long to wait for the head of the response.
@@ -567,7 +569,7 @@
         self.run_seconds = now - first_chunk_at - self.sending_seconds
         if self.has_run() and now - self.sound_recorded_at >= SOUND_RUN_SECONDS:
             self.sound_recorded_at = now
-            self.fleet.record_sound_run(self.request.suspect_ids)
+            self.fleet.parts.record_sound_run(self.request.suspect_ids)
 
     def _record_first_chunk(self, now: float) -> float:
         """Return the time of the first chunk; report it to admission at first."""
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -1,19 +1,17 @@
 """A router's view of the fleet: the configuration in force and the endpoints."""
 
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from random import Random
-from typing import Final, Protocol
+from typing import Protocol
 
-from anyio import create_task_group, sleep
+from anyio import create_task_group
 from attrs import define, field
 
 from pistachiolever.admission.models import Load
-from pistachiolever.admission.rate_limit import parse_rate
 from pistachiolever.admission.recent_service import RecentService
 from pistachiolever.core.ids import new_id
 from pistachiolever.core.mailbox import Mailbox
-from pistachiolever.core.pause import pause_seconds
 from pistachiolever.discovery.directory import EndpointDirectory
 from pistachiolever.discovery.models import Announcement, EndpointState
 from pistachiolever.edge.peers import ConnectionPool, PeerClient
@@ -28,26 +26,24 @@
 from pistachiolever.gateway.budget import RetryBudget
 from pistachiolever.gateway.const import (
     BID_PREFIX_DIGITS,
-    CRASH_CHECK_DELAY_SECONDS,
-    CRASH_CHECK_KEEP_ALIVE_SECONDS,
-    CRASH_CHECK_SECONDS,
-    DRAINING_USE_FRACTION,
     ENDPOINT_CONNECTION_FRACTION,
     MAX_IDLE_ENDPOINT_CONNECTIONS,
     ROUTER_COUNT_SECONDS,
 )
 from pistachiolever.gateway.endpoint_handle import EndpointHandle
 from pistachiolever.gateway.endpoint_index import ServiceIndex
+from pistachiolever.gateway.endpoint_selection import EndpointSelection
 from pistachiolever.gateway.fair_shares import FairShares
 from pistachiolever.gateway.incarnations import IncarnationCheck, StartTimeProbe
-from pistachiolever.gateway.models import ProxyRequest, ResponseMetadata
+from pistachiolever.gateway.models import ProxyRequest
+from pistachiolever.gateway.notice_recorder import NoticeRecorder
 from pistachiolever.gateway.notices import EndpointNotices, Restriction
-from pistachiolever.gateway.placement import Candidate, Placement
+from pistachiolever.gateway.part_checks import PartChecks
+from pistachiolever.gateway.placement import Placement
 from pistachiolever.gateway.policy import PlacementPolicy
 from pistachiolever.gateway.settings import GatewaySettings
-from pistachiolever.http1.errors import PeerClosedError
-from pistachiolever.metrics.instruments import HELD_BACK, Instruments
-from pistachiolever.quarantine.quarantine import Change, Quarantine
+from pistachiolever.metrics.instruments import Instruments
+from pistachiolever.quarantine.quarantine import Quarantine
 from pistachiolever.routing.errors import InvalidConfigurationError
 from pistachiolever.routing.models import ProxyConfiguration
 from pistachiolever.routing.table import RouteTable
@@ -57,13 +53,6 @@
 from pistachiolever.usage.models import MeasuredLoad, UsageUpdate, unpack_measured
 from pistachiolever.usage.reporter import UsageReporter
 
-PART_EVENTS: Final = {
-    Change.QUARANTINED: EventCode.PART_QUARANTINED,
-    Change.TESTED: EventCode.PART_TESTED,
-    Change.RELEASED: EventCode.PART_RELEASED,
-}
-# Restrictions under which a chosen endpoint still gets a request.
-SENDABLE: Final = (Restriction.NONE, Restriction.LEAVING)
 # A service and a software version; None for the endpoints of all versions.
 IndexKey = tuple[str, str | None]
 
@@ -106,6 +95,9 @@
     budget: RetryBudget = field(init=False)
     notices: EndpointNotices = field(init=False)
     incarnations: IncarnationCheck = field(init=False)
+    selection: EndpointSelection = field(init=False)
+    notice_recorder: NoticeRecorder = field(init=False)
+    parts: PartChecks = field(init=False)
     shares: FairShares = field(factory=FairShares)
     new_admission_clients: Mailbox[AdmissionClient] = field(factory=Mailbox)
     gone_addresses: Mailbox[str] = field(factory=Mailbox)
@@ -136,7 +128,28 @@
         )
         self.notices = EndpointNotices(self.settings.drain_seconds)
         self.incarnations = IncarnationCheck(self.now, self.start_time_probe)
+        self.selection = EndpointSelection(
+            self.settings,
+            self.rng,
+            self.now,
+            self.events,
+            self.instruments,
+            self.notices,
+            self.index,
+            self.handle_by_id,
+            self.draining_since_by_id,
+        )
+        self.notice_recorder = NoticeRecorder(
+            self.settings, self.events, self.notices, self.now
+        )
         self.quarantine = Quarantine(self.settings.node_id)
+        self.parts = PartChecks(
+            self.quarantine,
+            self.pool,
+            self.events,
+            self.now,
+            self.record_unreachable,
+        )
         self.reporter = UsageReporter(
             self.settings.node_id, RecentService(), quarantine=self.quarantine
         )
@@ -246,7 +259,7 @@
                 handle.record_seen_load(measured.load, measured.at)
                 self.update_free(handle)
         self.quarantine.apply(update.parts, now)
-        self._record_part_changes()
+        self.parts.record_changes()
 
     def record_seen_load(self, handle: EndpointHandle, load: Load) -> None:
         """Apply the load that an endpoint told in a response.
@@ -379,322 +392,14 @@
         """Return this router's part of what all routers share without an agent."""
         return 1.0 / max(1, self.budget.router_count)
 
-    # Notices of endpoints.
-
-    def record_notices(
-        self,
-        handle: EndpointHandle,
-        request_id: str,
-        metadata: ResponseMetadata,
-        sent_at: float,
-    ) -> None:
-        """Record what an endpoint asks of this router in a response.
-
-        `sent_at` is when its request was sent.
-        """
-        endpoint, now = handle.endpoint, self.now()
-        self._record_rate(handle, request_id, metadata.rate_limit, sent_at)
-        if metadata.leaving and self.notices.record_leaving(endpoint, now):
-            self.events.record(
-                EventCode.ENDPOINT_LEAVING,
-                request_id,
-                endpoint=endpoint.endpoint_id,
-                born=endpoint.born_ms,
-                seconds=self.settings.drain_seconds,
-            )
-            handle.withdraw_bids()
-        if metadata.retry_after is None:
-            return
-        seconds = pause_seconds(metadata.retry_after)
-        self.events.record(
-            EventCode.ENDPOINT_PAUSED,
-            request_id,
-            endpoint=endpoint.endpoint_id,
-            born=endpoint.born_ms,
-            seconds=seconds or 0.0,
-            asked=metadata.retry_after[:40],
-        )
-        if seconds is not None:
-            self.notices.record_pause(endpoint, seconds, now)
-            handle.withdraw_bids()
-
-    def _record_rate(
-        self,
-        handle: EndpointHandle,
-        request_id: str,
-        rate_limit: str | None,
-        sent_at: float,
-    ) -> None:
-        """Record the request rate that an endpoint accepts.
-
-        A value that can't be read changes nothing.
-        """
-        try:
-            rate = parse_rate(rate_limit)
-            is_news = handle.rate_notice.observe(rate, sent_at, self.now())
-        except ValueError:
-            is_news = True
-        if not is_news:
-            return
-        self.events.record(
-            EventCode.ENDPOINT_LIMITED,
-            request_id,
-            endpoint=handle.endpoint.endpoint_id,
-            born=handle.endpoint.born_ms,
-            rate=handle.rate_notice.requests_per_second,
-            named=(rate_limit or "")[:40],
-        )
-
-    def may_send(self, handle: EndpointHandle) -> bool:
-        """Return whether the notices of a chosen endpoint allow a request now.
-
-        A leaving endpoint is chosen only if no other one can serve the request.
-        """
-        restriction = self.notices.restriction(handle.endpoint, self.now())
-        if restriction not in SENDABLE:
-            self._count_held_back(handle, restriction)
-        return self._allows_request(handle)
-
-    def held_back(self, service_id: str) -> dict[str, list[str]]:
-        """Return the restricted endpoints of a service, by kind of restriction.
-
-        An endpoint that is draining or unreachable by now is among them: it usually is
-        soon after it has said that it leaves.
-        """
-        ids: dict[str, list[str]] = {}
-        if not self.notices.by_incarnation:
-            return ids
-        now = self.now()
-        for endpoint_id, handle in self.handle_by_id.items():
-            if handle.endpoint.service_id != service_id:
-                continue
-            restriction = self.notices.restriction(handle.endpoint, now)
-            if restriction is not Restriction.NONE:
-                ids.setdefault(restriction.value, []).append(endpoint_id)
-        return ids
-
-    def pause_remaining(
-        self, service_id: str, version: str | None = None
-    ) -> float | None:
-        """Return the seconds until the first endpoint of a service takes requests.
-
-        None unless pauses prevent requests to all of its endpoints that stay. With a
-        `version` only endpoints of that one count.
-        """
-        if not self.notices.paused:
-            return None
-        now = self.now()
-        times = [
-            self.notices.available_at(handle.endpoint)
-            for handle in self._ready(service_id, set(), version)
-        ]
-        staying = [at for at in times if at is not None]
-        if not staying or min(staying) <= now:
-            return None
-        return min(staying) - now
-
-    def _count_held_back(
-        self, handle: EndpointHandle, restriction: Restriction
-    ) -> None:
-        """Count a dispatch that a notice prevented."""
-        self.instruments.count(
-            HELD_BACK, handle.endpoint.endpoint_id, restriction.value
-        )
-
-    def _record_ended_pauses(self) -> None:
-        """Log the pauses that no longer limit requests."""
-        for pause in self.notices.pop_ended_pauses(self.now()):
-            self.events.record(
-                EventCode.ENDPOINT_RESUMED,
-                endpoint=pause.endpoint_id,
-                seconds=round(pause.seconds, 3),
-            )
-
-    # Parts of requests under which endpoints crash.
-
-    def quarantined_part(self, part_ids: list[str]) -> str:
-        """Return a part of a request that must not be sent now; empty if none."""
-        part_id = self.quarantine.quarantined_part(part_ids, self.now())
-        self._record_part_changes()
-        return part_id
-
-    def may_send_parts(self, part_ids: list[str]) -> bool:
-        """Return whether a request with these parts may be sent to an endpoint now."""
-        allowed = self.quarantine.try_send(part_ids, self.now())
-        self._record_part_changes()
-        return allowed
-
-    def record_sound_run(self, part_ids: list[str]) -> None:
-        """Record that an endpoint ran a request with these parts."""
-        self.quarantine.record_sound(part_ids, self.now())
-        self._record_part_changes()
-
-    async def check_crash(
-        self, handle: EndpointHandle, request_id: str, part_ids: list[str]
-    ) -> bool:
-        """Find out whether an endpoint that ended a new run's connection has crashed.
-
-        It has if nobody listens at its address; a connection may end for other reasons.
-        Return whether it is known to be there.
-        """
-        if not self.quarantine.suspects(part_ids, self.now()):
-            return False
-        endpoint = handle.endpoint
-        await sleep(CRASH_CHECK_DELAY_SECONDS)
-        try:
-            connection = await self.pool.open(endpoint.address, CRASH_CHECK_SECONDS)
-        except PeerClosedError as error:
-            if error.is_local:
-                return False
-            self.record_unreachable(handle, error.detail)
-            if not error.refused:
-                return False
-        else:
-            await self.pool.release(connection, CRASH_CHECK_KEEP_ALIVE_SECONDS)
-            return True
-        incarnation = f"{endpoint.endpoint_id}/{endpoint.born_ms}"
-        suspected = self.quarantine.record_crash(incarnation, part_ids, self.now())
-        self.events.record(
-            EventCode.PARTS_SUSPECTED,
-            request_id,
-            endpoint=endpoint.endpoint_id,
-            born=endpoint.born_ms,
-            parts=suspected,
-        )
-        return False
-
     def record_stream(self, request: ProxyRequest, origin: StreamOrigin) -> None:
         """Remember where a stream began that its caller may resume here."""
         if request.route.resumable:
             expires_at = request.deadline_at + DEADLINE_MARGIN_SECONDS
             self.streams.add(request.stream_key, origin, expires_at, self.now())
 
-    def _record_part_changes(self) -> None:
-        """Log which parts were quarantined, tested or released."""
-        for change in self.quarantine.pop_changes():
-            self.events.record(
-                PART_EVENTS[change.change],
-                part=change.part_id,
-                crashes=change.crashes,
-                seconds=change.seconds,
-            )
-
     # Queries by requests.
 
-    def candidates(
-        self,
-        service_id: str,
-        avoid: set[str],
-        part_id: str = "",
-        extra: Iterable[str] = (),
-        version: str | None = None,
-    ) -> list[Candidate]:
-        """Return the endpoints of a service to consider for a request.
-
-        `part_id` is the last shared part of its prompt, `extra` are further endpoints.
-        With a `version` only endpoints of that one are considered.
-        """
-        chosen = self.index(service_id, version).choose(part_id, self.rng)
-        chosen.update(dict.fromkeys(extra))
-        handles = [
-            handle
-            for endpoint_id in chosen
-            if (handle := self.handle_by_id.get(endpoint_id)) is not None
-        ]
-        accepting = self._accepting(handles, service_id, avoid, version)
-        usable, _ = self._split_usable(accepting)
-        return [
-            Candidate(
-                handle.endpoint, handle.load(), handle.health, handle.bidding_tokens
-            )
-            for handle in usable or self.usable(service_id, avoid, version)
-        ]
-
-    def usable(
-        self, service_id: str, avoid: set[str], version: str | None = None
-    ) -> list[EndpointHandle]:
-        """Return all endpoints of a service that may get a request now.
-
-        Leaving ones are used only if there are no others, draining ones only for
-        streams that no other version can continue.
-        """
-        usable, leaving = self._split_usable(self._ready(service_id, avoid, version))
-        if usable or leaving or version is None:
-            return usable or leaving
-        return [
-            handle
-            for endpoint_id in self.draining_since_by_id
-            if (handle := self.handle_by_id[endpoint_id]).endpoint.version == version
-            and handle.endpoint.service_id == service_id
-            and endpoint_id not in avoid
-            and self._allows_request(handle)
-            and not handle.health.is_ejected(self.now())
-        ]
-
-    def _allows_request(self, handle: EndpointHandle) -> bool:
-        """Return whether neither notices nor a drain prevent a request now.
-
-        Control may have learned of the drain somewhat earlier than this router.
-        """
-        endpoint = handle.endpoint
-        if self.notices.restriction(endpoint, self.now()) not in SENDABLE:
-            return False
-        if endpoint.state is EndpointState.READY:
-            return True
-        since = self.draining_since_by_id.get(endpoint.endpoint_id, float("-inf"))
-        allowed_seconds = DRAINING_USE_FRACTION * self.settings.drain_seconds
-        return self.now() - since < allowed_seconds
-
-    def has_usable(
-        self, service_id: str, avoid: set[str], version: str | None = None
-    ) -> bool:
-        """Return whether another endpoint of a service may get a request now."""
-        return bool(self.usable(service_id, avoid, version))
-
-    def _split_usable(
-        self, handles: Iterable[EndpointHandle]
-    ) -> tuple[list[EndpointHandle], list[EndpointHandle]]:
-        """Return the endpoints without restriction, and those that are leaving."""
-        self._record_ended_pauses()
-        usable: list[EndpointHandle] = []
-        leaving: list[EndpointHandle] = []
-        for handle in handles:
-            restriction = self.notices.restriction(handle.endpoint, self.now())
-            if restriction is Restriction.NONE:
-                usable.append(handle)
-                continue
-            if restriction is Restriction.LEAVING:
-                leaving.append(handle)
-            self._count_held_back(handle, restriction)
-        return usable, leaving
-
-    def _ready(
-        self, service_id: str, avoid: set[str], version: str | None
-    ) -> list[EndpointHandle]:
-        """Return all endpoints of a service that accept requests."""
-        ids = self.index(service_id, version).ready.ids
-        handles = [self.handle_by_id[endpoint_id] for endpoint_id in ids]
-        return self._accepting(handles, service_id, avoid, version)
-
-    def _accepting(
-        self,
-        handles: list[EndpointHandle],
-        service_id: str,
-        avoid: set[str],
-        version: str | None,
-    ) -> list[EndpointHandle]:
-        """Return those of some endpoints that accept requests."""
-        now = self.now()
-        return [
-            handle
-            for handle in handles
-            if handle.endpoint.service_id == service_id
-            and version in (None, handle.endpoint.version)
-            and handle.endpoint.state is EndpointState.READY
-            and handle.endpoint.endpoint_id not in avoid
-            and not handle.health.is_ejected(now)
-        ]
-
     def fair_share(self) -> float | None:
         """Return the max-min share of recent service; None if it limits no account.
 
--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -390,7 +390,7 @@
                 request.request_id,
                 sends=request.attempt_count,
                 bids=request.bid_count,
-                queued=round(processor.queued_seconds, 3),
+                queued=round(processor.bidding.queued_seconds, 3),
                 total=round(self.fleet.now() - request.arrived_at, 3),
             )
 
--- a/tests/gateway/test_endpoint_index.py
+++ b/tests/gateway/test_endpoint_index.py
@@ -93,7 +93,9 @@
         fleet = make_fleet(endpoints, [100.0])
         for number in range(299):
             notify(fleet, f"e{number}", leaving=True)
-        chosen = [c.endpoint.endpoint_id for c in fleet.candidates("s", set())]
+        chosen = [
+            c.endpoint.endpoint_id for c in fleet.selection.candidates("s", set())
+        ]
         self.assertEqual(chosen, ["e299"])
 
     # The time of placement grew with the number of endpoints: 1.4 ms at 82 of them.
@@ -114,7 +116,7 @@
                     plan = fleet.placement.plan(
                         "m", 12_000, parts, fleet.index("s"), 100.0
                     )
-                    found = fleet.candidates("s", set(), plan.shared_part_id)
+                    found = fleet.selection.candidates("s", set(), plan.shared_part_id)
                     fleet.placement.rank(plan, found, 100.0)
                 best = min(best, (perf_counter() - started_at) / 100)
             times.append(best)
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -55,12 +55,14 @@
 ) -> None:
     """Record the notices of one response."""
     metadata = ResponseMetadata("r1", True, True, 0.0, leaving, retry_after)
-    fleet.record_notices(fleet.handle_by_id[endpoint_id], "r1", metadata, fleet.now())
+    fleet.notice_recorder.record(
+        fleet.handle_by_id[endpoint_id], "r1", metadata, fleet.now()
+    )
 
 
 def usable(fleet: FleetView) -> set[str]:
     """Return the endpoints that may get a request."""
-    return {h.endpoint.endpoint_id for h in fleet.usable("s", set())}
+    return {h.endpoint.endpoint_id for h in fleet.selection.usable("s", set())}
 
 
 class LeavingTest(CaseTest):
@@ -81,7 +83,7 @@
             with self.subTest(seconds):
                 self.assertEqual(usable(fleet), expected)
                 self.assertEqual(
-                    fleet.may_send(fleet.handle_by_id["e0"]), bool(expected)
+                    fleet.selection.may_send(fleet.handle_by_id["e0"]), bool(expected)
                 )
 
     def test_notices_later_on_do_not_extend_the_time(self) -> None:
@@ -113,16 +115,16 @@
         fleet = make_fleet(endpoints_of(2), clock)
         notify(fleet, "e0", leaving=True)
         notify(fleet, "e1", leaving=True)
-        self.assertEqual(fleet.held_back("s"), {"leaving": ["e0", "e1"]})
+        self.assertEqual(fleet.selection.held_back("s"), {"leaving": ["e0", "e1"]})
         fleet.apply_announcements(
             [evolve(endpoints_of(2)[0], sequence=2, state=EndpointState.DRAINING)]
         )
         fleet.record_unreachable(fleet.handle_by_id["e1"], "refused")
         self.assertEqual(usable(fleet), set())
-        self.assertEqual(fleet.held_back("s"), {"leaving": ["e0", "e1"]})
-        self.assertEqual(fleet.held_back("other"), {})
+        self.assertEqual(fleet.selection.held_back("s"), {"leaving": ["e0", "e1"]})
+        self.assertEqual(fleet.selection.held_back("other"), {})
         clock[0] += DRAIN_SECONDS
-        self.assertEqual(fleet.held_back("s"), {"left": ["e0", "e1"]})
+        self.assertEqual(fleet.selection.held_back("s"), {"left": ["e0", "e1"]})
 
     def test_restart_is_a_new_endpoint(self) -> None:
         clock = [100.0]
@@ -163,7 +165,9 @@
         sends: list[float] = []
         for step in range(300):
             clock[0] = 100.0 + step / 100
-            while usable(fleet) and fleet.may_send(handle) and len(sends) < 99:
+            while (
+                usable(fleet) and fleet.selection.may_send(handle) and len(sends) < 99
+            ):
                 fleet.notices.record_send(handle.endpoint, clock[0])
                 sends.append(clock[0])
         self.assertEqual(sends[0], 102.0)
@@ -198,15 +202,15 @@
     def test_all_endpoints_pause(self) -> None:
         clock = [100.0]
         fleet = make_fleet(endpoints_of(3), clock)
-        self.assertIsNone(fleet.pause_remaining("s"))
+        self.assertIsNone(fleet.selection.pause_remaining("s"))
         for number, value in enumerate(("4", "2", "9")):
             notify(fleet, f"e{number}", retry_after=value)
         self.assertEqual(usable(fleet), set())
-        self.assertAlmostEqual(fleet.pause_remaining("s") or 0.0, 2.0)
-        self.assertEqual(fleet.held_back("s"), {"paused": ["e0", "e1", "e2"]})
+        self.assertAlmostEqual(fleet.selection.pause_remaining("s") or 0.0, 2.0)
+        self.assertEqual(fleet.selection.held_back("s"), {"paused": ["e0", "e1", "e2"]})
         # A leaving endpoint is not one to come back to.
         notify(fleet, "e1", leaving=True)
-        self.assertAlmostEqual(fleet.pause_remaining("s") or 0.0, 4.0)
+        self.assertAlmostEqual(fleet.selection.pause_remaining("s") or 0.0, 4.0)
 
     def test_health_and_other_routers_are_not_affected(self) -> None:
         clock = [100.0]
@@ -253,7 +257,7 @@
             clock[0] += 1.0
             with self.subTest(text):
                 metadata = ResponseMetadata("r1", True, True, 0.0, rate_limit=text)
-                fleet.record_notices(handle, "r1", metadata, clock[0])
+                fleet.notice_recorder.record(handle, "r1", metadata, clock[0])
                 self.assertEqual(handle.rate_notice.requests_per_second, expected)
 
 
@@ -293,7 +297,7 @@
                 fleet.apply_announcements([endpoints_of(4)[number]])
             for other in usable(fleet):
                 key = (other, born[other])
-                self.assertTrue(fleet.may_send(fleet.handle_by_id[other]))
+                self.assertTrue(fleet.selection.may_send(fleet.handle_by_id[other]))
                 self.assertLess(clock[0] - leaving.get(key, clock[0]), DRAIN_SECONDS)
                 self.assertGreaterEqual(clock[0], pause.get(key, 0.0))
                 fleet.notices.record_send(fleet.handle_by_id[other].endpoint, clock[0])
@@ -416,7 +420,7 @@
         leaving, seconds = self.rng.random() < 0.2, self.rng.choice((0.0, 0.4, 3.0))
         value = f"{seconds:.1f}" if seconds else None
         metadata = ResponseMetadata("r1", True, True, 0.0, leaving, value)
-        self.fleet.record_notices(handle, "r1", metadata, self.fleet.now())
+        self.fleet.notice_recorder.record(handle, "r1", metadata, self.fleet.now())
         now = self.clock[0]
         if leaving:
             self.leaving_at.setdefault(key, now)
@@ -428,7 +432,7 @@
     def check(self, case: CaseTest) -> None:
         """Compare the endpoints that may get a request with the model; send some."""
         now = self.clock[0]
-        chosen = self.fleet.usable("s", set())
+        chosen = self.fleet.selection.usable("s", set())
         free, leaving = self._expected()
         by_key = {_key(handle): handle for handle in chosen}
         # After a pause the router may hold requests back for a little longer.
@@ -446,8 +450,8 @@
             case.assertLessEqual(by_key.keys(), free)
         case.assertEqual(self.ended & {_key(h) for h in chosen}, set())
         for handle in chosen:
-            case.assertTrue(self.fleet.may_send(handle))
-        for candidate in self.fleet.candidates("s", set()):
+            case.assertTrue(self.fleet.selection.may_send(handle))
+        for candidate in self.fleet.selection.candidates("s", set()):
             case.assertIn(candidate.endpoint.endpoint_id, {key[0] for key in by_key})
         if not chosen:
             self.counts["none"] += 1
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -434,13 +434,15 @@
         handle = fleet.handle_by_id["e0"]
         for seconds, is_used in ((0.0, True), (0.9, True), (1.1, False), (9.0, False)):
             clock[0] = 100.0 + seconds
-            self.assertEqual(fleet.usable("s", set(), "v1"), [handle] * is_used)
-            self.assertEqual(fleet.may_send(handle), is_used)
+            self.assertEqual(
+                fleet.selection.usable("s", set(), "v1"), [handle] * is_used
+            )
+            self.assertEqual(fleet.selection.may_send(handle), is_used)
 
     # How long it has been draining is not known.
     def test_endpoint_that_drained_before_the_router_started_is_not_used(self) -> None:
         fleet = make_fleet([self.DRAINING, self.NEW], [100.0])
-        self.assertEqual(fleet.usable("s", set(), "v1"), [])
+        self.assertEqual(fleet.selection.usable("s", set(), "v1"), [])
 
     # It granted again and again what was then not sent.
     def test_draining_endpoint_that_has_left_is_not_used(self) -> None:
@@ -449,14 +451,14 @@
         notify(fleet, "e0", leaving=True)
         clock[0] += DRAIN_SECONDS
         fleet.apply_announcements([self.DRAINING])
-        self.assertFalse(fleet.may_send(fleet.handle_by_id["e0"]))
-        self.assertEqual(fleet.usable("s", set(), "v1"), [])
+        self.assertFalse(fleet.selection.may_send(fleet.handle_by_id["e0"]))
+        self.assertEqual(fleet.selection.usable("s", set(), "v1"), [])
 
     def test_ready_endpoint_of_the_version_goes_first(self) -> None:
         other = evolve(self.OLD, endpoint_id="e2", address="10.0.0.3:80")
         fleet = make_fleet([self.OLD, self.NEW, other], [100.0])
         fleet.apply_announcements([self.DRAINING])
-        found = fleet.usable("s", set(), "v1")
+        found = fleet.selection.usable("s", set(), "v1")
         self.assertEqual([handle.endpoint.endpoint_id for handle in found], ["e2"])
 
 
