Use the connection pool that the view has when a crash is checked

The emulator replaces the pool after construction; the split had kept the first one, and a run stalled in a real connection. A test replaces the bids of a request in place of a method that moved.

--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -145,7 +145,7 @@
         self.quarantine = Quarantine(self.settings.node_id)
         self.parts = PartChecks(
             self.quarantine,
-            self.pool,
+            lambda: self.pool,
             self.events,
             self.now,
             self.record_unreachable,
--- a/pistachiolever/gateway/part_checks.py
+++ b/pistachiolever/gateway/part_checks.py
@@ -30,7 +30,7 @@
     """Applies the quarantine to requests, and gives it evidence."""
 
     quarantine: Quarantine
-    pool: ConnectionPool
+    get_pool: Callable[[], ConnectionPool]
     events: EventLogger
     now: Callable[[], float]
     record_unreachable: Callable[[EndpointHandle, str], None]
@@ -62,10 +62,10 @@
         """
         if not self.quarantine.suspects(part_ids, self.now()):
             return False
-        endpoint = handle.endpoint
+        endpoint, pool = handle.endpoint, self.get_pool()
         await sleep(CRASH_CHECK_DELAY_SECONDS)
         try:
-            connection = await self.pool.open(endpoint.address, CRASH_CHECK_SECONDS)
+            connection = await pool.open(endpoint.address, CRASH_CHECK_SECONDS)
         except PeerClosedError as error:
             if error.is_local:
                 return False
@@ -73,7 +73,7 @@
             if not error.refused:
                 return False
         else:
-            await self.pool.release(connection, CRASH_CHECK_KEEP_ALIVE_SECONDS)
+            await pool.release(connection, CRASH_CHECK_KEEP_ALIVE_SECONDS)
             return True
         incarnation = f"{endpoint.endpoint_id}/{endpoint.born_ms}"
         suspected = self.quarantine.record_crash(incarnation, part_ids, self.now())
--- a/tests/gateway/test_continued_streams.py
+++ b/tests/gateway/test_continued_streams.py
@@ -8,6 +8,7 @@
 
 from pistachiolever.admission.models import Bid, BidReply, Load
 from pistachiolever.gateway.attempt import Attempt
+from pistachiolever.gateway.bidding import Bidding
 from pistachiolever.gateway.endpoint_handle import EndpointHandle
 from pistachiolever.gateway.event_stream import EventSplitter
 from pistachiolever.gateway.fleet import FleetView
@@ -179,12 +180,12 @@
 
 
 @define(eq=False)
-class LateGrantProcessor(RequestProcessor):
+class LateBidding(Bidding):
     """Gets the grant of another endpoint after the first event of the stalled one."""
 
     granted: Any = None
 
-    async def _acquire_grant(self, elsewhere: bool = False) -> EndpointHandle | None:
+    async def acquire(self, elsewhere: bool = False) -> EndpointHandle | None:
         """Return the other endpoint, once the stream has begun at the first one."""
         self.request.origin = StreamOrigin("s", "v1")
         handle: EndpointHandle = self.granted
@@ -212,12 +213,11 @@
         for endpoint_id, is_taken in (("e0", True), ("e1", False)):
             with self.subTest(endpoint_id):
                 self.released.clear()
-                processor = LateGrantProcessor(
-                    self.fleet,
-                    HeaderFormat(),
-                    self.request,
-                    RecordingSink(),
-                    granted=self.handles[endpoint_id],
+                processor = RequestProcessor(
+                    self.fleet, HeaderFormat(), self.request, RecordingSink()
+                )
+                processor.bidding = LateBidding(
+                    self.fleet, self.request, granted=self.handles[endpoint_id]
                 )
                 found = run(processor._find_successor, lambda: True)
                 self.assertEqual(found, is_taken)
