Let operators evacuate a failure domain

Operators had no way to take a failure domain out of use. Orders are commands of the replicated log, which members send to routers as a set with a revision. A service without other endpoints is refused at once.

A watcher applies a configuration only after the set, so that a restarted router is not ready before. Watchers of earlier versions get no set.

--- a/pistachiolever/control/commands.py
+++ b/pistachiolever/control/commands.py
@@ -64,8 +64,28 @@
     announcement: Announcement
 
 
+@frozen
+class StartEvacuation:
+    """Send nothing more to the endpoints of a failure domain."""
+
+    domain: str
+
+
+@frozen
+class EndEvacuation:
+    """Send requests to the endpoints of a failure domain again."""
+
+    domain: str
+
+
 Command = (
-    ApplyDeclarations | OpenClaim | CloseClaim | StoreConfiguration | RecordDeparture
+    ApplyDeclarations
+    | OpenClaim
+    | CloseClaim
+    | StoreConfiguration
+    | RecordDeparture
+    | StartEvacuation
+    | EndEvacuation
 )
 
 
@@ -82,6 +102,13 @@
     """Result of RecordDeparture."""
 
 
+@frozen
+class EvacuationStored:
+    """Result of StartEvacuation and EndEvacuation: the revision then in force."""
+
+    revision: int
+
+
 @frozen
 class ChangeResult:
     """Result of ApplyDeclarations.
--- a/pistachiolever/control/state.py
+++ b/pistachiolever/control/state.py
@@ -11,8 +11,11 @@
     Command,
     ConfigurationStored,
     DepartureRecorded,
+    EndEvacuation,
+    EvacuationStored,
     OpenClaim,
     RecordDeparture,
+    StartEvacuation,
     StoreConfiguration,
     decode_command,
 )
@@ -26,6 +29,7 @@
 )
 from pistachiolever.core.verdict import Verdict
 from pistachiolever.discovery.models import Announcement, EndpointState
+from pistachiolever.evacuation.models import EvacuationOrders
 from pistachiolever.wire.models import ClaimAnswer, ClaimClosed
 
 
@@ -61,7 +65,12 @@
 
 
 Result = (
-    ChangeResult | ClaimAnswer | ClaimClosed | ConfigurationStored | DepartureRecorded
+    ChangeResult
+    | ClaimAnswer
+    | ClaimClosed
+    | ConfigurationStored
+    | DepartureRecorded
+    | EvacuationStored
 )
 
 
@@ -82,6 +91,7 @@
     configuration: StoredConfiguration = StoredConfiguration()
     departure_by_endpoint: dict[str, Announcement] = field(factory=dict)
     departure_count: int = 0
+    evacuations: EvacuationOrders = EvacuationOrders()
 
     def apply(self, command: Command) -> Result:
         """Apply one committed command."""
@@ -93,6 +103,11 @@
             return self._store_configuration(command)
         if isinstance(command, RecordDeparture):
             return self._record_departure(command.announcement)
+        if isinstance(command, StartEvacuation):
+            return self._store_evacuations(self.evacuations.with_domain(command.domain))
+        if isinstance(command, EndEvacuation):
+            rest = self.evacuations.without_domain(command.domain)
+            return self._store_evacuations(rest)
         return self._close_claim(command)
 
     def apply_text(self, text: str) -> Result:
@@ -118,6 +133,7 @@
         self.configuration = other.configuration
         self.departure_by_endpoint = other.departure_by_endpoint
         self.departure_count = other.departure_count
+        self.evacuations = other.evacuations
 
     # Configurations.
 
@@ -128,6 +144,13 @@
             self.configuration = StoredConfiguration(command.version, command.document)
         return ConfigurationStored(self.configuration.version, changed)
 
+    # Evacuations of failure domains.
+
+    def _store_evacuations(self, orders: EvacuationOrders) -> EvacuationStored:
+        """Store the orders; those of a repeated command are the ones in force."""
+        self.evacuations = orders
+        return EvacuationStored(orders.revision)
+
     # Departures of endpoints.
 
     def knows_departure(self, announcement: Announcement) -> bool:
--- /dev/null
+++ b/pistachiolever/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Failure domains that operators evacuate."""
--- a/pistachiolever/gateway/endpoint_selection.py
+++ b/pistachiolever/gateway/endpoint_selection.py
@@ -4,9 +4,11 @@
 from random import Random
 from typing import Final
 
-from attrs import define
+from attrs import define, field
 
 from pistachiolever.discovery.models import EndpointState
+from pistachiolever.evacuation.const import EVACUATED
+from pistachiolever.evacuation.view import EvacuationView
 from pistachiolever.events.const import EventCode
 from pistachiolever.events.logger import EventLogger
 from pistachiolever.gateway.const import DRAINING_USE_FRACTION
@@ -38,17 +40,34 @@
     find_index: Callable[[str, str | None], ServiceIndex]
     handle_by_id: dict[str, EndpointHandle]
     draining_since_by_id: dict[str, float]
+    evacuations: EvacuationView = field(factory=EvacuationView)
 
     def may_send(self, handle: EndpointHandle) -> bool:
-        """Return whether the notices of a chosen endpoint allow a request now.
+        """Return whether evacuations and notices allow a request to a chosen endpoint.
 
         A leaving endpoint is chosen only if no other one can serve the request.
         """
         restriction = self.notices.restriction(handle.endpoint, self.now())
-        if restriction not in SENDABLE:
-            self._count_held_back(handle, restriction)
+        if self._is_evacuated(handle):
+            self._count_held_back(handle, EVACUATED)
+        elif restriction not in SENDABLE:
+            self._count_held_back(handle, restriction.value)
         return self._allows_request(handle)
 
+    def _is_evacuated(self, handle: EndpointHandle) -> bool:
+        """Return whether an endpoint is in an evacuated failure domain."""
+        return self.evacuations.covers(handle.endpoint.failure_domain)
+
+    def all_evacuated(self, service_id: str, version: str | None = None) -> bool:
+        """Return whether evacuations leave no endpoint of a service.
+
+        With a `version` only endpoints of that one count.
+        """
+        ids = self.find_index(service_id, version).ready.ids
+        if not ids or not self.evacuations.domains:
+            return False
+        return all(self._is_evacuated(self.handle_by_id[item]) for item in ids)
+
     def held_back(self, service_id: str) -> dict[str, list[str]]:
         """Return the restricted endpoints of a service, by kind of restriction.
 
@@ -87,13 +106,9 @@
             return None
         return min(staying) - now
 
-    def _count_held_back(
-        self, handle: EndpointHandle, restriction: Restriction
-    ) -> None:
-        """Count a dispatch that a notice prevented."""
-        self.instruments.count(
-            HELD_BACK, handle.endpoint.endpoint_id, restriction.value
-        )
+    def _count_held_back(self, handle: EndpointHandle, reason: str) -> None:
+        """Count a dispatch that a notice or an evacuation prevented."""
+        self.instruments.count(HELD_BACK, handle.endpoint.endpoint_id, reason)
 
     def _record_ended_pauses(self) -> None:
         """Log the pauses that no longer limit requests."""
@@ -155,11 +170,13 @@
         ]
 
     def _allows_request(self, handle: EndpointHandle) -> bool:
-        """Return whether neither notices nor a drain prevent a request now.
+        """Return whether no evacuation, notice or drain prevents a request now.
 
         Control may have learned of the drain somewhat earlier than this router.
         """
         endpoint = handle.endpoint
+        if self._is_evacuated(handle):
+            return False
         if self.notices.restriction(endpoint, self.now()) not in SENDABLE:
             return False
         if endpoint.state is EndpointState.READY:
@@ -188,7 +205,7 @@
                 continue
             if restriction is Restriction.LEAVING:
                 leaving.append(handle)
-            self._count_held_back(handle, restriction)
+            self._count_held_back(handle, restriction.value)
         return usable, leaving
 
     def _ready(
@@ -215,5 +232,6 @@
             and version in (None, handle.endpoint.version)
             and handle.endpoint.state is EndpointState.READY
             and handle.endpoint.endpoint_id not in avoid
+            and not self._is_evacuated(handle)
             and not handle.health.is_ejected(now)
         ]
--- a/pistachiolever/gateway/failures.py
+++ b/pistachiolever/gateway/failures.py
@@ -3,6 +3,7 @@
 from attrs import define
 
 from pistachiolever.core.pause import PAUSE_RAMP_SECONDS
+from pistachiolever.evacuation.const import EVACUATED
 from pistachiolever.events.const import EventCode
 from pistachiolever.gateway.attempt import BufferedResponse, ResponseSink
 from pistachiolever.gateway.bidding import Bidding
@@ -36,6 +37,8 @@
         """Return why no endpoint granted the request."""
         service_id = self.request.service.service_id
         version = self.request.version
+        if self.fleet.selection.all_evacuated(service_id, version):
+            return EVACUATED
         if self.fleet.selection.pause_remaining(service_id, version) is not None:
             return "paused"
         if version is None or self.fleet.index(service_id, version).ready.ids:
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -15,6 +15,8 @@
 from pistachiolever.discovery.directory import EndpointDirectory
 from pistachiolever.discovery.models import Announcement, EndpointState
 from pistachiolever.edge.peers import ConnectionPool, PeerClient
+from pistachiolever.evacuation.models import EvacuationOrders
+from pistachiolever.evacuation.view import EvacuationView
 from pistachiolever.events.const import EventCode
 from pistachiolever.events.logger import EventLogger
 from pistachiolever.gateway.admission_clients import (
@@ -94,6 +96,7 @@
     placement: Placement = field(init=False)
     budget: RetryBudget = field(init=False)
     notices: EndpointNotices = field(init=False)
+    evacuations: EvacuationView = field(factory=EvacuationView)
     incarnations: IncarnationCheck = field(init=False)
     selection: EndpointSelection = field(init=False)
     notice_recorder: NoticeRecorder = field(init=False)
@@ -138,6 +141,7 @@
             self.index,
             self.handle_by_id,
             self.draining_since_by_id,
+            self.evacuations,
         )
         self.notice_recorder = NoticeRecorder(
             self.settings, self.events, self.notices, self.now
@@ -189,6 +193,20 @@
             routes=len(configuration.routes),
         )
 
+    def apply_evacuations(self, orders: EvacuationOrders) -> None:
+        """Apply which domains are evacuated; withdraw undecided bids there."""
+        change = self.evacuations.apply(orders)
+        if change is None:
+            return
+        for handle in self.handle_by_id.values():
+            if handle.endpoint.failure_domain in change.started:
+                handle.withdraw_bids()
+        self.events.record(
+            EventCode.EVACUATION_APPLIED,
+            revision=orders.revision,
+            domains=orders.domains,
+        )
+
     def apply_announcements(self, announcements: list[Announcement]) -> None:
         """Merge announcements of endpoints."""
         now = self.now()
--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -131,6 +131,10 @@
         gauge("pistachiolever_connections", lambda: len(self.public_server.connections))
         gauge("pistachiolever_endpoint_connections", lambda: self.fleet.pool.open_count)
         gauge("pistachiolever_routers", lambda: self.fleet.budget.router_count)
+        gauge(
+            "pistachiolever_evacuated_domains",
+            lambda: len(self.fleet.evacuations.domains),
+        )
         gauge("pistachiolever_registry_in_touch", self.watcher.is_connected)
         gauge(
             "pistachiolever_quarantined_parts",
@@ -277,7 +281,10 @@
     # Readiness.
 
     def is_ready(self) -> bool:
-        """Return whether the load balancer should send new connections."""
+        """Return whether the load balancer should send new connections.
+
+        The watcher applies no configuration before the orders of evacuation.
+        """
         if self.draining or self.fleet.table is None:
             return False
         if self.guard.level > Overload.NONE:
--- a/pistachiolever/metrics/instruments.py
+++ b/pistachiolever/metrics/instruments.py
@@ -62,7 +62,7 @@
 )
 HELD_BACK: Final = Instrument(
     "pistachiolever_held_back",
-    "Dispatches that an endpoint's notice prevented",
+    "Dispatches that an endpoint's notice, or an evacuation, prevented",
     ("endpoint", "notice"),
 )
 SHED: Final = Instrument(
@@ -142,6 +142,9 @@
     Instrument(
         "pistachiolever_registry_in_touch", "1 while a registry member responds"
     ),
+    Instrument(
+        "pistachiolever_evacuated_domains", "Failure domains that get no requests"
+    ),
     Instrument("pistachiolever_leads", "1 while this member is the leader"),
     Instrument("pistachiolever_members", "Voting members"),
     Instrument("pistachiolever_term", "Current Raft term"),
--- a/pistachiolever/platform/control.py
+++ b/pistachiolever/platform/control.py
@@ -1,5 +1,7 @@
 """HTTP API of the registry for operators and endpoints."""
 
+from urllib.parse import unquote_to_bytes
+
 from attrs import define
 from orjson import dumps
 
@@ -16,8 +18,12 @@
     decode_announcement,
     decode_start_time,
 )
-from pistachiolever.platform.names import CONFIGURATION_PATH, INSTANCES_PATH
-from pistachiolever.registry.errors import UnavailableError
+from pistachiolever.platform.names import (
+    CONFIGURATION_PATH,
+    EVACUATIONS_PATH,
+    INSTANCES_PATH,
+)
+from pistachiolever.registry.errors import InvalidDomainError, UnavailableError
 from pistachiolever.registry.process import RegistryProcess
 from pistachiolever.routing.errors import InvalidConfigurationError
 
@@ -48,6 +54,11 @@
                     endpoint_id, decode_start_time(body)
                 )
                 await self._answer(exchange, 200, b"{}")
+            elif path.startswith(EVACUATIONS_PATH) and method in (b"POST", b"DELETE"):
+                calls = self.registry.evacuations
+                order = calls.start if method == b"POST" else calls.end
+                await order(_domain(path))
+                await self._answer(exchange, 200, b"{}")
             else:
                 await self._answer(exchange, 404, _error("unknown method or path"))
         except InvalidConfigurationError as error:
@@ -58,6 +69,9 @@
             self._record_refusal(EventCode.ANNOUNCEMENT_REFUSED, f"{path}: {error}")
             self._count(ANNOUNCEMENTS, "invalid")
             await self._answer(exchange, 400, _error(str(error)))
+        except InvalidDomainError as error:
+            self._record_refusal(EventCode.EVACUATION_REFUSED, str(error))
+            await self._answer(exchange, 400, _error(str(error)))
         except UnavailableError as error:
             await self._answer(exchange, 503, _error(str(error)))
 
@@ -91,6 +105,15 @@
         self.registry.events.record(code, error=error)
 
 
+def _domain(path: str) -> str:
+    """Return the failure domain that a path ends with; raise InvalidDomainError."""
+    name = unquote_to_bytes(path[len(EVACUATIONS_PATH) :].encode("latin-1"))
+    try:
+        return name.decode()
+    except UnicodeDecodeError as error:
+        raise InvalidDomainError("the failure domain is not UTF-8") from error
+
+
 def _error(message: str) -> bytes:
     """Return the JSON body of an error response."""
     return dumps({"error": message})
--- a/pistachiolever/platform/names.py
+++ b/pistachiolever/platform/names.py
@@ -8,6 +8,7 @@
 READY_PATH: Final = "/api/ready"
 CONFIGURATION_PATH: Final = "/api/config"
 INSTANCES_PATH: Final = "/api/instances/"
+EVACUATIONS_PATH: Final = "/api/evacuate/"
 REPORT_PATH: Final = "/api/report"
 # Also in deploy/system.toml.
 METRICS_PORT: Final = 9464
--- a/pistachiolever/registry/errors.py
+++ b/pistachiolever/registry/errors.py
@@ -3,3 +3,7 @@
 
 class UnavailableError(Exception):
     """This member cannot confirm the result now; retry later or at another member."""
+
+
+class InvalidDomainError(Exception):
+    """An order names no failure domain that could exist."""
--- a/pistachiolever/registry/process.py
+++ b/pistachiolever/registry/process.py
@@ -42,6 +42,7 @@
     WATCH_PATH,
 )
 from pistachiolever.registry.endpoint_replicator import EndpointReplicator
+from pistachiolever.registry.evacuation_calls import EvacuationCalls
 from pistachiolever.registry.leader_calls import LeaderCalls
 from pistachiolever.registry.models import (
     Accepted,
@@ -100,6 +101,7 @@
     core: RaftCore = field(init=False)
     consensus: ConsensusNode = field(init=False)
     leader_calls: LeaderCalls = field(init=False)
+    evacuations: EvacuationCalls = field(init=False)
     endpoints: EndpointReplicator = field(init=False)
     watches: WatchService = field(init=False)
     usage: UsageExchange = field(init=False)
@@ -132,6 +134,7 @@
         self.leader_calls = LeaderCalls(
             self.core, self.consensus, self.state, self.client
         )
+        self.evacuations = EvacuationCalls(self.leader_calls, self.state, self.events)
         self.endpoints = EndpointReplicator(
             self.client,
             self.events,
@@ -171,6 +174,7 @@
             "pistachiolever_endpoints", lambda: len(self.endpoints.directory.active())
         )
         gauge("pistachiolever_routers", lambda: aggregate.router_count(self.now()))
+        gauge("pistachiolever_evacuated_domains", self.evacuations.count)
         gauge("pistachiolever_leads", lambda: self.core.is_leader)
         gauge("pistachiolever_members", lambda: len(self.core.members))
         gauge("pistachiolever_term", lambda: self.core.term)
--- a/pistachiolever/registry/watch_service.py
+++ b/pistachiolever/registry/watch_service.py
@@ -97,6 +97,7 @@
             request.life != self.aggregate.life
             or self.published_change > request.change
             or self._has_newer_configuration(request)
+            or self._has_newer_evacuations(request)
             or (request.wants_usage and self.aggregate.number > request.usage)
             or self.members() != request.members
         )
@@ -125,6 +126,13 @@
             return False
         return self.caught_up and not self.is_behind()
 
+    def _has_newer_evacuations(self, request: WatchRequest) -> bool:
+        """Return whether there are orders of evacuation to send to a watcher."""
+        known = request.evacuations
+        if known is None or self.state.evacuations.revision <= known:
+            return False
+        return self.caught_up and not self.is_behind()
+
     def _make_reply(self, request: WatchRequest) -> WatchReply:
         """Return the updates for a watcher."""
         current, now = self.state.configuration, self.now()
@@ -145,4 +153,5 @@
             usage,
             self.is_behind(),
             self._expired_since(request.change) if knows else [],
+            self.state.evacuations if self._has_newer_evacuations(request) else None,
         )
--- a/pistachiolever/registry/watcher.py
+++ b/pistachiolever/registry/watcher.py
@@ -10,6 +10,7 @@
 from pistachiolever.discovery.models import Announcement
 from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.peers import PeerClient
+from pistachiolever.evacuation.models import EvacuationOrders
 from pistachiolever.events.const import EventCode
 from pistachiolever.events.logger import EventLogger
 from pistachiolever.registry.const import (
@@ -29,6 +30,9 @@
     def apply_configuration(self, version: int, document: str) -> None:
         """Apply a configuration that is newer than all previous ones."""
 
+    def apply_evacuations(self, orders: EvacuationOrders) -> None:
+        """Apply orders of evacuation, unless newer ones are known."""
+
     def apply_announcements(self, announcements: list[Announcement]) -> None:
         """Merge announcements of endpoints."""
 
@@ -46,7 +50,9 @@
 class RegistryWatcher:
     """Watches WATCHED_MEMBERS members, so that none alone can delay an update.
 
-    The first one also tells the sums of usage and the loads.
+    The first one also tells the sums of usage and the loads. A configuration is applied
+    only once orders of evacuation are known (`evacuations` is then their revision, at
+    least 0): a restarted router serves nothing before.
     """
 
     choice: MemberChoice
@@ -55,6 +61,7 @@
     events: EventLogger
     now: Callable[[], float] = current_time
     version: int = -1
+    evacuations: int = -1
     primary: str = ""
     scope_by_address: dict[str, CancelScope] = field(factory=dict)
     _group: TaskGroup | None = None
@@ -94,6 +101,7 @@
                 request = evolve(
                     request,
                     version=self.version,
+                    evacuations=self.evacuations,
                     wants_usage=address == self.primary,
                 )
                 try:
@@ -114,15 +122,22 @@
                     usage=reply.usage.number if reply.usage else -1,
                     members=reply.members,
                 )
+                if reply.document and self.version < reply.version:
+                    # A member of an earlier version sends no orders of evacuation.
+                    await sleep(WATCH_RETRY_SECONDS)
         del self.scope_by_address[address]
 
     def _apply(self, reply: WatchReply) -> None:
         """Pass the updates in a reply to the listener."""
+        if reply.evacuations is not None:
+            self.evacuations = max(self.evacuations, reply.evacuations.revision)
+            self.listener.apply_evacuations(reply.evacuations)
         if reply.announcements:
             self.listener.apply_announcements(reply.announcements)
         if reply.expired:
             self.listener.apply_expired(reply.expired)
-        if reply.document and reply.version > self.version:
+        is_newer = reply.document and reply.version > self.version
+        if is_newer and self.evacuations >= 0:
             self.version = reply.version
             self.listener.apply_configuration(reply.version, reply.document)
         if reply.members:
--- /dev/null
+++ b/tests/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the evacuation of failure domains."""
--- a/tests/platform_adapter/test_boundary.py
+++ b/tests/platform_adapter/test_boundary.py
@@ -52,6 +52,8 @@
     "/api/instances",
     "/api/report",
     "/api/ready",
+    "/api/evacuate",
+    "evacuatems",
 ]
 MAX_ADAPTER_LINES = 800
 
--- a/tests/registry/test_process.py
+++ b/tests/registry/test_process.py
@@ -13,6 +13,7 @@
 from pistachiolever.control.storage import FolderDisk, LogStorage
 from pistachiolever.discovery.models import Announcement, EndpointState
 from pistachiolever.edge.peers import PeerClient
+from pistachiolever.evacuation.models import EvacuationOrders
 from pistachiolever.events.logger import EventLogger
 from pistachiolever.http1.models import HttpLimits
 from pistachiolever.http1.server import HttpServer
@@ -257,11 +258,16 @@
     born_by_id: dict[str, int] = field(factory=dict)
     router_count: int = 0
     usage_number: int = -1
+    orders: EvacuationOrders = EvacuationOrders(-1)
 
     def apply_configuration(self, version: int, document: str) -> None:
         """Store a version."""
         self.versions.append(version)
 
+    def apply_evacuations(self, orders: EvacuationOrders) -> None:
+        """Store the orders of evacuation."""
+        self.orders = orders
+
     def apply_announcements(self, announcements: list[Announcement]) -> None:
         """Store the states of endpoints."""
         for announcement in announcements:
