Keep to the rate of cold engines, over all routers

A cold engine crashes well above the rate that its service names; a returning domain got 21 requests in one second where 20 were allowed. Bids now carry the rate, the health path and what the engine announced. The agent limits grants by a token bucket while the engine is or may be cold, and asks it once after each event that makes this unknown. Where the agent does not respond, routers share what the overage leaves beside its grants; without an agent, the whole rate. Services without a cold rate are neither limited nor asked.

--- a/pistachiolever/admission/agent.py
+++ b/pistachiolever/admission/agent.py
@@ -23,6 +23,7 @@
     ProgressReply,
 )
 from pistachiolever.admission.settings import AgentSettings
+from pistachiolever.core.mailbox import Mailbox
 from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.peers import PeerApi
 from pistachiolever.events.const import EventCode
@@ -38,6 +39,13 @@
         """Return the engine's report; raise PeerError."""
 
 
+class HealthProbe(Protocol):
+    """Sends health checks to an engine."""
+
+    async def cold_seconds(self, health_path: str) -> float:
+        """Return how long the engine stays cold, 0 if it is warm; raise PeerError."""
+
+
 @define
 class AgentProcess:
     """Admission control for the engine on this VM.
@@ -50,10 +58,12 @@
     events: EventLogger
     rng: Random
     instruments: Instruments = field(factory=Instruments)
+    health: HealthProbe | None = None
     controller: AdmissionController = field(init=False)
     engine_born_ms: int = 0
     engine_unresponsive: bool = False
     engine_known: bool = False
+    questions: Mailbox[int] = field(factory=Mailbox)
 
     def __attrs_post_init__(self) -> None:
         """Create the controller with one slot and register the gauges.
@@ -61,7 +71,10 @@
         Bids carry the engine's real capacity, so the first one sets it.
         """
         core = AdmissionCore(Capacity(1), self.rng)
-        self.controller = AdmissionController(core, current_time)
+        core.cold_start.can_ask = self.health is not None
+        self.controller = AdmissionController(
+            core, current_time, before_review=self._ask_if_cold
+        )
         gauge = self.instruments.gauge
         gauge("pistachiolever_waiting", lambda: len(core.queued_by_id))
         gauge("pistachiolever_running", lambda: len(core.run_by_id))
@@ -70,6 +83,10 @@
             lambda: core.pending_prefill_tokens(self.controller.now()),
         )
         gauge("pistachiolever_reading_share", lambda: core.throttle.fraction)
+        gauge(
+            "pistachiolever_cold",
+            lambda: core.cold_start.is_limited(self.controller.now()),
+        )
         gauge("pistachiolever_token_seconds", lambda: core.throttle.seconds_per_token)
 
     def make_reporter(self, settings: AgentSettings) -> UsageReporter:
@@ -84,6 +101,7 @@
         async with create_task_group() as group:
             group.start_soon(self.controller.run)
             group.start_soon(self._watch_engine)
+            group.start_soon(self._check_health)
 
     def api(self, secret: str = "") -> PeerApi:
         """Return the API that routers call."""
@@ -163,6 +181,7 @@
             return
         if self.engine_unresponsive:
             self.engine_unresponsive = False
+            self.controller.core.cold_start.handle_doubt(self.controller.now())
             self.events.record(EventCode.ENGINE_ANSWERS, born=report.born_ms)
         if self.engine_born_ms not in (0, report.born_ms):
             self.controller.handle_restart()
@@ -170,8 +189,35 @@
         self.engine_known = True
         self.controller.handle_report(report)
 
+    def _ask_if_cold(self) -> None:
+        """Let the engine be asked whether it is cold, if that is unknown."""
+        question = self.controller.core.cold_start.next_question(self.controller.now())
+        if question is not None:
+            self.questions.put(question)
+
+    async def _check_health(self) -> None:
+        """Ask the engine whether it is cold, once for each question."""
+        cold_start = self.controller.core.cold_start
+        while questions := await self.questions.get_all():
+            seconds, error = await self._ask_engine()
+            cold_start.handle_answer(questions[-1], seconds, self.controller.now())
+            self.events.record(
+                EventCode.ENGINE_CHECKED, seconds=seconds, error=error or None
+            )
+
+    async def _ask_engine(self) -> tuple[float | None, str]:
+        """Return how long the engine stays cold, or None and why that is unknown."""
+        service = self.controller.core.cold_start.service
+        if self.health is None or service is None:
+            return None, "no health check is configured"
+        try:
+            return await self.health.cold_seconds(service.health_path), ""
+        except PeerError as error:
+            return None, str(error)
+
     def _record_unresponsive(self, error: str) -> None:
         """Log the first of a series of failed reports."""
         if not self.engine_unresponsive:
             self.engine_unresponsive = True
+            self.controller.core.cold_start.handle_doubt(self.controller.now())
             self.events.record(EventCode.ENGINE_SILENT, error=error)
--- a/pistachiolever/admission/const.py
+++ b/pistachiolever/admission/const.py
@@ -58,3 +58,22 @@
 # Without a request for this long, a process saves no more than its part of a burst:
 # callers that were refused have come back by then.
 IDLE_RATE_SECONDS: Final = MAX_RETRY_AFTER_SECONDS
+# After this time without a run an engine is asked whether it is cold: evacuations and
+# lost domains last longer, pauses between the requests of a used engine are shorter.
+COLD_IDLE_SECONDS: Final = 1.0
+# The engine on the same VM usually answers in milliseconds; until then requests wait,
+# rather than be refused for a rate that may not apply. A health check takes longer only
+# if the engine is in trouble, and then ends after the second time.
+COLD_ANSWER_SECONDS: Final = 0.1
+HEALTH_TIMEOUT_SECONDS: Final = 1.0
+# Shortest time between a failed health check and the next one, for services that name
+# a shorter time of a start: a check has a cost.
+MIN_COLD_CHECK_SECONDS: Final = 1.0
+# A rate that no bid has named for this long does not apply any more. Routers apply a
+# new configuration within a few seconds of each other.
+COLD_NAMED_SECONDS: Final = 10.0
+# Where each process may grant less than one request at once, all together save this
+# many, or those of two reviews of the queue (REVIEW_INTERVAL_SECONDS). The rest of the
+# burst is for the chance that many grant within the same second.
+COLD_SAVED_REQUESTS: Final = 1.0
+COLD_SAVED_SECONDS: Final = 0.04
--- a/pistachiolever/admission/core.py
+++ b/pistachiolever/admission/core.py
@@ -10,6 +10,7 @@
 from attrs import define, field
 
 from pistachiolever.admission.cache import PrefixCache, keyed_parts
+from pistachiolever.admission.cold_start import ColdStart
 from pistachiolever.admission.const import (
     FIRST_CHUNK_SECONDS,
     INITIAL_PREFILL_TOKENS_PER_SECOND,
@@ -40,6 +41,7 @@
 from pistachiolever.admission.policy import AdmissionPolicy
 from pistachiolever.admission.rate_limit import RateLimit
 from pistachiolever.admission.recent_service import DecayingSum, RecentService
+from pistachiolever.admission.request_limits import RequestLimits
 from pistachiolever.admission.throttle import (
     PrefillThrottle,
     RunningResponse,
@@ -110,7 +112,8 @@
     `demand` sums the uncached prompt tokens of new bids, `within_share_demand` those of
     accounts that had received less than their fair share. `run_ends` counts recently
     ended runs, `run_seconds` sums their durations. `rate_limit` holds the request rate
-    that the endpoint has named. `streams` are those that began under its grants.
+    that the endpoint has named, `cold_start` that of a cold engine, `limits` both.
+    `streams` are those that began under its grants.
     """
 
     capacity: Capacity
@@ -134,12 +137,16 @@
     run_ends: DecayingSum = field(factory=DecayingSum)
     run_seconds: DecayingSum = field(factory=DecayingSum)
     rate_limit: RateLimit = field(init=False)
+    cold_start: ColdStart = field(init=False)
+    limits: RequestLimits = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Start with an empty cache and an unthrottled engine."""
         self.cache = PrefixCache(self.capacity.memory_tokens)
         self.throttle = PrefillThrottle(self.policy)
         self.rate_limit = RateLimit(self.rng)
+        self.cold_start = ColdStart(self.rng)
+        self.limits = RequestLimits(self.rate_limit, self.cold_start)
 
     def set_policy(self, policy: AdmissionPolicy) -> None:
         """Apply another policy to later decisions; reset the throttle."""
@@ -155,6 +162,8 @@
         if len(self.queued_by_id) >= MAX_QUEUED_REQUESTS:
             return [Refused(bid.bid_id, "queue-full", self._retry_after(1.0))]
         self.rate_limit.update(bid.named_rate, now)
+        is_busy = bool(self.run_by_id or self.untracked_running)
+        self.cold_start.observe_bid(bid.cold, is_busy, now)
         self.capacity.slots = bid.slots
         self.event_tokens = bid.event_tokens
         self.capacity.memory_tokens = bid.memory_tokens
@@ -220,6 +229,7 @@
                 self.prefill_started_at = now
             self.prefilling_ids.remove(bid_id)
         self._free_memory(run)
+        self.cold_start.handle_run(now)
         self.run_ends.add(1.0, now)
         self.run_seconds.add(now - run.granted_at, now)
         if run.started_at is None:
@@ -243,6 +253,8 @@
             self.capacity.memory_tokens = report.total_tokens
         self._adjust_throttle(report, now)
         self.untracked_running = max(0, report.running - len(self.run_by_id))
+        if report.running:
+            self.cold_start.handle_run(now)
         actions: list[AdmissionAction] = []
         for bid_id, run in list(self.run_by_id.items()):
             listed_run = listed.get(run.bid.request_id)
@@ -283,6 +295,7 @@
         """End all runs and clear the cache: the engine has restarted."""
         self.cache.clear()
         self.rate_limit.reset(now)
+        self.cold_start.handle_doubt(now)
         actions: list[AdmissionAction] = []
         for bid_id in list(self.run_by_id):
             actions.extend(self.handle_end(bid_id, 0, now))
@@ -290,7 +303,7 @@
 
     def load(self, now: float) -> Load:
         """Return the current load of the endpoint."""
-        self.rate_limit.refill(now)
+        self.limits.refill(now)
         return Load(
             self.pending_prefill_tokens(now),
             sum(queued.prefill_tokens for queued in self.queued_by_id.values()),
@@ -299,7 +312,7 @@
             self.capacity.slots,
             max(0.0, self._memory_limit() - self.reserved_tokens),
             self.prefill_tokens_per_second(),
-            self.rate_limit.wait_seconds(len(self.queued_by_id)),
+            self.limits.wait_seconds(len(self.queued_by_id), now),
         )
 
     def prefill_tokens_per_second(self) -> float:
@@ -312,7 +325,7 @@
         """Grant what fits, in fair order, and refuse what would be late."""
         if not self.queued_by_id:
             return []
-        self.rate_limit.record_demand(now)
+        self.limits.record_demand(now)
         demand_ratio = self._demand_ratio(self.demand, now)
         limits_over_share = demand_ratio > self.policy.gate_demand
         queue = FairQueue(self.service, self.policy, now, limits_over_share)
@@ -345,7 +358,7 @@
         A request that does not fit into memory is overtaken by later ones only for
         `pass_share` of its target, so that large requests are not starved.
         """
-        if not scheduled or self._is_full() or not self.rate_limit.allows():
+        if not scheduled or self._is_full() or not self.limits.allows(now):
             return None
         if (
             self.prefilling_ids
@@ -423,7 +436,7 @@
             bid, now, prefill_tokens, queued.cost, queued.deadline_at
         )
         self.throttle.consume(prefill_tokens)
-        self.rate_limit.consume()
+        self.limits.consume(now)
         if not self.prefilling_ids:
             self.prefill_started_at = now
         self.prefilling_ids.append(bid.bid_id)
@@ -465,7 +478,7 @@
             queued = entry.queued
             blocked_count += is_full or not self._fits(queued)
             wait = max(ahead / rate, blocked_count * between_ends)
-            limit_wait = self.rate_limit.wait_seconds(waiting_count)
+            limit_wait = self.limits.wait_seconds(waiting_count, now)
             is_limited = limit_wait > wait
             wait = max(wait, limit_wait)
             start = now + wait + FIRST_CHUNK_SECONDS
--- a/pistachiolever/admission/models.py
+++ b/pistachiolever/admission/models.py
@@ -2,6 +2,7 @@
 
 from attrs import field, frozen
 
+from pistachiolever.admission.cold_start import ColdService
 from pistachiolever.admission.rate_limit import NamedRate
 from pistachiolever.streams.models import StreamOrigin
 
@@ -29,7 +30,8 @@
     of its streams, `named_rate` is the request rate that the endpoint named last.
     `stream_key` is the key of the stream if its caller may resume it elsewhere, and
     `origin` where it begins or began. `born_ms` is the start time of the endpoint's
-    incarnation that must serve it, 0 for any.
+    incarnation that must serve it, 0 for any. `cold` tells of a service whose engines
+    start cold.
     """
 
     bid_id: str
@@ -53,6 +55,7 @@
     stream_key: str = ""
     origin: StreamOrigin | None = None
     born_ms: int = 0
+    cold: ColdService | None = None
 
 
 @frozen
@@ -61,7 +64,7 @@
 
     `unread_tokens` are pending prefill tokens at the engine, `queued_tokens` those of
     the `waiting` requests, which have no grant yet. `limit_seconds` is the time until
-    the rate that the endpoint named allows another request.
+    the rate that the endpoint named, or that of a cold engine, allows another request.
     """
 
     unread_tokens: float = 0.0
--- a/pistachiolever/gateway/admission_clients.py
+++ b/pistachiolever/gateway/admission_clients.py
@@ -31,6 +31,7 @@
 from pistachiolever.edge.peers import PeerClient
 from pistachiolever.events.const import EventCode
 from pistachiolever.events.logger import EventLogger
+from pistachiolever.gateway.cold_bids import suspect_cold
 from pistachiolever.gateway.const import (
     AGENT_RETRY_SECONDS,
     BID_TIMEOUT_MARGIN_SECONDS,
@@ -165,7 +166,7 @@
         """Let the decisions reckon with the other routers."""
         others = round(self._others_now()) if self._knows_others() else 0
         self.controller.core.untracked_running = others
-        self.controller.core.rate_limit.fraction = self.fraction()
+        self.controller.core.limits.set_fraction(self.fraction())
 
     def report_start(self, bid_id: str) -> None:
         """Report the first chunk of a granted request."""
@@ -184,8 +185,7 @@
 
     While the agent is unresponsive, bids go to the local fallback. Starts and ends of
     requests that the agent granted are sent to it in batches or with the next bid;
-    `local_ids` are the bids that went to the fallback and were not refused. Nothing is
-    sent while there are no requests.
+    `local_ids` are bids that the fallback did not refuse. Idle clients send nothing.
     """
 
     address: str
@@ -198,6 +198,7 @@
     retry_seconds: float = AGENT_RETRY_SECONDS
     retry_at: float = 0.0
     unresponsive: bool = False
+    lost_at: float = float("-inf")
     has_replied: bool = False
     probe_requested: bool = False
     _fallback: LocalAdmission | None = None
@@ -246,6 +247,7 @@
         self.local_ids.add(bid.bid_id)
         granted = False
         try:
+            bid = suspect_cold(bid, self.lost_at, self.now())
             reply = await self.fallback.acquire(bid)
             granted = reply.granted
             return reply
@@ -372,7 +374,7 @@
         self.retry_at = self.now() + self.retry_seconds
         self.retry_seconds = min(2 * self.retry_seconds, limit)
         if not self.unresponsive:
-            self.unresponsive = True
+            self.unresponsive, self.lost_at = True, self.now()
             self.events.record(EventCode.AGENT_LOST, agent=self.address, error=error)
 
 
--- a/pistachiolever/gateway/bidding.py
+++ b/pistachiolever/gateway/bidding.py
@@ -254,6 +254,7 @@
             if is_resumable
             else None,
             endpoint.born_ms if is_resumable else 0,
+            self.fleet.cold_service(request.service, handle),
         )
 
     def _remaining_target_seconds(self) -> float:
--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -171,3 +171,10 @@
 INTAKE_NEAR: Final = 0.5
 MIN_INTAKE: Final = 8.0
 MAX_INTAKE: Final = 4_000.0
+# The users' bound for a cold engine: its rate times the first, plus the second,
+# requests in any one second.
+DEFAULT_COLD_OVERAGE: Final = 1.5
+DEFAULT_COLD_SLACK: Final = 5.0
+# Part of the rate of a cold engine that routers use if its agent does not respond,
+# however small the overage is: the engine would otherwise get nothing.
+MIN_AGENTLESS_FRACTION: Final = 0.25
--- a/pistachiolever/gateway/endpoint_handle.py
+++ b/pistachiolever/gateway/endpoint_handle.py
@@ -19,7 +19,8 @@
     The admission client is made when it is first used. `bidding_tokens` are the prompt
     tokens of this router's undecided bids for it; cancelling `bid_scopes` withdraws
     these bids. `told_load` is the load that the registry told last, `rate_notice` the
-    request rate that the endpoint named.
+    request rate that the endpoint named. `suspected_at` is the last time at which this
+    router had a reason to suppose that the endpoint may have become cold.
     """
 
     endpoint: Announcement
@@ -30,6 +31,7 @@
     told_load: Load = Load()
     told_at: float = float("-inf")
     rate_notice: RateNotice = field(factory=RateNotice)
+    suspected_at: float = float("-inf")
     _admission: AdmissionClient | None = None
 
     @property
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -8,6 +8,7 @@
 from anyio import create_task_group
 from attrs import define, field
 
+from pistachiolever.admission.cold_start import ColdService
 from pistachiolever.admission.models import Load
 from pistachiolever.admission.recent_service import RecentService
 from pistachiolever.core.ids import new_id
@@ -26,6 +27,7 @@
     make_local_admission,
 )
 from pistachiolever.gateway.budget import RetryBudget
+from pistachiolever.gateway.cold_bids import describe_cold
 from pistachiolever.gateway.const import (
     BID_PREFIX_DIGITS,
     ENDPOINT_CONNECTION_FRACTION,
@@ -47,7 +49,7 @@
 from pistachiolever.metrics.instruments import Instruments
 from pistachiolever.quarantine.quarantine import Quarantine
 from pistachiolever.routing.errors import InvalidConfigurationError
-from pistachiolever.routing.models import ProxyConfiguration
+from pistachiolever.routing.models import ProxyConfiguration, ProxyService
 from pistachiolever.routing.table import RouteTable
 from pistachiolever.streams.const import DEADLINE_MARGIN_SECONDS
 from pistachiolever.streams.models import StreamOrigin
@@ -201,6 +203,8 @@
         for handle in self.handle_by_id.values():
             if handle.endpoint.failure_domain in change.started:
                 handle.withdraw_bids()
+            elif handle.endpoint.failure_domain in change.ended:
+                handle.suspected_at = self.now()
         self.events.record(
             EventCode.EVACUATION_APPLIED,
             revision=orders.revision,
@@ -451,6 +455,17 @@
         ]
         return 1.0 - len(paused) / max(1, len(engines))
 
+    def cold_service(
+        self, service: ProxyService, handle: EndpointHandle
+    ) -> ColdService | None:
+        """Return what a bid tells of a service whose engines start cold."""
+        endpoint, now = handle.endpoint, self.now()
+        record = self.directory.record_by_id.get(endpoint.endpoint_id)
+        heard_at = record.received_at if record else now
+        return describe_cold(
+            service, endpoint, heard_at, handle.suspected_at, self.settings, now
+        )
+
     def next_bid_id(self) -> str:
         """Return an id for a bid that no other bid in the fleet has."""
         self.bid_count += 1
@@ -458,6 +473,7 @@
 
     def record_unreachable(self, handle: EndpointHandle, error: str) -> None:
         """Eject an endpoint that accepts no connection."""
+        handle.suspected_at = self.now()
         handle.health.record_unreachable(self.now())
         self.events.record(
             EventCode.ENDPOINT_EJECTED,
--- a/pistachiolever/gateway/settings.py
+++ b/pistachiolever/gateway/settings.py
@@ -3,6 +3,8 @@
 from attrs import frozen
 
 from pistachiolever.gateway.const import (
+    DEFAULT_COLD_OVERAGE,
+    DEFAULT_COLD_SLACK,
     DEFAULT_DRAIN_SECONDS,
     DEFAULT_MAX_DESCRIPTORS,
 )
@@ -15,7 +17,8 @@
     `retry_ratio`, `retry_window_seconds` and `retry_slack` limit retries over all
     routers; `grace_seconds` is the time from the stop signal until the process must
     have ended. A leaving endpoint serves on for `drain_seconds`. The process may
-    have `max_descriptors` sockets open.
+    have `max_descriptors` sockets open. In any second a cold engine may get the
+    requests of its rate times `cold_overage`, and `cold_slack` more.
     """
 
     node_id: str
@@ -29,3 +32,5 @@
     retry_slack: float
     drain_seconds: float = DEFAULT_DRAIN_SECONDS
     max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
+    cold_overage: float = DEFAULT_COLD_OVERAGE
+    cold_slack: float = DEFAULT_COLD_SLACK
--- a/pistachiolever/metrics/instruments.py
+++ b/pistachiolever/metrics/instruments.py
@@ -154,6 +154,7 @@
     Instrument(
         "pistachiolever_reading_share", "Fraction of the prefill rate that is allowed"
     ),
+    Instrument("pistachiolever_cold", "1 while the engine is or may be cold"),
     Instrument("pistachiolever_token_seconds", "Recent time per generated token"),
     Instrument(
         "pistachiolever_loop_delay_seconds", "Latest measured delay of the event loop"
--- a/pistachiolever/platform/configuration.py
+++ b/pistachiolever/platform/configuration.py
@@ -105,6 +105,8 @@
         str(entry.fields.get("healthPath", "/")),
         entry.integer("maxConns", 64),
         engine,
+        entry.number("coldStartS", 0.0),
+        entry.number("coldPerS", 0.0),
     )
 
 
--- a/pistachiolever/platform/control.py
+++ b/pistachiolever/platform/control.py
@@ -1,7 +1,5 @@
 """HTTP API of the registry for operators and endpoints."""
 
-from urllib.parse import unquote_to_bytes
-
 from attrs import define
 from orjson import dumps
 
@@ -24,6 +22,7 @@
     INSTANCES_PATH,
 )
 from pistachiolever.registry.errors import InvalidDomainError, UnavailableError
+from pistachiolever.registry.evacuation_calls import decode_domain
 from pistachiolever.registry.process import RegistryProcess
 from pistachiolever.routing.errors import InvalidConfigurationError
 
@@ -57,7 +56,7 @@
             elif path.startswith(EVACUATIONS_PATH) and method in (b"POST", b"DELETE"):
                 calls = self.registry.evacuations
                 order = calls.start if method == b"POST" else calls.end
-                await order(_domain(path))
+                await order(decode_domain(path[len(EVACUATIONS_PATH) :]))
                 await self._answer(exchange, 200, b"{}")
             else:
                 await self._answer(exchange, 404, _error("unknown method or path"))
@@ -105,15 +104,6 @@
         self.registry.events.record(code, error=error)
 
 
-def _domain(path: str) -> str:
-    """Return the failure domain that a path ends with; raise InvalidDomainError."""
-    name = unquote_to_bytes(path[len(EVACUATIONS_PATH) :].encode("latin-1"))
-    try:
-        return name.decode()
-    except UnicodeDecodeError as error:
-        raise InvalidDomainError("the failure domain is not UTF-8") from error
-
-
 def _error(message: str) -> bytes:
     """Return the JSON body of an error response."""
     return dumps({"error": message})
--- a/pistachiolever/platform/endpoints.py
+++ b/pistachiolever/platform/endpoints.py
@@ -4,8 +4,12 @@
 
 from attrs import define
 
-from pistachiolever.admission.const import REPORT_TIMEOUT_SECONDS
+from pistachiolever.admission.const import (
+    HEALTH_TIMEOUT_SECONDS,
+    REPORT_TIMEOUT_SECONDS,
+)
 from pistachiolever.admission.models import EngineReport, EngineRun
+from pistachiolever.core.numbers import parse_whole_number
 from pistachiolever.discovery.check import MAX_BORN_MS, find_problem
 from pistachiolever.discovery.fields import (
     InvalidAnnouncementError,
@@ -17,8 +21,8 @@
 from pistachiolever.discovery.models import Announcement, EndpointState
 from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.peers import PeerClient
-from pistachiolever.http1.models import RequestHead
-from pistachiolever.platform.names import REPORT_PATH
+from pistachiolever.http1.models import Header, RequestHead, ResponseHead
+from pistachiolever.platform.names import COLD_HEADER, REPORT_PATH
 
 # The leading fields of a running request in a report.
 RUN_FIELDS: Final = 3
@@ -89,26 +93,37 @@
 
 @define
 class EngineClient:
-    """Requests load reports from the engine on this VM."""
+    """Requests load reports and health checks from the engine on this VM."""
 
     address: str
     client: PeerClient
 
     async def report(self) -> EngineReport:
         """Return the current load report; raise PeerError."""
-        request = RequestHead(
-            b"GET", REPORT_PATH.encode(), [(b"host", self.address.encode())]
-        )
-        head, body = await self.client.exchange(
-            self.address, request, b"", REPORT_TIMEOUT_SECONDS
-        )
-        if head.status != 200:
-            raise PeerError(f"report returned status {head.status}", True, head.status)
+        _, body = await self._get(REPORT_PATH, REPORT_TIMEOUT_SECONDS)
         try:
             return decode_report(body)
         except InvalidAnnouncementError as error:
             raise PeerError(f"invalid report: {error}", True) from error
 
+    async def cold_seconds(self, health_path: str) -> float:
+        """Return how long the engine stays cold, 0 if it is warm; raise PeerError."""
+        head, _ = await self._get(health_path, HEALTH_TIMEOUT_SECONDS)
+        cold_ms = parse_whole_number(head.value(COLD_HEADER) or b"0")
+        if cold_ms is None:
+            raise PeerError("invalid time of the cold start", True)
+        return cold_ms / 1000
+
+    async def _get(self, path: str, seconds: float) -> tuple[ResponseHead, bytes]:
+        """Return the head and body of a response of the engine; raise PeerError."""
+        headers: list[Header] = [(b"host", self.address.encode())]
+        request = RequestHead(b"GET", path.encode(), headers)
+        head, body = await self.client.exchange(self.address, request, b"", seconds)
+        if head.status != 200:
+            detail = f"{path} returned status {head.status}"
+            raise PeerError(detail, True, head.status)
+        return head, body
+
 
 @define
 class StartTimes:
--- a/pistachiolever/platform/names.py
+++ b/pistachiolever/platform/names.py
@@ -10,6 +10,7 @@
 INSTANCES_PATH: Final = "/api/instances/"
 EVACUATIONS_PATH: Final = "/api/evacuate/"
 REPORT_PATH: Final = "/api/report"
+COLD_HEADER: Final = b"cold-ms"
 # Also in deploy/system.toml.
 METRICS_PORT: Final = 9464
 METRICS_PATH: Final = "/metrics"
--- a/pistachiolever/platform/roles.py
+++ b/pistachiolever/platform/roles.py
@@ -85,7 +85,9 @@
     settings = context.settings.agent()
     client = PeerClient()
     probe = EngineClient(context.settings.engine_address, client)
-    process = AgentProcess(probe, context.events, SystemRandom(), context.instruments)
+    process = AgentProcess(
+        probe, context.events, SystemRandom(), context.instruments, probe
+    )
     reporting = UsageReporting(
         process.make_reporter(settings),
         context.choose_members(settings.node_id, settings.failure_domain),
--- a/pistachiolever/platform/settings.py
+++ b/pistachiolever/platform/settings.py
@@ -9,6 +9,8 @@
 from pistachiolever.admission.settings import AgentSettings
 from pistachiolever.core.addresses import split_address
 from pistachiolever.gateway.const import (
+    DEFAULT_COLD_OVERAGE,
+    DEFAULT_COLD_SLACK,
     DEFAULT_DRAIN_SECONDS,
     DEFAULT_MAX_DESCRIPTORS,
 )
@@ -96,6 +98,8 @@
             float(bounds["budgetSlack"]),
             float(bounds.get("drainMs", DEFAULT_DRAIN_SECONDS * 1000)) / 1000,
             self.max_sockets,
+            float(bounds.get("coldOverage", DEFAULT_COLD_OVERAGE)),
+            float(bounds.get("coldSlack", DEFAULT_COLD_SLACK)),
         )
 
     def registry(self) -> RegistrySettings:
--- a/pistachiolever/registry/evacuation_calls.py
+++ b/pistachiolever/registry/evacuation_calls.py
@@ -1,5 +1,7 @@
 """Orders of operators to evacuate failure domains."""
 
+from urllib.parse import unquote_to_bytes
+
 from attrs import define
 
 from pistachiolever.control.commands import EndEvacuation, StartEvacuation
@@ -50,3 +52,11 @@
         self.events.record(
             EventCode.EVACUATION_ACKNOWLEDGED, domain=domain, evacuate=is_start
         )
+
+
+def decode_domain(quoted: str) -> str:
+    """Return a failure domain from the end of a path; raise InvalidDomainError."""
+    try:
+        return unquote_to_bytes(quoted.encode("latin-1")).decode()
+    except UnicodeDecodeError as error:
+        raise InvalidDomainError("the failure domain is not UTF-8") from error
--- a/pistachiolever/routing/check.py
+++ b/pistachiolever/routing/check.py
@@ -10,6 +10,10 @@
         raise InvalidConfigurationError("version", "must not be negative")
     service_ids = [service.service_id for service in configuration.services]
     _check_unique("services", service_ids)
+    for index, service in enumerate(configuration.services):
+        if min(service.cold_start_seconds, service.cold_requests_per_second) < 0:
+            path = f"services[{index}]"
+            raise InvalidConfigurationError(path, "a cold start must not be negative")
     known = set(service_ids)
     known_matches: set[tuple[str, str]] = set()
     for index, route in enumerate(configuration.routes):
--- a/pistachiolever/routing/models.py
+++ b/pistachiolever/routing/models.py
@@ -31,12 +31,18 @@
 
 @frozen
 class ProxyService:
-    """A service of endpoints; `engine` is None for a plain service."""
+    """A service of endpoints; `engine` is None for a plain service.
+
+    An engine is cold for `cold_start_seconds` after its start and then sustains
+    `cold_requests_per_second`; 0 if that does not limit it.
+    """
 
     service_id: str
     health_path: str = "/"
     max_connections: int = 64
     engine: EngineCapacity | None = None
+    cold_start_seconds: float = 0.0
+    cold_requests_per_second: float = 0.0
 
 
 @frozen
--- a/tests/platform_adapter/test_boundary.py
+++ b/tests/platform_adapter/test_boundary.py
@@ -54,6 +54,11 @@
     "/api/ready",
     "/api/evacuate",
     "evacuatems",
+    "coldstarts",
+    "coldpers",
+    "coldoverage",
+    "coldslack",
+    "cold-ms",
 ]
 MAX_ADAPTER_LINES = 800
 
