Score emulated runs by the domain of their callers

Whether leaving a failure domain is worthwhile shows only by domain, so a score now tells the fraction of each domain's requests that were answered in time.

--- a/pistachiolever/emulator/experiment.py
+++ b/pistachiolever/emulator/experiment.py
@@ -82,12 +82,17 @@
 def mean_score(scores: list[Score]) -> dict[str, float]:
     """Return the mean of each figure over several runs.
 
-    A run without requests of a kind counts as 1 in the figure of that kind.
+    A run without requests of a kind, or of a domain, counts as 1 in its figure.
     """
-    names = [entry.name for entry in fields(Score) if entry.name != "served_by_kind"]
+    by_group = ("served_by_kind", "served_by_domain")
+    names = [entry.name for entry in fields(Score) if entry.name not in by_group]
     means = {name: fmean(getattr(score, name) for score in scores) for name in names}
     kinds = {kind for score in scores for kind in score.served_by_kind}
     for kind in sorted(kinds):
         fractions = [score.served_by_kind.get(kind, 1.0) for score in scores]
         means[f"kind {kind}"] = fmean(fractions)
+    domains = {domain for score in scores for domain in score.served_by_domain}
+    for domain in sorted(domains):
+        fractions = [score.served_by_domain.get(domain, 1.0) for score in scores]
+        means[f"domain {domain}"] = fmean(fractions)
     return means
--- a/pistachiolever/emulator/scoring.py
+++ b/pistachiolever/emulator/scoring.py
@@ -5,6 +5,7 @@
 more than its fair share.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from typing import Final
 
@@ -64,6 +65,7 @@
     served_by_kind: dict[str, float] = field(factory=dict)
     late_requests: float = 0.0
     disregarding_requests: float = 0.0
+    served_by_domain: dict[str, float] = field(factory=dict)
 
 
 def credit_in_time(arrival: Arrival, event_tokens: int) -> float:
@@ -144,8 +146,22 @@
             busy,
             0.0,
             by_kind | by_size,
+            served_by_domain=self._domain_fractions(),
         )
 
+    def _domain_fractions(self) -> dict[str, float]:
+        """Return the fraction answered in time by the domain of the caller."""
+        count_by_domain: Counter[str] = Counter()
+        in_time_by_domain: Counter[str] = Counter()
+        for result in self.results:
+            domain_id = result.arrival.domain_id
+            count_by_domain[domain_id] += 1
+            in_time_by_domain[domain_id] += result.earned == result.max_credit
+        return {
+            domain_id: in_time_by_domain[domain_id] / count
+            for domain_id, count in count_by_domain.items()
+        }
+
     def _size_fractions(self) -> dict[str, float]:
         """Return earned fractions of each kind's largest tenth and the next fifth."""
         entitled = [
