Price the departure from a failure domain by the room in both domains

A constant of 4 ms stood for leaving the domain, whether the other domain had room or not. The new package spillover estimates pressure and spare capacity by service and domain from the loads that the registry sends, and returns the price of each option: the constant while domains are calm, unknown or stale; less, down to the latency, while only the own domain is short; more by the bytes moved and by the work that a request takes from a short domain. The shortage changes at a limited rate, and each router uses only its part of the spare capacity in a period. New: metrics of leaving and of estimates against results, events E140 and E141, three settings.

--- a/pistachiolever/gateway/attempt_records.py
+++ b/pistachiolever/gateway/attempt_records.py
@@ -5,6 +5,7 @@
 from pistachiolever.gateway.endpoint_handle import EndpointHandle
 from pistachiolever.gateway.fleet import FleetView
 from pistachiolever.gateway.models import ProxyRequest
+from pistachiolever.gateway.spillover_records import record_first_chunk
 from pistachiolever.metrics.instruments import (
     ATTEMPTS,
     ENGINE_FIRST_CHUNK,
@@ -58,6 +59,7 @@
         instruments.observe(
             ENGINE_FIRST_CHUNK, first - sent_at, handle.endpoint.endpoint_id
         )
+        record_first_chunk(instruments, request, handle.endpoint, first)
     if result.answered:
         instruments.count(REQUESTS, kind, request.account_id, "answered")
         instruments.observe(QUEUED, queued_seconds, kind)
--- a/pistachiolever/gateway/bidding.py
+++ b/pistachiolever/gateway/bidding.py
@@ -16,6 +16,7 @@
 from pistachiolever.gateway.fleet import FleetView
 from pistachiolever.gateway.models import ProxyRequest
 from pistachiolever.gateway.placement import RankedEndpoint
+from pistachiolever.gateway.spillover_records import describe_leaving, record_choice
 from pistachiolever.streams.models import StreamOrigin
 
 
@@ -148,6 +149,7 @@
             fleet.index(service_id, self.request.version),
             now,
         )
+        plan.leaving = describe_leaving(self.request, now)
         candidates = fleet.selection.candidates(
             service_id,
             avoid,
@@ -187,6 +189,7 @@
         endpoint_id = choice.endpoint.endpoint_id
         handle = fleet.handle_by_id[endpoint_id]
         tokens = request.metadata.prompt_tokens
+        record_choice(fleet, request, choice)
         handle.bidding_tokens += tokens
         reply: BidReply | None = None
         submitted_at = fleet.now()
--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -23,8 +23,6 @@
 FULL_PENALTY_SECONDS: Final = 0.3
 # Penalty of a plain endpoint with all slots in use; proportional below that.
 BUSY_PENALTY_SECONDS: Final = 0.2
-# Penalty of an endpoint in another failure domain: about one round trip.
-REMOTE_DOMAIN_PENALTY_SECONDS: Final = 0.004
 # Penalty of an endpoint that is still warming up.
 COLD_PENALTY_SECONDS: Final = 0.05
 # A retryable request without a first chunk is retried elsewhere once its target has
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -47,6 +47,8 @@
 from pistachiolever.routing.errors import InvalidConfigurationError
 from pistachiolever.routing.models import ProxyConfiguration
 from pistachiolever.routing.table import RouteTable
+from pistachiolever.spillover.recorder import ShortageRecorder
+from pistachiolever.spillover.spillover import Spillover
 from pistachiolever.streams.const import DEADLINE_MARGIN_SECONDS
 from pistachiolever.streams.models import StreamOrigin
 from pistachiolever.streams.table import StreamTable
@@ -91,6 +93,7 @@
     handle_by_agent: dict[str, EndpointHandle] = field(factory=dict)
     index_by_key: dict[IndexKey, ServiceIndex] = field(factory=dict)
     pool: ConnectionPool = field(init=False)
+    spillover: Spillover = field(init=False)
     placement: Placement = field(init=False)
     budget: RetryBudget = field(init=False)
     notices: EndpointNotices = field(init=False)
@@ -120,7 +123,15 @@
             max_idle=MAX_IDLE_ENDPOINT_CONNECTIONS,
             max_open=int(ENDPOINT_CONNECTION_FRACTION * self.settings.max_descriptors),
         )
-        self.placement = Placement(self.settings.failure_domain, self.policy)
+        self.spillover = Spillover(
+            self.settings,
+            self.rng,
+            lambda: self.budget.router_count,
+            ShortageRecorder(self.events),
+        )
+        self.placement = Placement(
+            self.settings.failure_domain, self.policy, pricing=self.spillover
+        )
         self.budget = RetryBudget(
             self.settings.retry_ratio,
             self.settings.retry_window_seconds,
@@ -251,6 +262,7 @@
             if handle is not None:
                 measured = unpack_measured(numbers, now)
                 handle.update_load(measured.load, measured.at)
+                self.spillover.record_load(handle.endpoint, measured)
                 self.update_free(handle)
         for address, numbers in update.seen_loads.items():
             handle = self.handle_by_agent.get(address)
--- a/pistachiolever/gateway/models.py
+++ b/pistachiolever/gateway/models.py
@@ -11,6 +11,7 @@
 from pistachiolever.http1.models import RequestHead
 from pistachiolever.quarantine.const import CONTENT_PREFIX
 from pistachiolever.routing.models import ProxyRoute, ProxyService, RequestKind
+from pistachiolever.spillover.models import Expectation
 from pistachiolever.streams.models import StreamOrigin, stream_key
 
 
@@ -68,7 +69,7 @@
     complete. `bid_id` is the id of the latest bid for the request. It does not contain
     the request id, which callers may use twice. `origin` is where the stream began,
     None before its first event. `is_continued` is true for the rest of a stream that is
-    known to have begun.
+    known to have begun. `expectation` is that of the latest bid.
     """
 
     metadata: RequestMetadata
@@ -88,6 +89,7 @@
     may_have_run: bool = False
     origin: StreamOrigin | None = None
     is_continued: bool = False
+    expectation: Expectation | None = None
     _content_id: str = ""
 
     @property
--- a/pistachiolever/gateway/placement.py
+++ b/pistachiolever/gateway/placement.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 
-from attrs import define, field, frozen
+from attrs import Factory, define, evolve, field, frozen
 
 from pistachiolever.admission.cache import keyed_parts
 from pistachiolever.admission.const import INITIAL_PREFILL_TOKENS_PER_SECOND
@@ -16,11 +16,12 @@
     MAX_PART_ENDPOINTS,
     MAX_PREFIX_AFFINITIES,
     PREFIX_AFFINITY_SECONDS,
-    REMOTE_DOMAIN_PENALTY_SECONDS,
 )
 from pistachiolever.gateway.endpoint_index import ServiceIndex
 from pistachiolever.gateway.health import EndpointHealth
 from pistachiolever.gateway.policy import PlacementPolicy
+from pistachiolever.spillover.models import LeavingRequest, Option, Price
+from pistachiolever.spillover.pricing import ConstantPricing, DomainPricing
 
 
 @frozen
@@ -41,8 +42,9 @@
     """An endpoint and its cost for a request, in seconds.
 
     `cost` adds up the expected `wait`, the `prefill` of uncached tokens (a repeated
-    prefill of shared parts weighs more), the penalty for recent `failures` and those
-    for a remote failure domain and a cold endpoint.
+    prefill of shared parts weighs more), the penalty for recent `failures`, that for a
+    cold endpoint and the `price` of leaving the failure domain as the spillover
+    `option`.
     """
 
     endpoint: Announcement
@@ -50,6 +52,8 @@
     wait: float
     prefill: float
     failures: float
+    option: Option
+    price: Price = Price()
 
 
 @define
@@ -86,7 +90,8 @@
     """What placement needs to know of a prompt, computed once for all endpoints.
 
     `cached_by_endpoint` are the tokens that endpoints have probably cached,
-    `shared_tokens` those of the shared parts.
+    `shared_tokens` those of the shared parts. `leaving` is what the price of leaving
+    the failure domain depends on.
     """
 
     prompt_tokens: int
@@ -94,6 +99,7 @@
     shared_tokens: int = 0
     home_ids: list[str] = field(factory=list)
     cached_by_endpoint: dict[str, int] = field(factory=dict)
+    leaving: LeavingRequest = LeavingRequest()
 
 
 @define
@@ -103,6 +109,11 @@
     failure_domain: str
     policy: PlacementPolicy = PlacementPolicy()
     prefix_affinity: PrefixAffinity = field(factory=PrefixAffinity)
+    pricing: DomainPricing = field(
+        default=Factory(
+            lambda self: ConstantPricing(self.failure_domain), takes_self=True
+        )
+    )
 
     def plan(
         self,
@@ -138,6 +149,12 @@
             self._evaluate(plan, candidate, now, preferred_id, weight)
             for candidate in candidates
         ]
+        options = [choice.option for choice in ranked]
+        prices = self.pricing.prices(plan.leaving, options, now)
+        ranked = [
+            evolve(choice, cost=choice.cost + price.seconds, price=price)
+            for choice, price in zip(ranked, prices, strict=True)
+        ]
         ranked.sort(key=lambda choice: (choice.cost, choice.endpoint.endpoint_id))
         return ranked
 
@@ -174,14 +191,14 @@
             cached = plan.shared_tokens
         uncached_shared = max(0, plan.shared_tokens - cached)
         prefill = shared_prefill_weight * uncached_shared / rate
-        prefill += max(0, plan.prompt_tokens - cached) / rate
+        own_prefill = max(0, plan.prompt_tokens - cached) / rate
+        prefill += own_prefill
         failures = FAILURE_PENALTY_SECONDS * candidate.health.failure_fraction(now)
         cost = wait + prefill + failures
-        if endpoint.failure_domain != self.failure_domain:
-            cost += REMOTE_DOMAIN_PENALTY_SECONDS
         if endpoint.cold_seconds > 0:
             cost += COLD_PENALTY_SECONDS
-        return RankedEndpoint(endpoint, cost, wait, prefill, failures)
+        option = Option(endpoint.failure_domain, own_prefill, wait, load.slots)
+        return RankedEndpoint(endpoint, cost, wait, prefill, failures, option)
 
     def _shared_prefill_weight(self, candidates: list[Candidate]) -> float:
         """Return the weight of prefilling a shared prompt again, relative to waiting.
--- a/pistachiolever/gateway/settings.py
+++ b/pistachiolever/gateway/settings.py
@@ -6,6 +6,11 @@
     DEFAULT_DRAIN_SECONDS,
     DEFAULT_MAX_DESCRIPTORS,
 )
+from pistachiolever.spillover.const import (
+    DEFAULT_LATENCY_SECONDS,
+    DEFAULT_SECONDS_PER_MEGABYTE,
+    DEFAULT_SHORT_WAIT_SECONDS,
+)
 
 
 @frozen
@@ -16,6 +21,10 @@
     routers; `grace_seconds` is the time from the stop signal until the process must
     have ended. A leaving endpoint serves on for `drain_seconds`. The process may
     have `max_descriptors` sockets open.
+
+    A round trip between failure domains takes `spillover_latency_seconds`; a megabyte
+    moved between them counts as `spillover_seconds_per_megabyte`. An endpoint at which
+    requests wait for `spillover_short_wait_seconds` has no room for more.
     """
 
     node_id: str
@@ -29,3 +38,6 @@
     retry_slack: float
     drain_seconds: float = DEFAULT_DRAIN_SECONDS
     max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
+    spillover_latency_seconds: float = DEFAULT_LATENCY_SECONDS
+    spillover_seconds_per_megabyte: float = DEFAULT_SECONDS_PER_MEGABYTE
+    spillover_short_wait_seconds: float = DEFAULT_SHORT_WAIT_SECONDS
--- a/pistachiolever/metrics/instruments.py
+++ b/pistachiolever/metrics/instruments.py
@@ -92,6 +92,21 @@
     "Time from a bid to its grant at an agent",
     ("kind",),
 )
+SPILLOVER: Final = Instrument(
+    "pistachiolever_spillover",
+    "Bids by the router's and the endpoint's failure domain and what set the price",
+    ("domain", "to", "reason"),
+)
+DOMAIN_EXPECTED: Final = Instrument(
+    "pistachiolever_domain_expected_seconds",
+    "Expected time from a bid to the first chunk, of requests that got one",
+    ("to",),
+)
+DOMAIN_FIRST_CHUNK: Final = Instrument(
+    "pistachiolever_domain_first_part_seconds",
+    "Time from a bid to the first chunk",
+    ("to",),
+)
 CONFIGURATIONS: Final = Instrument(
     "pistachiolever_configurations",
     "Configurations submitted by operators",
@@ -108,13 +123,21 @@
     UNREAD,
     RETRIES,
     STREAM_ENDS,
+    SPILLOVER,
     GRANTS,
     CONFIGURATIONS,
     ANNOUNCEMENTS,
     ATTEMPTS,
     HELD_BACK,
 )
-HISTOGRAMS: Final = (FIRST_CHUNK, QUEUED, ENGINE_FIRST_CHUNK, GRANT_WAIT)
+HISTOGRAMS: Final = (
+    FIRST_CHUNK,
+    QUEUED,
+    DOMAIN_EXPECTED,
+    DOMAIN_FIRST_CHUNK,
+    ENGINE_FIRST_CHUNK,
+    GRANT_WAIT,
+)
 GAUGES: Final = (
     Instrument(
         "pistachiolever_configuration_version",
--- /dev/null
+++ b/pistachiolever/spillover/__init__.py
@@ -0,0 +1,1 @@
+"""The price of serving a request in another failure domain."""
--- /dev/null
+++ b/tests/spillover/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of spillover between failure domains."""
