Enable spillover by a setting; never hold requests back for lack of an allowance

A router whose part of the spare capacity was used charged the whole work of a request, also where the other domain had room. A used part now only ends the reduction; what a request takes from a domain counts by that domain's shortage. With spillover_enabled off, the default, nothing changes.

--- a/pistachiolever/emulator/fleet.py
+++ b/pistachiolever/emulator/fleet.py
@@ -227,7 +227,19 @@
             return self.shape.near_seconds if is_near else self.shape.far_seconds
 
         fleet = FleetView(
-            GatewaySettings(router_id, domain_id, "", "", "", 8.0, 0.2, 10.0, 50.0),
+            GatewaySettings(
+                router_id,
+                domain_id,
+                "",
+                "",
+                "",
+                8.0,
+                0.2,
+                10.0,
+                50.0,
+                spillover_enabled=self.shape.spillover,
+                spillover_latency_seconds=2 * self.shape.far_seconds,
+            ),
             self._reject_configuration,
             EmulatedPeerClient(
                 api_by_address=self.api_by_address, latency_seconds=latency_seconds
--- a/pistachiolever/gateway/settings.py
+++ b/pistachiolever/gateway/settings.py
@@ -22,6 +22,7 @@
     have ended. A leaving endpoint serves on for `drain_seconds`. The process may
     have `max_descriptors` sockets open.
 
+    With `spillover_enabled` the price of leaving the failure domain follows the loads.
     A round trip between failure domains takes `spillover_latency_seconds`; a megabyte
     moved between them counts as `spillover_seconds_per_megabyte`. An endpoint at which
     requests wait for `spillover_short_wait_seconds` has no room for more.
@@ -38,6 +39,7 @@
     retry_slack: float
     drain_seconds: float = DEFAULT_DRAIN_SECONDS
     max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
+    spillover_enabled: bool = False
     spillover_latency_seconds: float = DEFAULT_LATENCY_SECONDS
     spillover_seconds_per_megabyte: float = DEFAULT_SECONDS_PER_MEGABYTE
     spillover_short_wait_seconds: float = DEFAULT_SHORT_WAIT_SECONDS
--- a/pistachiolever/spillover/spillover.py
+++ b/pistachiolever/spillover/spillover.py
@@ -60,7 +60,9 @@
         self.estimator = DomainEstimator(self.settings.spillover_short_wait_seconds)
 
     def record_load(self, endpoint: Announcement, measured: MeasuredLoad) -> None:
-        """Record the load of an endpoint."""
+        """Record the load of an endpoint, if spillover is enabled."""
+        if not self.settings.spillover_enabled:
+            return
         known = KnownLoad(
             endpoint.service_id, endpoint.failure_domain, measured.load, measured.at
         )
@@ -108,8 +110,9 @@
     ) -> Price:
         """Return the price of leaving for an endpoint in another domain.
 
-        The bytes moved and what the request takes from that domain raise it, what it
-        leaves to the own domain lowers it, but not below the latency.
+        The bytes moved and what the request takes from that domain raise it. What it
+        leaves to the own domain lowers it, but not below the latency, and only within
+        this router's part of the spare capacity.
         """
         constant = REMOTE_DOMAIN_PENALTY_SECONDS
         own_key = (request.service_id, self.settings.failure_domain)
@@ -121,13 +124,13 @@
         if not need and not taken:
             return Price(constant, Reason.CALM)
         reason = self._reason(request, option, key, now)
-        has_room = reason is Reason.SHORT
+        is_held = reason in (Reason.USED, Reason.LATE)
         weight = max(need, taken)
         megabytes = request.moved_bytes / BYTES_PER_MEGABYTE
         price = constant
         price += weight * megabytes * self.settings.spillover_seconds_per_megabyte
-        price += (taken if has_room else weight) * option.work_seconds
-        if has_room:
+        price += taken * option.work_seconds
+        if not is_held:
             price -= need * freed_seconds
         lowest = min(constant, self.settings.spillover_latency_seconds)
         floor = constant - need * (1.0 - taken) * (constant - lowest)
@@ -149,7 +152,11 @@
         return Reason.USED
 
     def _size(self, option: Option) -> float:
-        """Return the part of an endpoint that a request occupies."""
+        """Return the part of an endpoint that a request occupies.
+
+        That is as if all requests of a period came at once: with what an endpoint works
+        off in it, routers that see old loads sent so much that callers were late.
+        """
         by_work = option.work_seconds / self.settings.spillover_short_wait_seconds
         return max(1.0 / max(1, option.slots), by_work)
 
--- a/tests/gateway/test_spillover_records.py
+++ b/tests/gateway/test_spillover_records.py
@@ -49,6 +49,8 @@
         """Create a router that knows both engines."""
         self.clock = [100.0]
         self.fleet = make_fleet(ENGINES, self.clock)
+        enabled = evolve(self.fleet.settings, spillover_enabled=True)
+        self.fleet.spillover.settings = enabled
         self.fleet.apply_configuration(1, "")
         route, service = CONFIGURATION.routes[0], CONFIGURATION.services[0]
         self.request = ProxyRequest(
@@ -102,6 +104,14 @@
         is_constant = price.seconds == REMOTE_DOMAIN_PENALTY_SECONDS
         self.assertEqual(is_constant, reason in ("calm", "unknown"), name)
 
+    def test_disabled_spillover_costs_the_constant(self) -> None:
+        """Deployments that don't call for it are served as before."""
+        self.fleet.spillover.settings = self.fleet.settings
+        self.tell(BUSY, IDLE, 2.0)
+        price = self.rank()["south"].price
+        self.assertEqual(price.seconds, REMOTE_DOMAIN_PENALTY_SECONDS)
+        self.assertFalse(self.fleet.spillover.estimator.known_by_endpoint)
+
     def test_choice_and_first_chunk_are_counted(self) -> None:
         """Operators compare the estimate with what happened."""
         self.tell(BUSY, IDLE, 2.0)
