--- a/pistachiolever/gateway/settings.py
+++ b/pistachiolever/gateway/settings.py
@@ -8,6 +8,11 @@
     DEFAULT_DRAIN_SECONDS,
     DEFAULT_MAX_DESCRIPTORS,
 )
+from pistachiolever.spillover.const import (
+    DEFAULT_LATENCY_SECONDS,
+    DEFAULT_SECONDS_PER_MEGABYTE,
+    DEFAULT_SHORT_WAIT_SECONDS,
+)
 
 
 @frozen
@@ -19,6 +24,11 @@
     have ended. A leaving endpoint serves on for `drain_seconds`. The process may
     have `max_descriptors` sockets open. In any second a cold engine may get the
     requests of its rate times `cold_overage`, and `cold_slack` more.
+
+    With `spillover_enabled` the price of leaving the failure domain follows the loads.
+    A round trip between failure domains takes `spillover_latency_seconds`; a megabyte
+    moved between them counts as `spillover_seconds_per_megabyte`. An endpoint at which
+    requests wait for `spillover_short_wait_seconds` has no room for more.
     """
 
     node_id: str
@@ -34,3 +44,7 @@
     max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
     cold_overage: float = DEFAULT_COLD_OVERAGE
     cold_slack: float = DEFAULT_COLD_SLACK
+    spillover_enabled: bool = False
+    spillover_latency_seconds: float = DEFAULT_LATENCY_SECONDS
+    spillover_seconds_per_megabyte: float = DEFAULT_SECONDS_PER_MEGABYTE
+    spillover_short_wait_seconds: float = DEFAULT_SHORT_WAIT_SECONDS
