Read the slowdown that endpoints report with their load

A load header with a fourth number was dropped as malformed, so that the counts of running and waiting requests were lost as well. The fourth number is parsed into Load.slowdown; a malformed one is ignored.

--- a/pistachiolever/admission/models.py
+++ b/pistachiolever/admission/models.py
@@ -61,7 +61,10 @@
 
     `unread_tokens` are pending prefill tokens at the engine, `queued_tokens` those of
     the `waiting` requests, which have no grant yet. `limit_seconds` is the time until
-    the rate that the endpoint named allows another request.
+    the rate that the endpoint named allows another request. `slowdown` is how long work
+    takes on the VM, relative to usual; it is 1.0 unless `tells_slowdown`.
+    `prefill_rate` is the lasting measured prefill rate without the throttle, 0 if it is
+    not known.
     """
 
     unread_tokens: float = 0.0
@@ -72,6 +75,9 @@
     free_memory_tokens: float = 0.0
     speed: float = 0.0
     limit_seconds: float = 0.0
+    slowdown: float = 1.0
+    prefill_rate: float = 0.0
+    tells_slowdown: bool = False
 
 
 @frozen
--- a/pistachiolever/gateway/header_format.py
+++ b/pistachiolever/gateway/header_format.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from attrs import field, frozen
+from attrs import evolve, field, frozen
 
 from pistachiolever.admission.models import Load, PromptPart
 from pistachiolever.core.numbers import parse_whole_number
@@ -38,6 +38,8 @@
 )
 # Numbers of running requests, of waiting ones and of slots.
 LOAD_NUMBERS: Final = 3
+# Some endpoints add their slowdown in percent.
+MAX_LOAD_NUMBERS: Final = 4
 # Further parts of a prompt are ignored.
 MAX_PROMPT_PARTS: Final = 256
 
@@ -165,11 +167,19 @@
 def _parse_load(value: bytes | None) -> Load | None:
     """Return the load that an endpoint told; None if it is absent or malformed."""
     texts = (value or b"").split(b",")
-    numbers = [n for text in texts if (n := parse_whole_number(text)) is not None]
-    if not len(texts) == len(numbers) == LOAD_NUMBERS:
+    if not LOAD_NUMBERS <= len(texts) <= MAX_LOAD_NUMBERS:
+        return None
+    counts = texts[:LOAD_NUMBERS]
+    numbers = [n for text in counts if (n := parse_whole_number(text)) is not None]
+    if len(numbers) != LOAD_NUMBERS:
         return None
     running, waiting, slots = numbers
-    return Load(running=running, waiting=waiting, slots=max(1, slots))
+    load = Load(running=running, waiting=waiting, slots=max(1, slots))
+    # A malformed slowdown does not make the counts useless; no work takes no time.
+    percent = parse_whole_number(b",".join(texts[LOAD_NUMBERS:]))
+    if not percent:
+        return load
+    return evolve(load, slowdown=percent / 100, tells_slowdown=True)
 
 
 def keep_alive_seconds(head: ResponseHead) -> float:
--- /dev/null
+++ b/pistachiolever/slowdown/__init__.py
@@ -0,0 +1,1 @@
+"""How fast endpoints work: their present slowdown and their lasting capacity."""
--- a/tests/gateway/test_header_format.py
+++ b/tests/gateway/test_header_format.py
@@ -1,8 +1,10 @@
 """Headers that are forwarded, dropped, set, parsed or rejected."""
 
+from attrs import evolve
 from hypothesis import given, strategies as st
+from nose2.tools import params
 
-from pistachiolever.admission.models import PromptPart
+from pistachiolever.admission.models import Load, PromptPart
 from pistachiolever.gateway.header_format import HeaderFormat, keep_alive_seconds
 from pistachiolever.gateway.models import ProxyRequest, RequestMetadata
 from pistachiolever.http1.errors import BadRequestError
@@ -17,6 +19,7 @@
 from tests.support.profile import STATEFUL
 
 HEADER_FORMAT = HeaderFormat(internal_request_headers=frozenset({b"x-hold"}))
+LOAD_AT_250 = Load(running=3, waiting=1, slots=8, slowdown=2.5, tells_slowdown=True)
 ROUTE = ProxyRoute(
     "r", "x", "/", RequestKind.IDEMPOTENT, [WeightedService("s", 1)], 2.0, 0.3
 )
@@ -92,6 +95,26 @@
         closing = ResponseHead(200, [(b"connection", b"Close")])
         self.assertEqual(keep_alive_seconds(closing), 0.0)
 
+    # A header with a fourth number was dropped as a whole, so that the counts of all
+    # endpoints that report their slowdown were unknown.
+    @params(
+        (b"3,1,8", Load(running=3, waiting=1, slots=8)),
+        (b"3, 1, 8, 250", LOAD_AT_250),
+        (b"3,1,8,100", evolve(LOAD_AT_250, slowdown=1.0)),
+        (b"3,1,8,", Load(running=3, waiting=1, slots=8)),
+        (b"3,1,8,0", Load(running=3, waiting=1, slots=8)),
+        (b"3,1,8,-5", Load(running=3, waiting=1, slots=8)),
+        (b"3,1,8,2.5", Load(running=3, waiting=1, slots=8)),
+        (b"3,x,8,250", None),
+        (b"3,1", None),
+        (b"3,1,8,250,1", None),
+        (None, None),
+    )
+    def test_load(self, value: bytes | None, load: Load | None) -> None:
+        headers = [] if value is None else [(b"x-load", value)]
+        metadata = HEADER_FORMAT.parse_response(ResponseHead(200, headers))
+        self.assertEqual(metadata.load, load)
+
 
 class ParseRequestTest(CaseTest):
     """Callers' headers are parsed, or rejected with status 400."""
--- /dev/null
+++ b/tests/slowdown/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the slowdown and the capacity classes of endpoints."""
