--- a/pistachiolever/admission/core.py
+++ b/pistachiolever/admission/core.py
@@ -45,6 +45,7 @@
     RunningResponse,
     target_seconds_per_token,
 )
+from pistachiolever.slowdown.rate import LastingRate
 from pistachiolever.streams.table import StreamLog
 
 
@@ -120,6 +121,7 @@
     service: RecentService = field(factory=RecentService)
     streams: StreamLog = field(factory=StreamLog)
     prefill_rate: PrefillRateEstimate = field(factory=PrefillRateEstimate)
+    lasting_rate: LastingRate = field(factory=LastingRate)
     queued_by_id: dict[str, QueuedRequest] = field(factory=dict)
     run_by_id: dict[str, Run] = field(factory=dict)
     prefilling_ids: list[str] = field(factory=list)
@@ -203,6 +205,7 @@
         if bid_id in self.prefilling_ids:
             prefill_from = max(run.granted_at, self.prefill_started_at)
             self.prefill_rate.observe(run.prefill_tokens, now - prefill_from)
+            self.lasting_rate.observe(run.prefill_tokens, now - prefill_from)
             self.prefilling_ids.remove(bid_id)
             self.prefill_started_at = now
         self.cache.insert(run.bid.model, run.bid.parts)
@@ -300,6 +303,7 @@
             max(0.0, self._memory_limit() - self.reserved_tokens),
             self.prefill_tokens_per_second(),
             self.rate_limit.wait_seconds(len(self.queued_by_id)),
+            prefill_rate=self.lasting_rate.tokens_per_second,
         )
 
     def prefill_tokens_per_second(self) -> float:
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -249,7 +249,7 @@
         for address, numbers in update.loads.items():
             handle = self.handle_by_agent.get(address)
             if handle is not None:
-                measured = unpack_measured(numbers, now)
+                measured = unpack_measured(numbers, now, update.paces.get(address))
                 handle.update_load(measured.load, measured.at)
                 self.update_free(handle)
         for address, numbers in update.seen_loads.items():
--- a/pistachiolever/usage/aggregate.py
+++ b/pistachiolever/usage/aggregate.py
@@ -25,8 +25,10 @@
     MeasuredLoad,
     MemberDigest,
     PackedLoad,
+    PackedPace,
     UsageByAccount,
     UsageUpdate,
+    pack_pace,
     unpack_load,
     unpack_measured,
 )
@@ -118,7 +120,7 @@
             known.add(*change, now)
             self._add_to_own(account_id, *change, now)
         if report.load:
-            measured = MeasuredLoad(unpack_load(report.load), now)
+            measured = MeasuredLoad(unpack_load(report.load, report.pace), now)
             self.own_loads.set(report.agent, measured, self.number + 1)
             self._set_load(self.loads, report.agent, measured)
         for address, numbers in report.seen_loads.items():
@@ -143,7 +145,8 @@
             remote.sums_by_account[account_id] = sums
             self._mark_changed(account_id)
         for address, numbers in digest.loads.items():
-            self._set_load(self.loads, address, unpack_measured(numbers, now))
+            measured = unpack_measured(numbers, now, digest.paces.get(address))
+            self._set_load(self.loads, address, measured)
         for address, numbers in digest.seen_loads.items():
             self._set_load(self.seen_loads, address, unpack_measured(numbers, now))
         for address, age_ms in digest.attached.items():
@@ -176,6 +179,7 @@
     def digest_since(self, number: int, now: float) -> MemberDigest:
         """Return what has changed here since a published state."""
         self.sequence += 1
+        loads = self.own_loads.since(number)
         return MemberDigest(
             self.member,
             self.life,
@@ -185,7 +189,7 @@
                 account_id: _rounded(sums.values(now))
                 for account_id, sums in self.own_sums.since(number)
             },
-            _pack_all(self.own_loads.since(number), now),
+            _pack_all(loads, now),
             _pack_all(self.own_seen_loads.since(number), now),
             {
                 address: round((now - agent.attached_at) * 1000)
@@ -194,6 +198,7 @@
             },
             [router_id for router_id, _ in self.own_routers.since(number)],
             self._pack_parts(self.passed_on_parts.since(number), now),
+            _pack_paces(loads),
         )
 
     def update_since(self, number: int, now: float, rng: Random) -> UsageUpdate:
@@ -225,6 +230,7 @@
             _pack_all(loads, now),
             _pack_all(seen_loads, now),
             self._pack_parts(self.changed_parts.since(number), now),
+            _pack_paces(loads),
         )
 
     def usage(self, account_id: str, now: float) -> tuple[float, float]:
@@ -363,6 +369,12 @@
     return {address: measured.pack(now) for address, measured in loads}
 
 
+def _pack_paces(loads: list[tuple[str, MeasuredLoad]]) -> dict[str, PackedPace]:
+    """Return the paces that are known of some loads, in the form that is sent."""
+    paces = ((address, pack_pace(measured.load)) for address, measured in loads)
+    return {address: pace for address, pace in paces if pace}
+
+
 def _rounded(values: tuple[float, float]) -> tuple[int, int]:
     """Return two sums as whole weighted tokens."""
     return (round(values[0]), round(values[1]))
--- a/pistachiolever/usage/models.py
+++ b/pistachiolever/usage/models.py
@@ -4,7 +4,9 @@
 late is replaced by the next one.
 """
 
-from attrs import field, frozen
+from typing import Any, Final
+
+from attrs import evolve, field, frozen
 
 from pistachiolever.admission.models import Load
 from pistachiolever.quarantine.models import PartReport
@@ -14,6 +16,18 @@
 UsageByAccount = dict[str, tuple[int, int]]
 # The numbers of a load, see `pack_load`.
 PackedLoad = list[int]
+# Its lasting prefill rate and its slowdown in percent, 0 if unknown; see `pack_pace`.
+PackedPace = list[int]
+PACE_NUMBERS: Final = 2
+_LOAD_FIELDS: Final = (
+    "unread_tokens",
+    "queued_tokens",
+    "waiting",
+    "running",
+    "slots",
+    "free_memory_tokens",
+    "speed",
+)
 
 
 @frozen
@@ -25,7 +39,7 @@
     reports what it decides itself for endpoints without an agent, and in `seen_loads`
     what these endpoints told of themselves, by the agent's address. `parts` is a
     router's evidence on parts of prompts, `streams` those that began under grants of
-    the agent, or of the router.
+    the agent, or of the router. `pace` belongs to the `load`.
     """
 
     agent: str
@@ -35,6 +49,7 @@
     seen_loads: dict[str, PackedLoad] = field(factory=dict)
     parts: dict[str, PartReport] = field(factory=dict)
     streams: dict[str, StreamReport] = field(factory=dict)
+    pace: PackedPace = field(factory=list)
 
 
 @frozen
@@ -45,6 +60,7 @@
     each preceded by its age in milliseconds, `seen_loads` likewise. `attached` are
     agents that began to report here, with the milliseconds since then. `routers` are
     the watching routers, `parts` the evidence on parts of prompts, of all routers.
+    `paces` belong to the `loads`.
     """
 
     member: str
@@ -57,6 +73,7 @@
     attached: dict[str, int] = field(factory=dict)
     routers: list[str] = field(factory=list)
     parts: dict[str, PartReport] = field(factory=dict)
+    paces: dict[str, PackedPace] = field(factory=dict)
 
 
 @frozen
@@ -71,7 +88,7 @@
     """What has changed in the fleet-wide sums; `number` identifies the state.
 
     If many loads have changed, it has a random part of them. `parts` is the evidence on
-    parts of prompts.
+    parts of prompts. `paces` belong to the `loads`.
     """
 
     number: int = 0
@@ -79,6 +96,7 @@
     loads: dict[str, PackedLoad] = field(factory=dict)
     seen_loads: dict[str, PackedLoad] = field(factory=dict)
     parts: dict[str, PartReport] = field(factory=dict)
+    paces: dict[str, PackedPace] = field(factory=dict)
 
 
 def pack_load(load: Load) -> PackedLoad:
@@ -98,9 +116,32 @@
     ]
 
 
-def unpack_load(numbers: PackedLoad) -> Load:
-    """Return the load with these numbers; raise TypeError if there are too many."""
-    return Load(*numbers)
+def pack_pace(load: Load) -> PackedPace:
+    """Return the lasting prefill rate and the slowdown; empty if neither is known.
+
+    They travel beside the numbers of the load, since processes of earlier versions
+    fail on a list with more numbers, and ignore unknown fields.
+    """
+    if not (load.prefill_rate or load.tells_slowdown):
+        return []
+    percent = max(1, round(load.slowdown * 100)) if load.tells_slowdown else 0
+    return [round(load.prefill_rate), percent]
+
+
+def unpack_load(numbers: PackedLoad, pace: PackedPace) -> Load:
+    """Return the load with these numbers and this pace.
+
+    Processes of earlier versions send no pace, and may send fewer numbers.
+    """
+    fields: dict[str, Any] = dict(zip(_LOAD_FIELDS, numbers, strict=False))
+    load = Load(**fields)
+    if len(pace) < PACE_NUMBERS:
+        return load
+    rate, percent = pace[:PACE_NUMBERS]
+    load = evolve(load, prefill_rate=rate)
+    if not percent:
+        return load
+    return evolve(load, slowdown=percent / 100, tells_slowdown=True)
 
 
 @frozen
@@ -115,6 +156,8 @@
         return [round((now - self.at) * 1000), *pack_load(self.load)]
 
 
-def unpack_measured(numbers: PackedLoad, now: float) -> MeasuredLoad:
-    """Return a load from its age in milliseconds and its numbers."""
-    return MeasuredLoad(unpack_load(numbers[1:]), now - numbers[0] / 1000)
+def unpack_measured(
+    numbers: PackedLoad, now: float, pace: PackedPace | None = None
+) -> MeasuredLoad:
+    """Return a load from its age in milliseconds, its numbers and its pace."""
+    return MeasuredLoad(unpack_load(numbers[1:], pace or []), now - numbers[0] / 1000)
--- a/pistachiolever/usage/reporter.py
+++ b/pistachiolever/usage/reporter.py
@@ -15,7 +15,12 @@
     IDLE_REPORT_SECONDS,
     REPORT_SECONDS,
 )
-from pistachiolever.usage.models import AgentReport, MeasuredLoad, pack_load
+from pistachiolever.usage.models import (
+    AgentReport,
+    MeasuredLoad,
+    pack_load,
+    pack_pace,
+)
 
 
 @define
@@ -60,6 +65,7 @@
             {address: measured.pack(now) for address, measured in seen.items()},
             self.quarantine.pop_reports(now) if self.quarantine else {},
             self.streams.pop_reports(everything, now),
+            pack_pace(load) if load else [],
         )
 
     def _has_news(self, load: Load | None, now: float) -> bool:
