Weigh the homes of shared prompts by capacity, and endpoints by their slowdown

A slow engine was home to as many shared parts as a fast one. Homes come from weighted rendezvous hashing over capacity classes; without classes they are those of before. The rate of an engine counts with the part of its slowdown that it does not show yet. Plain endpoints that report a slowdown are ranked by the expected wait in place of the constant. Where engines differ or endpoints report a slowdown, routers draw among candidates whose costs differ by less than loads tell, weighted by rate, unless the best is a home or has the prompt cached.

Ran: tests.gateway.test_uneven_placement, test_endpoint_index, test_placement, test_notices, test_admission_clients, tests.slowdown, ruff, mypy.

--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -25,6 +25,9 @@
 BUSY_PENALTY_SECONDS: Final = 0.2
 # Penalty of an endpoint in another failure domain: about one round trip.
 REMOTE_DOMAIN_PENALTY_SECONDS: Final = 0.004
+# Costs that differ by less are equal: loads are told only when the wait has changed by
+# this much (CHANGED_WAIT_SECONDS).
+NEARLY_EQUAL_SECONDS: Final = 0.02
 # Penalty of an endpoint that is still warming up.
 COLD_PENALTY_SECONDS: Final = 0.05
 # A retryable request without a first chunk is retried elsewhere once its target has
--- a/pistachiolever/gateway/endpoint_handle.py
+++ b/pistachiolever/gateway/endpoint_handle.py
@@ -1,6 +1,7 @@
 """A router's handle of one incarnation of an endpoint."""
 
 from collections.abc import Callable
+from math import exp
 
 from anyio import CancelScope
 from attrs import define, field
@@ -9,7 +10,10 @@
 from pistachiolever.admission.rate_limit import RateNotice
 from pistachiolever.discovery.models import Announcement
 from pistachiolever.gateway.admission_clients import AdmissionClient
+from pistachiolever.gateway.const import OTHERS_DECAY_SECONDS
 from pistachiolever.gateway.health import EndpointHealth
+from pistachiolever.gateway.placement import Candidate
+from pistachiolever.slowdown.filter import SlowdownFilter
 
 
 @define(eq=False)
@@ -19,7 +23,9 @@
     The admission client is made when it is first used. `bidding_tokens` are the prompt
     tokens of this router's undecided bids for it; cancelling `bid_scopes` withdraws
     these bids. `told_load` is the load that the registry told last, `rate_notice` the
-    request rate that the endpoint named.
+    request rate that the endpoint named. `slowdown` filters what the endpoint reports.
+    `others` are the requests of other routers that a plain endpoint told of at
+    `others_at`.
     """
 
     endpoint: Announcement
@@ -30,6 +36,9 @@
     told_load: Load = Load()
     told_at: float = float("-inf")
     rate_notice: RateNotice = field(factory=RateNotice)
+    slowdown: SlowdownFilter = field(factory=SlowdownFilter)
+    others: float = 0.0
+    others_at: float = float("-inf")
     _admission: AdmissionClient | None = None
 
     @property
@@ -55,6 +64,18 @@
         """Return the last known load of the endpoint."""
         return self._admission.load() if self._admission else self.told_load
 
+    def candidate(self, now: float) -> Candidate:
+        """Return what placement needs to know of the endpoint."""
+        age = max(0.0, now - self.others_at)
+        return Candidate(
+            self.endpoint,
+            self.load(),
+            self.health,
+            self.bidding_tokens,
+            self.slowdown,
+            self.others * exp(-age / OTHERS_DECAY_SECONDS),
+        )
+
     def is_full(self) -> bool:
         """Return whether all slots are known to be in use."""
         load = self.load()
@@ -66,6 +87,7 @@
 
     def update_load(self, load: Load, measured_at: float) -> None:
         """Apply a load that the agent measured."""
+        self._observe_slowdown(load, measured_at)
         if measured_at > self.told_at:
             self.told_load, self.told_at = load, measured_at
         if self._admission is not None:
@@ -73,5 +95,14 @@
 
     def record_seen_load(self, load: Load, measured_at: float) -> None:
         """Apply what the endpoint told of its load in a response."""
+        self._observe_slowdown(load, measured_at)
+        own = self.load().running
+        self.others = max(0, load.running + load.waiting - own)
+        self.others_at = measured_at
         if self._admission is not None:
             self._admission.record_seen_load(load, measured_at)
+
+    def _observe_slowdown(self, load: Load, measured_at: float) -> None:
+        """Apply the slowdown of a load, if it tells any."""
+        if load.tells_slowdown:
+            self.slowdown.observe(load.slowdown, measured_at)
--- a/pistachiolever/gateway/endpoint_index.py
+++ b/pistachiolever/gateway/endpoint_index.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
+from math import log
 from random import Random
 from zlib import crc32
 
@@ -13,11 +14,16 @@
     MAX_CACHED_HOMES,
     RANDOM_SAMPLES,
 )
+from pistachiolever.slowdown.capacity_classes import CapacityClasses
 
 # An odd 64-bit constant and the shifts of a common integer hash (splitmix64).
 _MIX_FACTOR = 0xBF58476D1CE4E5B9
 _MIX_MASK = 0xFFFFFFFFFFFFFFFF
 _MIX_SHIFT = 31
+# Bits of a hash that a float holds exactly with a half added, which avoids log(0) and
+# log(1), and the number of their values.
+_FLOAT_BITS = 52
+_FLOAT_VALUES = 2.0**_FLOAT_BITS
 
 
 @define
@@ -55,13 +61,15 @@
     """The ready endpoints of one service.
 
     `free` are those that have, as far as known, a free slot. `homes_by_part` caches the
-    endpoints that all routers choose for a shared part of prompts.
+    endpoints that all routers choose for a shared part of prompts. `classes` are the
+    capacity classes, by which an engine is home to more parts or fewer.
     """
 
     ready: IndexedSet = field(factory=IndexedSet)
     free: IndexedSet = field(factory=IndexedSet)
     hash_by_id: dict[str, int] = field(factory=dict)
     homes_by_part: OrderedDict[str, list[str]] = field(factory=OrderedDict)
+    classes: CapacityClasses = field(factory=CapacityClasses)
 
     def add(self, endpoint_id: str) -> None:
         """Add an endpoint; it counts as free until its load is known."""
@@ -77,6 +85,7 @@
         if self.hash_by_id.pop(endpoint_id, None) is not None:
             self.ready.discard(endpoint_id)
             self.free.discard(endpoint_id)
+            self.classes.discard(endpoint_id)
             self.homes_by_part.clear()
 
     def update_load(self, endpoint_id: str, is_full: bool) -> None:
@@ -86,18 +95,24 @@
         else:
             self.free.add(endpoint_id)
 
+    def update_rate(self, endpoint_id: str, rate: float, now: float) -> None:
+        """Apply the lasting prefill rate of an endpoint; 0 if it is not known."""
+        if endpoint_id not in self.hash_by_id:
+            return
+        self.classes.update_rate(endpoint_id, rate)
+        if self.classes.review(now):
+            self.homes_by_part.clear()
+
     def homes(self, part_id: str) -> list[str]:
-        """Return the endpoints for a shared part, by rendezvous hashing.
+        """Return the endpoints for a shared part, by weighted rendezvous hashing.
 
-        All routers that know the same endpoints return the same ones in the same order.
+        All routers that know the same endpoints and classes return the same ones in the
+        same order.
         """
         homes = self.homes_by_part.get(part_id)
         if homes is None:
             part = _hash(part_id)
-            scores = [
-                (_mix(part ^ number), endpoint_id)
-                for endpoint_id, number in self.hash_by_id.items()
-            ]
+            scores = self._scores(part)
             scores.sort(reverse=True)
             homes = [endpoint_id for _, endpoint_id in scores[:HOMES]]
             self.homes_by_part[part_id] = homes
@@ -105,6 +120,21 @@
                 self.homes_by_part.popitem(last=False)
         return homes
 
+    def _scores(self, part: int) -> list[tuple[float, str]]:
+        """Return the score of each endpoint for a part; the highest ones are homes."""
+        if not self.classes.class_by_id:
+            return [
+                (_mix(part ^ number), endpoint_id)
+                for endpoint_id, number in self.hash_by_id.items()
+            ]
+        return [
+            (
+                -self.classes.weight(endpoint_id) / log(_fraction(_mix(part ^ number))),
+                endpoint_id,
+            )
+            for endpoint_id, number in self.hash_by_id.items()
+        ]
+
     def choose(self, part_id: str, rng: Random) -> dict[str, None]:
         """Return the endpoints to consider for a request, in no order.
 
@@ -122,6 +152,11 @@
     return (crc32(data) << 32) | crc32(data[::-1])
 
 
+def _fraction(number: int) -> float:
+    """Return 64 bits as a number between 0 and 1, in the same order."""
+    return ((number >> (64 - _FLOAT_BITS)) + 0.5) / _FLOAT_VALUES
+
+
 def _mix(number: int) -> int:
     """Return a number of which each bit depends on all bits of the input."""
     number = ((number ^ (number >> _MIX_SHIFT)) * _MIX_FACTOR) & _MIX_MASK
--- a/pistachiolever/gateway/endpoint_selection.py
+++ b/pistachiolever/gateway/endpoint_selection.py
@@ -127,9 +127,7 @@
         accepting = self._accepting(handles, service_id, avoid, version)
         usable, _ = self._split_usable(accepting)
         return [
-            Candidate(
-                handle.endpoint, handle.load(), handle.health, handle.bidding_tokens
-            )
+            handle.candidate(self.now())
             for handle in usable or self.usable(service_id, avoid, version)
         ]
 
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -120,7 +120,9 @@
             max_idle=MAX_IDLE_ENDPOINT_CONNECTIONS,
             max_open=int(ENDPOINT_CONNECTION_FRACTION * self.settings.max_descriptors),
         )
-        self.placement = Placement(self.settings.failure_domain, self.policy)
+        self.placement = Placement(
+            self.settings.failure_domain, self.policy, rng=self.rng
+        )
         self.budget = RetryBudget(
             self.settings.retry_ratio,
             self.settings.retry_window_seconds,
@@ -278,7 +280,11 @@
         for key in _index_keys(handle.endpoint):
             index = self.index_by_key.get(key)
             if index is not None:
-                index.update_load(handle.endpoint.endpoint_id, handle.is_full())
+                endpoint_id = handle.endpoint.endpoint_id
+                index.update_load(endpoint_id, handle.is_full())
+                # All routers are told the same rates, so that they agree on the homes.
+                rate = handle.told_load.prefill_rate
+                index.update_rate(endpoint_id, rate, self.now())
 
     def _sync_handles(self) -> None:
         """Keep one handle for the current incarnation of each endpoint."""
--- a/pistachiolever/gateway/placement.py
+++ b/pistachiolever/gateway/placement.py
@@ -1,6 +1,7 @@
 """Ranks endpoints for a request by expected wait, prefill and failures."""
 
 from collections import OrderedDict
+from random import Random
 
 from attrs import define, field, frozen
 
@@ -15,25 +16,31 @@
     FULL_PENALTY_SECONDS,
     MAX_PART_ENDPOINTS,
     MAX_PREFIX_AFFINITIES,
+    NEARLY_EQUAL_SECONDS,
     PREFIX_AFFINITY_SECONDS,
     REMOTE_DOMAIN_PENALTY_SECONDS,
 )
 from pistachiolever.gateway.endpoint_index import ServiceIndex
 from pistachiolever.gateway.health import EndpointHealth
 from pistachiolever.gateway.policy import PlacementPolicy
+from pistachiolever.slowdown.filter import SlowdownFilter
+from pistachiolever.slowdown.response_time import plain_wait_seconds
 
 
 @frozen
 class Candidate:
     """An endpoint that may get a request, as this router knows it.
 
-    `bidding_tokens` are the prompt tokens of this router's undecided bids for it.
+    `bidding_tokens` are the prompt tokens of this router's undecided bids for it,
+    `other_requests` those of other routers at a plain endpoint, as far as it told.
     """
 
     endpoint: Announcement
     load: Load
     health: EndpointHealth
     bidding_tokens: float = 0.0
+    slowdown: SlowdownFilter = field(factory=SlowdownFilter)
+    other_requests: float = 0.0
 
 
 @frozen
@@ -86,7 +93,8 @@
     """What placement needs to know of a prompt, computed once for all endpoints.
 
     `cached_by_endpoint` are the tokens that endpoints have probably cached,
-    `shared_tokens` those of the shared parts.
+    `shared_tokens` those of the shared parts. `is_uneven` is true if the engines differ
+    in capacity.
     """
 
     prompt_tokens: int
@@ -94,6 +102,7 @@
     shared_tokens: int = 0
     home_ids: list[str] = field(factory=list)
     cached_by_endpoint: dict[str, int] = field(factory=dict)
+    is_uneven: bool = False
 
 
 @define
@@ -103,6 +112,7 @@
     failure_domain: str
     policy: PlacementPolicy = PlacementPolicy()
     prefix_affinity: PrefixAffinity = field(factory=PrefixAffinity)
+    rng: Random = field(factory=Random)
 
     def plan(
         self,
@@ -114,7 +124,7 @@
     ) -> PromptPlan:
         """Return the plan of a prompt, whose last part is its own."""
         shared = parts[:-1]
-        plan = PromptPlan(prompt_tokens)
+        plan = PromptPlan(prompt_tokens, is_uneven=bool(index.classes.class_by_id))
         if not shared:
             return plan
         plan.shared_part_id = shared[-1].part_id
@@ -139,8 +149,49 @@
             for candidate in candidates
         ]
         ranked.sort(key=lambda choice: (choice.cost, choice.endpoint.endpoint_id))
+        is_uneven = plan.is_uneven or any(
+            candidate.slowdown.is_reported for candidate in candidates
+        )
+        if ranked and is_uneven and not self._is_warm(plan, ranked[0], preferred_id):
+            self._spread(ranked, candidates)
         return ranked
 
+    def _is_warm(
+        self, plan: PromptPlan, choice: RankedEndpoint, preferred_id: str
+    ) -> bool:
+        """Return whether an endpoint has a shared part, or is to have it."""
+        endpoint_id = choice.endpoint.endpoint_id
+        return endpoint_id == preferred_id or endpoint_id in plan.cached_by_endpoint
+
+    def _spread(
+        self, ranked: list[RankedEndpoint], candidates: list[Candidate]
+    ) -> None:
+        """Move a random choice among nearly equal ones to the front.
+
+        All routers know the same loads, and would choose the same endpoint until they
+        hear of it. The faster ones are drawn more often.
+        """
+        best = ranked[0]
+        limit = best.cost + NEARLY_EQUAL_SECONDS
+        nearly_equal = [
+            choice
+            for choice in ranked
+            if choice.cost <= limit
+            and choice.endpoint.failure_domain == best.endpoint.failure_domain
+        ]
+        if len(nearly_equal) < 2:
+            return
+        capacity_by_id = {
+            candidate.endpoint.endpoint_id: _capacity(candidate)
+            for candidate in candidates
+        }
+        weights = [
+            capacity_by_id[choice.endpoint.endpoint_id] for choice in nearly_equal
+        ]
+        chosen = self.rng.choices(nearly_equal, weights)[0]
+        ranked.remove(chosen)
+        ranked.insert(0, chosen)
+
     def _preferred_id(self, plan: PromptPlan, candidates: list[Candidate]) -> str:
         """Return the first home among the candidates; empty if there is none.
 
@@ -160,11 +211,12 @@
         """Return a candidate with its cost."""
         endpoint, load = candidate.endpoint, candidate.load
         rate = load.speed or INITIAL_PREFILL_TOKENS_PER_SECOND
+        rate /= candidate.slowdown.beyond_lasting(now)
         wait = (
             load.unread_tokens + load.queued_tokens + candidate.bidding_tokens
         ) / rate
         if not plan.prompt_tokens:
-            wait += BUSY_PENALTY_SECONDS * load.running / max(1, load.slots)
+            wait += _plain_wait(candidate, now)
         is_full = load.running + load.waiting >= load.slots
         if is_full or load.free_memory_tokens < plan.prompt_tokens:
             wait += FULL_PENALTY_SECONDS
@@ -193,3 +245,21 @@
         pressure = busy_count / max(1, len(candidates))
         calm = self.policy.calm_reread_weight
         return calm + pressure * (self.policy.busy_reread_weight - calm)
+
+
+def _plain_wait(candidate: Candidate, now: float) -> float:
+    """Return what the running requests of a plain endpoint cost a further one.
+
+    It follows from the expected response time where the endpoint reports its slowdown.
+    """
+    load = candidate.load
+    if not candidate.slowdown.is_reported:
+        return BUSY_PENALTY_SECONDS * load.running / max(1, load.slots)
+    requests = load.running + load.waiting + candidate.other_requests
+    slowdown = candidate.slowdown.value_at(now)
+    return plain_wait_seconds(requests, load.slots, slowdown)
+
+
+def _capacity(candidate: Candidate) -> float:
+    """Return the rate of an endpoint, the usual one if it is not known."""
+    return candidate.load.prefill_rate or INITIAL_PREFILL_TOKENS_PER_SECOND
