Forward the slowdown that an engine reports to its agent

A router hears of an engine by its own responses about once a second, while slow periods last 0.6 s. The agent reads the slowdown with each report (every 0.1 s) and tells it with the load, which it reports also when the slowdown has changed by 0.3.

--- a/pistachiolever/admission/core.py
+++ b/pistachiolever/admission/core.py
@@ -45,6 +45,7 @@
     RunningResponse,
     target_seconds_per_token,
 )
+from pistachiolever.slowdown.filter import SlowdownFilter
 from pistachiolever.slowdown.rate import LastingRate
 from pistachiolever.streams.table import StreamLog
 
@@ -122,6 +123,7 @@
     streams: StreamLog = field(factory=StreamLog)
     prefill_rate: PrefillRateEstimate = field(factory=PrefillRateEstimate)
     lasting_rate: LastingRate = field(factory=LastingRate)
+    slowdown: SlowdownFilter = field(factory=SlowdownFilter)
     queued_by_id: dict[str, QueuedRequest] = field(factory=dict)
     run_by_id: dict[str, Run] = field(factory=dict)
     prefilling_ids: list[str] = field(factory=list)
@@ -244,6 +246,8 @@
         if not self.capacity.memory_tokens:
             # No bid has named the capacity yet.
             self.capacity.memory_tokens = report.total_tokens
+        if report.slowdown:
+            self.slowdown.observe(report.slowdown, now)
         self._adjust_throttle(report, now)
         self.untracked_running = max(0, report.running - len(self.run_by_id))
         actions: list[AdmissionAction] = []
@@ -303,7 +307,9 @@
             max(0.0, self._memory_limit() - self.reserved_tokens),
             self.prefill_tokens_per_second(),
             self.rate_limit.wait_seconds(len(self.queued_by_id)),
+            slowdown=self.slowdown.value_at(now),
             prefill_rate=self.lasting_rate.tokens_per_second,
+            tells_slowdown=self.slowdown.is_reported,
         )
 
     def prefill_tokens_per_second(self) -> float:
--- a/pistachiolever/admission/models.py
+++ b/pistachiolever/admission/models.py
@@ -136,7 +136,8 @@
     """Status that an engine reports of itself.
 
     `born_ms` is its start time in milliseconds since the epoch and identifies its
-    incarnation. `used_tokens` and `total_tokens` are its memory.
+    incarnation. `used_tokens` and `total_tokens` are its memory. `slowdown` is 0 if it
+    does not tell any.
     """
 
     born_ms: int
@@ -145,6 +146,7 @@
     used_tokens: int
     total_tokens: int
     runs: list[EngineRun] = field(factory=list)
+    slowdown: float = 0.0
 
 
 # Actions that AdmissionCore returns.
--- a/pistachiolever/gateway/header_format.py
+++ b/pistachiolever/gateway/header_format.py
@@ -138,7 +138,7 @@
             keep_alive_seconds(head),
             (head.value(self.leaving) or b"0").strip() != b"0",
             _retry_after(head),
-            _parse_load(head.value(self.load)),
+            parse_load(head.value(self.load)),
             _text(head.value(self.rate_limit)),
         )
 
@@ -164,7 +164,7 @@
     return None if value is None else value.decode("latin-1")
 
 
-def _parse_load(value: bytes | None) -> Load | None:
+def parse_load(value: bytes | None) -> Load | None:
     """Return the load that an endpoint told; None if it is absent or malformed."""
     texts = (value or b"").split(b",")
     if not LOAD_NUMBERS <= len(texts) <= MAX_LOAD_NUMBERS:
--- a/pistachiolever/platform/endpoints.py
+++ b/pistachiolever/platform/endpoints.py
@@ -2,7 +2,7 @@
 
 from typing import Any, Final
 
-from attrs import define
+from attrs import define, evolve
 
 from pistachiolever.admission.const import REPORT_TIMEOUT_SECONDS
 from pistachiolever.admission.models import EngineReport, EngineRun
@@ -17,8 +17,9 @@
 from pistachiolever.discovery.models import Announcement, EndpointState
 from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.peers import PeerClient
+from pistachiolever.gateway.header_format import parse_load
 from pistachiolever.http1.models import RequestHead
-from pistachiolever.platform.names import REPORT_PATH
+from pistachiolever.platform.names import HEADER_FORMAT, REPORT_PATH
 
 # The leading fields of a running request in a report.
 RUN_FIELDS: Final = 3
@@ -105,9 +106,13 @@
         if head.status != 200:
             raise PeerError(f"report returned status {head.status}", True, head.status)
         try:
-            return decode_report(body)
+            report = decode_report(body)
         except InvalidAnnouncementError as error:
             raise PeerError(f"invalid report: {error}", True) from error
+        load = parse_load(head.value(HEADER_FORMAT.load))
+        if load is None or not load.tells_slowdown:
+            return report
+        return evolve(report, slowdown=load.slowdown)
 
 
 @define
--- a/pistachiolever/usage/const.py
+++ b/pistachiolever/usage/const.py
@@ -31,6 +31,8 @@
 CHANGED_WAIT_SECONDS: Final = 0.02
 # or the running requests by more than this fraction of the slots,
 CHANGED_SLOT_FRACTION: Final = 0.125
+# or the slowdown by more than this: a fifth of the usual step to 2.5,
+CHANGED_SLOWDOWN: Final = 0.3
 # or the free memory by more than this fraction.
 CHANGED_MEMORY_FRACTION: Final = 0.1
 # Decayed amounts below this many weighted tokens are forgotten.
--- a/pistachiolever/usage/reporter.py
+++ b/pistachiolever/usage/reporter.py
@@ -11,6 +11,7 @@
 from pistachiolever.usage.const import (
     CHANGED_MEMORY_FRACTION,
     CHANGED_SLOT_FRACTION,
+    CHANGED_SLOWDOWN,
     CHANGED_WAIT_SECONDS,
     IDLE_REPORT_SECONDS,
     REPORT_SECONDS,
@@ -107,6 +108,8 @@
         return True
     if abs(_wait_seconds(new) - _wait_seconds(old)) > CHANGED_WAIT_SECONDS:
         return True
+    if abs(new.slowdown - old.slowdown) > CHANGED_SLOWDOWN:
+        return True
     if abs(new.running - old.running) > CHANGED_SLOT_FRACTION * new.slots:
         return True
     memory = max(old.free_memory_tokens, new.free_memory_tokens)
--- a/tests/gateway/test_uneven_placement.py
+++ b/tests/gateway/test_uneven_placement.py
@@ -3,15 +3,29 @@
 from collections import Counter
 from random import Random
 
+from anyio import run
 from attrs import evolve
 from nose2.tools import params
 
+from pistachiolever.admission.core import AdmissionCore, Capacity
 from pistachiolever.admission.models import Load
+from pistachiolever.edge.peers import PeerClient
+from pistachiolever.gateway.endpoint_handle import EndpointHandle
 from pistachiolever.gateway.endpoint_index import ServiceIndex
 from pistachiolever.gateway.placement import Candidate, Placement, PromptPlan
+from pistachiolever.http1.models import ResponseHead
+from pistachiolever.platform.endpoints import EngineClient
+from pistachiolever.platform.names import HEADER_FORMAT
 from pistachiolever.slowdown.const import CLASS_REVIEW_SECONDS
 from pistachiolever.slowdown.filter import SlowdownFilter
-from pistachiolever.usage.models import MeasuredLoad, pack_load, unpack_measured
+from pistachiolever.usage.models import (
+    MeasuredLoad,
+    pack_load,
+    pack_pace,
+    unpack_measured,
+)
+from pistachiolever.usage.reporter import is_load_changed
+from tests.gateway.test_notices import ENDPOINT
 from tests.gateway.test_placement import IDLE, candidate
 from tests.support.cases import CaseTest
 
@@ -108,3 +122,25 @@
     def test_unpack(self, numbers: list[int], pace: list[int], load: Load) -> None:
         measured = unpack_measured(numbers, 1.0, pace)
         self.assertEqual(measured, MeasuredLoad(load, 0.98))
+
+
+class AgentTest(CaseTest):
+    """What an agent reads of its engine reaches routers."""
+
+    # A router alone hears of an engine about once a second, less often than slow
+    # periods begin and end.
+    def test_slowdown_in_reports_is_forwarded(self) -> None:
+        class SlowEngine(PeerClient):
+            async def exchange(self, *_: object) -> tuple[ResponseHead, bytes]:
+                body = b'{"born":1,"waiting":0,"running":0,"kvUsed":0,"kvTotal":9}'
+                return ResponseHead(200, [(HEADER_FORMAT.load, b"0,0,9,250")]), body
+
+        report = run(EngineClient("10.0.0.1:80", SlowEngine()).report)
+        core = AdmissionCore(Capacity(9), Random(1))
+        core.handle_report(report, 1.0)
+        load = core.load(1.0)
+        self.assertTrue(is_load_changed(Load(slots=9, free_memory_tokens=9), load))
+        measured = unpack_measured([0, *pack_load(load)], 1.0, pack_pace(load))
+        handle = EndpointHandle(ENDPOINT, self.fail)
+        handle.update_load(measured.load, measured.at)
+        self.assertEqual(handle.candidate(1.0).slowdown.value_at(1.0), 2.5)
