Keep prompts with a large shared part at one endpoint when routers spread

Routers that draw among nearly equal candidates would prefill a large shared part at each of them once its home is busy.

Ran: tests.gateway.test_uneven_placement, ruff, mypy.

--- a/pistachiolever/gateway/placement.py
+++ b/pistachiolever/gateway/placement.py
@@ -149,13 +149,30 @@
             for candidate in candidates
         ]
         ranked.sort(key=lambda choice: (choice.cost, choice.endpoint.endpoint_id))
-        is_uneven = plan.is_uneven or any(
-            candidate.slowdown.is_reported for candidate in candidates
-        )
-        if ranked and is_uneven and not self._is_warm(plan, ranked[0], preferred_id):
+        if ranked and self._may_spread(plan, ranked[0], candidates, preferred_id):
             self._spread(ranked, candidates)
         return ranked
 
+    def _may_spread(
+        self,
+        plan: PromptPlan,
+        best: RankedEndpoint,
+        candidates: list[Candidate],
+        preferred_id: str,
+    ) -> bool:
+        """Return whether routers may choose different endpoints for equal requests.
+
+        A large shared part would then be prefilled at all of them.
+        """
+        shared_seconds = plan.shared_tokens / INITIAL_PREFILL_TOKENS_PER_SECOND
+        if shared_seconds > NEARLY_EQUAL_SECONDS:
+            return False
+        if self._is_warm(plan, best, preferred_id):
+            return False
+        return plan.is_uneven or any(
+            candidate.slowdown.is_reported for candidate in candidates
+        )
+
     def _is_warm(
         self, plan: PromptPlan, choice: RankedEndpoint, preferred_id: str
     ) -> bool:
