--- a/pistachiolever/slowdown/const.py
+++ b/pistachiolever/slowdown/const.py
@@ -20,11 +20,10 @@
 # Shorter prompts are no samples of the lasting rate: the fixed overhead of a response,
 # some 25 ms, would make engines with short prompts look slow.
 MIN_RATE_SAMPLE_TOKENS: Final = 2_000
-# A rate is known from so many prefilled tokens on, some seconds of usual load.
-MIN_RATE_TOKENS: Final = 40_000.0
-# Weight that earlier samples of the lasting rate keep at each new one: some 30 samples
-# count, so that the slow periods of a VM even out.
-RATE_DECAY: Final = 0.97
+# A rate is known from so many samples on, and so many count: their median is within 10%
+# and follows a permanent change within some seconds of usual load.
+MIN_RATE_SAMPLES: Final = 8
+MAX_RATE_SAMPLES: Final = 31
 # Engines are alike if the fastest one has at most this many times the rate of the
 # slowest one: measured rates of equal engines lie within 25% of their middle.
 ALIKE_RATIO: Final = 1.7
--- a/pistachiolever/slowdown/rate.py
+++ b/pistachiolever/slowdown/rate.py
@@ -1,33 +1,32 @@
 """Measures the prefill rate of an engine independently of its present load."""
 
-from attrs import define
+from collections import deque
+from statistics import median
+
+from attrs import define, field
 
 from pistachiolever.slowdown.const import (
+    MAX_RATE_SAMPLES,
     MIN_RATE_SAMPLE_TOKENS,
-    MIN_RATE_TOKENS,
-    RATE_DECAY,
+    MIN_RATE_SAMPLES,
 )
 
 
 @define
 class LastingRate:
-    """Prefill rate over many prompts, without a prior and without the throttle."""
+    """Median prefill rate of recent prompts, without a prior and without the throttle.
 
-    tokens: float = 0.0
-    seconds: float = 0.0
-    total_tokens: float = 0.0
+    Single samples may be many times too high: a part that another request has just
+    prefilled takes no time. `tokens_per_second` is 0 until enough was measured.
+    """
 
-    @property
-    def tokens_per_second(self) -> float:
-        """Return the rate; 0 until enough was measured."""
-        if self.total_tokens < MIN_RATE_TOKENS:
-            return 0.0
-        return self.tokens / self.seconds
+    samples: deque[float] = field(factory=lambda: deque(maxlen=MAX_RATE_SAMPLES))
+    tokens_per_second: float = 0.0
 
     def observe(self, tokens: float, seconds: float) -> None:
         """Add a sample, unless its prompt is short."""
         if tokens < MIN_RATE_SAMPLE_TOKENS or seconds <= 0:
             return
-        self.tokens = self.tokens * RATE_DECAY + tokens
-        self.seconds = self.seconds * RATE_DECAY + seconds
-        self.total_tokens += tokens
+        self.samples.append(tokens / seconds)
+        if len(self.samples) >= MIN_RATE_SAMPLES:
+            self.tokens_per_second = median(self.samples)
