Review capacity classes less often the more engines there are

A review, and finding the homes anew after one, takes time in proportion to the number of engines.

Ran: tests.slowdown, tests.gateway.test_uneven_placement, ruff, mypy.

--- a/pistachiolever/slowdown/capacity_classes.py
+++ b/pistachiolever/slowdown/capacity_classes.py
@@ -9,6 +9,7 @@
     ALIKE_RATIO,
     CLASS_HYSTERESIS,
     CLASS_REVIEW_SECONDS,
+    CLASS_REVIEW_SECONDS_EACH,
     CLASSES_PER_DOUBLING,
     MAX_CLASS,
 )
@@ -48,7 +49,8 @@
 
     def review(self, now: float) -> bool:
         """Adjust the classes if that is due; return whether any has changed."""
-        if now - self.reviewed_at < CLASS_REVIEW_SECONDS:
+        each = CLASS_REVIEW_SECONDS_EACH * len(self.rate_by_id)
+        if now - self.reviewed_at < max(CLASS_REVIEW_SECONDS, each):
             return False
         if not (self.has_changes or self.moving_ids):
             return False
--- a/pistachiolever/slowdown/const.py
+++ b/pistachiolever/slowdown/const.py
@@ -39,6 +39,9 @@
 # Time between two reviews of the classes, in each of which an engine changes its class
 # by one: a permanent change of speed is followed within some seconds.
 CLASS_REVIEW_SECONDS: Final = 1.0
+# The same for each engine: a review, and finding homes anew after it, takes time in
+# proportion to the number of engines, which must not determine a router's load.
+CLASS_REVIEW_SECONDS_EACH: Final = 0.002
 # Usual work of a plain endpoint on one request, the middle of 15 to 110 ms.
 PLAIN_WORK_SECONDS: Final = 0.06
 # Utilization above this counts as this one: the queue formula diverges at 1.
