--- a/pistachiolever/admission/core.py
+++ b/pistachiolever/admission/core.py
@@ -47,6 +47,8 @@
     RunningResponse,
     target_seconds_per_token,
 )
+from pistachiolever.slowdown.filter import SlowdownFilter
+from pistachiolever.slowdown.rate import LastingRate
 from pistachiolever.streams.table import StreamLog
 
 
@@ -123,6 +125,8 @@
     service: RecentService = field(factory=RecentService)
     streams: StreamLog = field(factory=StreamLog)
     prefill_rate: PrefillRateEstimate = field(factory=PrefillRateEstimate)
+    lasting_rate: LastingRate = field(factory=LastingRate)
+    slowdown: SlowdownFilter = field(factory=SlowdownFilter)
     queued_by_id: dict[str, QueuedRequest] = field(factory=dict)
     run_by_id: dict[str, Run] = field(factory=dict)
     prefilling_ids: list[str] = field(factory=list)
@@ -212,6 +216,7 @@
         if bid_id in self.prefilling_ids:
             prefill_from = max(run.granted_at, self.prefill_started_at)
             self.prefill_rate.observe(run.prefill_tokens, now - prefill_from)
+            self.lasting_rate.observe(run.prefill_tokens, now - prefill_from)
             self.prefilling_ids.remove(bid_id)
             self.prefill_started_at = now
         self.cache.insert(run.bid.model, run.bid.parts)
@@ -251,6 +256,8 @@
         if not self.capacity.memory_tokens:
             # No bid has named the capacity yet.
             self.capacity.memory_tokens = report.total_tokens
+        if report.slowdown:
+            self.slowdown.observe(report.slowdown, now)
         self._adjust_throttle(report, now)
         self.untracked_running = max(0, report.running - len(self.run_by_id))
         if report.running:
@@ -313,6 +320,9 @@
             max(0.0, self._memory_limit() - self.reserved_tokens),
             self.prefill_tokens_per_second(),
             self.limits.wait_seconds(len(self.queued_by_id), now),
+            slowdown=self.slowdown.value_at(now),
+            prefill_rate=self.lasting_rate.tokens_per_second,
+            tells_slowdown=self.slowdown.is_reported,
         )
 
     def prefill_tokens_per_second(self) -> float:
--- a/pistachiolever/admission/models.py
+++ b/pistachiolever/admission/models.py
@@ -65,6 +65,10 @@
     `unread_tokens` are pending prefill tokens at the engine, `queued_tokens` those of
     the `waiting` requests, which have no grant yet. `limit_seconds` is the time until
     the rate that the endpoint named, or that of a cold engine, allows another request.
+    `slowdown` is how long work takes on the VM, relative to usual; it is 1.0 unless
+    `tells_slowdown`.
+    `prefill_rate` is the lasting measured prefill rate without the throttle, 0 if it is
+    not known.
     """
 
     unread_tokens: float = 0.0
@@ -75,6 +79,9 @@
     free_memory_tokens: float = 0.0
     speed: float = 0.0
     limit_seconds: float = 0.0
+    slowdown: float = 1.0
+    prefill_rate: float = 0.0
+    tells_slowdown: bool = False
 
 
 @frozen
@@ -133,7 +140,8 @@
     """Status that an engine reports of itself.
 
     `born_ms` is its start time in milliseconds since the epoch and identifies its
-    incarnation. `used_tokens` and `total_tokens` are its memory.
+    incarnation. `used_tokens` and `total_tokens` are its memory. `slowdown` is 0 if it
+    does not tell any.
     """
 
     born_ms: int
@@ -142,6 +150,7 @@
     used_tokens: int
     total_tokens: int
     runs: list[EngineRun] = field(factory=list)
+    slowdown: float = 0.0
 
 
 # Actions that AdmissionCore returns.
--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -23,6 +23,9 @@
 FULL_PENALTY_SECONDS: Final = 0.3
 # Penalty of a plain endpoint with all slots in use; proportional below that.
 BUSY_PENALTY_SECONDS: Final = 0.2
+# Costs that differ by less are equal: loads are told only when the wait has changed by
+# this much (CHANGED_WAIT_SECONDS).
+NEARLY_EQUAL_SECONDS: Final = 0.02
 # Penalty of an endpoint that is still warming up.
 COLD_PENALTY_SECONDS: Final = 0.05
 # A retryable request without a first chunk is retried elsewhere once its target has
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -135,7 +135,10 @@
             ShortageRecorder(self.events),
         )
         self.placement = Placement(
-            self.settings.failure_domain, self.policy, pricing=self.spillover
+            self.settings.failure_domain,
+            self.policy,
+            pricing=self.spillover,
+            rng=self.rng,
         )
         self.budget = RetryBudget(
             self.settings.retry_ratio,
@@ -282,7 +285,7 @@
         for address, numbers in update.loads.items():
             handle = self.handle_by_agent.get(address)
             if handle is not None:
-                measured = unpack_measured(numbers, now)
+                measured = unpack_measured(numbers, now, update.paces.get(address))
                 handle.update_load(measured.load, measured.at)
                 self.spillover.record_load(handle.endpoint, measured)
                 self.update_free(handle)
@@ -312,7 +315,11 @@
         for key in _index_keys(handle.endpoint):
             index = self.index_by_key.get(key)
             if index is not None:
-                index.update_load(handle.endpoint.endpoint_id, handle.is_full())
+                endpoint_id = handle.endpoint.endpoint_id
+                index.update_load(endpoint_id, handle.is_full())
+                # All routers are told the same rates, so that they agree on the homes.
+                rate = handle.told_load.prefill_rate
+                index.update_rate(endpoint_id, rate, self.now())
 
     def _sync_handles(self) -> None:
         """Keep one handle for the current incarnation of each endpoint."""
--- a/pistachiolever/platform/endpoints.py
+++ b/pistachiolever/platform/endpoints.py
@@ -2,7 +2,7 @@
 
 from typing import Any, Final
 
-from attrs import define
+from attrs import define, evolve
 
 from pistachiolever.admission.const import (
     HEALTH_TIMEOUT_SECONDS,
@@ -21,8 +21,9 @@
 from pistachiolever.discovery.models import Announcement, EndpointState
 from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.peers import PeerClient
+from pistachiolever.gateway.header_format import parse_load
 from pistachiolever.http1.models import Header, RequestHead, ResponseHead
-from pistachiolever.platform.names import COLD_HEADER, REPORT_PATH
+from pistachiolever.platform.names import COLD_HEADER, HEADER_FORMAT, REPORT_PATH
 
 # The leading fields of a running request in a report.
 RUN_FIELDS: Final = 3
@@ -100,11 +101,15 @@
 
     async def report(self) -> EngineReport:
         """Return the current load report; raise PeerError."""
-        _, body = await self._get(REPORT_PATH, REPORT_TIMEOUT_SECONDS)
+        head, body = await self._get(REPORT_PATH, REPORT_TIMEOUT_SECONDS)
         try:
-            return decode_report(body)
+            report = decode_report(body)
         except InvalidAnnouncementError as error:
             raise PeerError(f"invalid report: {error}", True) from error
+        load = parse_load(head.value(HEADER_FORMAT.load))
+        if load is None or not load.tells_slowdown:
+            return report
+        return evolve(report, slowdown=load.slowdown)
 
     async def cold_seconds(self, health_path: str) -> float:
         """Return how long the engine stays cold, 0 if it is warm; raise PeerError."""
