Leave time for the prefill of long prompts when callers return

The largest prompts came back too late to be prefilled before their target, and were refused or late. The last planned return is now earlier by the time to prefill the prompt.

--- a/pistachiolever/capacity/models.py
+++ b/pistachiolever/capacity/models.py
@@ -41,7 +41,11 @@
 
 @frozen
 class ReturnLimits:
-    """Seconds until a caller's target, and until the last return that it honours."""
+    """Seconds until a caller's target, and until the last return that it honours.
+
+    `prefill_seconds` is the time to prefill its prompt.
+    """
 
     target_seconds: float
     most_seconds: float
+    prefill_seconds: float = 0.0
--- a/pistachiolever/capacity/returns.py
+++ b/pistachiolever/capacity/returns.py
@@ -15,6 +15,7 @@
     """
     earliest = max(MIN_RETURN_SECONDS, room_seconds)
     latest = limits.target_seconds * (1.0 - RETURN_MARGIN_FRACTION)
+    latest -= limits.prefill_seconds
     if latest <= earliest:
         latest = limits.most_seconds
     latest = min(latest, limits.most_seconds)
--- a/pistachiolever/gateway/failures.py
+++ b/pistachiolever/gateway/failures.py
@@ -2,6 +2,7 @@
 
 from attrs import define
 
+from pistachiolever.admission.const import INITIAL_PREFILL_TOKENS_PER_SECOND
 from pistachiolever.capacity.estimate import estimate_room
 from pistachiolever.capacity.models import KnownLoad, RequestSize, ReturnLimits
 from pistachiolever.capacity.returns import return_seconds
@@ -146,5 +147,9 @@
         room = estimate_room(known, size, fleet.runs.mean(now))
         if room.seconds is None:
             return None
-        limits = ReturnLimits(request.target_at - now, RETRY_AFTER_FRACTION * remaining)
+        limits = ReturnLimits(
+            request.target_at - now,
+            RETRY_AFTER_FRACTION * remaining,
+            size.prompt_tokens / INITIAL_PREFILL_TOKENS_PER_SECOND,
+        )
         return return_seconds(room.seconds, limits, fleet.rng)
--- a/tests/capacity/test_capacity.py
+++ b/tests/capacity/test_capacity.py
@@ -57,6 +57,8 @@
 
     @params(
         ("before the target", 0.2, ReturnLimits(1.0, 5.0), 0.2, 0.75),
+        ("a long prompt", 0.2, ReturnLimits(1.0, 5.0, 0.3), 0.2, 0.45),
+        ("too long a prompt", 0.2, ReturnLimits(1.0, 5.0, 0.6), 0.2, 5.0),
         ("no room before the target", 2.0, ReturnLimits(1.0, 5.0), 2.0, 5.0),
         ("the deadline is near", 0.0, ReturnLimits(1.0, 0.3), 0.05, 0.3),
         ("no room before the deadline", 9.0, ReturnLimits(1.0, 5.0), 5.0, 5.0),
