--- a/pistachiolever/emulator/fleet.py
+++ b/pistachiolever/emulator/fleet.py
@@ -239,6 +239,7 @@
                 50.0,
                 spillover_enabled=self.shape.spillover,
                 spillover_latency_seconds=2 * self.shape.far_seconds,
+                plans_returns=self.shape.plans_returns,
             ),
             self._reject_configuration,
             EmulatedPeerClient(
--- a/pistachiolever/emulator/models.py
+++ b/pistachiolever/emulator/models.py
@@ -138,7 +138,8 @@
     router; `near_seconds` and `far_seconds` are those between a router and an engine or
     agent of its own failure domain and of another one. `read_again_price` is the credit
     deducted per 1000 tokens of repeated prefill. With `spillover`, the price of
-    leaving a failure domain follows the loads.
+    leaving a failure domain follows the loads. `plans_returns` is that setting of the
+    routers.
     """
 
     name: str
@@ -162,6 +163,7 @@
     episodes: list[Episode] = field(factory=list)
     release: Release | None = None
     spillover: bool = False
+    plans_returns: bool = False
 
 
 @frozen
--- a/pistachiolever/gateway/settings.py
+++ b/pistachiolever/gateway/settings.py
@@ -29,6 +29,9 @@
     A round trip between failure domains takes `spillover_latency_seconds`; a megabyte
     moved between them counts as `spillover_seconds_per_megabyte`. An endpoint at which
     requests wait for `spillover_short_wait_seconds` has no room for more.
+
+    With `plans_returns`, Retry-After follows the estimated time at which engines have
+    room again.
     """
 
     node_id: str
@@ -48,3 +51,4 @@
     spillover_latency_seconds: float = DEFAULT_LATENCY_SECONDS
     spillover_seconds_per_megabyte: float = DEFAULT_SECONDS_PER_MEGABYTE
     spillover_short_wait_seconds: float = DEFAULT_SHORT_WAIT_SECONDS
+    plans_returns: bool = False
