--- /dev/null
+++ b/tests/misbehaving_clients/__init__.py
@@ -0,0 +1,1 @@
+"""Groups of misbehaving clients against real processes of each role."""
