Limit what a process holds for clients, and cut those that progress least

Clients that send large bodies, many fields or many pipelined requests, or that send or read slowly, filled the memory or the descriptors of a process.

All servers of a process share a budget of bytes (limits.clientMemoryMb, by default a fifth of limits.memoryMb). Heads, bodies, pipelined requests and unread responses count toward it. If it is short, or if connections are, those go first that hold most and progress least. Accepted requests are kept unless their clients do not read. A body may take any time but must progress. Fields and pipelined requests are limited. Requests without a route, with an unknown key or at an unknown path of peers are refused before their bodies are read. The metrics and readiness servers have connection limits. Cuts are counted by reason and logged once a second (E925).

--- a/pistachiolever/edge/peers.py
+++ b/pistachiolever/edge/peers.py
@@ -187,17 +187,21 @@
 
     async def handle(self, exchange: Exchange) -> None:
         """Authenticate a call and pass it to the handler of its path."""
-        body = await exchange.read_body()
         key = bearer_key(
             (exchange.head.value(b"authorization") or b"").decode("latin-1")
         )
         route = self.route_by_path.get(exchange.head.path)
         if self.secret and not same_key(key, self.secret):
-            await exchange.respond(401, [], b"")
+            await self._refuse(exchange, 401)
         elif route is None:
-            await exchange.respond(404, [], b"")
+            await self._refuse(exchange, 404)
         else:
-            await self._answer(exchange, route, body)
+            await self._answer(exchange, route, await exchange.read_body())
+
+    async def _refuse(self, exchange: Exchange, status: int) -> None:
+        """Refuse a call without keeping its body."""
+        exchange.discard_body()
+        await exchange.respond(status, [], b"")
 
     async def _answer(self, exchange: Exchange, route: PeerRoute, body: bytes) -> None:
         """Decode the message, call the handler and send the encoded reply."""
--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -30,7 +30,9 @@
 from pistachiolever.gateway.settings import GatewaySettings
 from pistachiolever.gateway.stream_origins import StreamOrigins
 from pistachiolever.gateway.work_counts import WorkCounts, WorkReporter
+from pistachiolever.http1.budget import ByteBudget
 from pistachiolever.http1.connection import Exchange
+from pistachiolever.http1.const import MAX_MONITORING_CONNECTIONS
 from pistachiolever.http1.models import Header, HttpLimits
 from pistachiolever.http1.server import HttpServer
 from pistachiolever.metrics.instruments import REQUESTS, SHED, UNREAD
@@ -102,6 +104,7 @@
     shed_count: int = 0
     intake: IntakeLimit = field(factory=IntakeLimit)
     unread_count: int = 0
+    budget: ByteBudget = field(factory=ByteBudget)
 
     def __attrs_post_init__(self) -> None:
         """Create the servers and register the gauges."""
@@ -118,9 +121,13 @@
             self._record_limit,
             self._count_unread,
             IntakeScreen(self),
+            self.budget,
         )
         self.readiness_server = HttpServer(
-            self.settings.ready_address, self._handle_readiness
+            self.settings.ready_address,
+            self._handle_readiness,
+            max_connections=MAX_MONITORING_CONNECTIONS,
+            budget=self.budget,
         )
         gauge = self.fleet.instruments.gauge
         gauge("pistachiolever_configuration_version", self._version)
@@ -287,7 +294,7 @@
 
     async def _handle_readiness(self, exchange: Exchange) -> None:
         """Answer a readiness check of the load balancer."""
-        await exchange.read_body()
+        exchange.discard_body()
         if exchange.head.path != self.settings.ready_path:
             await exchange.respond(404, [], b"")
             return
@@ -330,13 +337,14 @@
         """Serve a request that was taken."""
         arrived_at = self.fleet.now()
         metadata = self.header_format.parse_request(exchange.head)
-        body = await exchange.read_body()
         try:
-            request = self._resolve_request(exchange, metadata, body, arrived_at)
+            request = self._resolve_request(exchange, metadata, arrived_at)
+            request.body = await exchange.read_body()
             if not self._can_finish(request):
                 raise NotAllowedError(503, "draining")
             self._shorten_deadline(request)
         except NotAllowedError as error:
+            exchange.discard_body()
             self.fleet.events.record(
                 EventCode.REQUEST_REFUSED,
                 metadata.request_id,
@@ -398,10 +406,12 @@
         self,
         exchange: Exchange,
         metadata: RequestMetadata,
-        body: bytes,
         arrived_at: float,
     ) -> ProxyRequest:
-        """Return the request with route and account; raise NotAllowedError."""
+        """Return the request with route and account, without a body yet.
+
+        Raise NotAllowedError.
+        """
         table = self.fleet.table
         if table is None:
             raise NotAllowedError(503, "no configuration is known yet")
@@ -421,7 +431,7 @@
         return ProxyRequest(
             metadata,
             exchange.head,
-            body,
+            b"",
             route,
             service,
             account.account_id if account else "",
--- a/pistachiolever/http1/connection.py
+++ b/pistachiolever/http1/connection.py
@@ -14,27 +14,28 @@
 )
 from attrs import define, field
 
+from pistachiolever.http1.budget import ByteBudget
 from pistachiolever.http1.const import (
-    BODY_SECONDS,
+    FIELD_BYTES,
     FIRST_REQUEST_SECONDS,
     LINGER_SECONDS,
-    MAX_FRAMING_BYTES,
+    MAX_PIPELINED_REQUESTS,
     MAX_UNPROCESSED_BYTES,
+    PROGRESS_BYTES,
+    REFUSED_RETRY_SECONDS,
+    UNREAD_SECONDS,
 )
 from pistachiolever.http1.errors import BadRequestError, MalformedMessageError
+from pistachiolever.http1.exchange import Exchange as Exchange, checked_head
 from pistachiolever.http1.models import (
-    Framing,
-    Header,
     HttpLimits,
     RequestHead,
-    framing_of,
 )
 from pistachiolever.http1.protocol import ServerProtocol
 from pistachiolever.http1.reader import MessageReader
 from pistachiolever.http1.sockets import (
     has_input,
     has_left,
-    set_reset_on_close,
 )
 from pistachiolever.http1.stream import SocketStream
 
@@ -55,12 +56,25 @@
     draining: Callable[[], bool]
     closing: Callable[[], bool]
     report_unread: Callable[[], None]
+    budget: ByteBudget = field(factory=ByteBudget)
     protocol: ServerProtocol = field(init=False)
     disconnected: bool = False
     busy: bool = False
     request_bytes: int = 0
     served_count: int = 0
     opened_at: float = field(factory=current_time)
+    held_bytes: int = 0
+    progressed_at: float = field(factory=current_time)
+    body_bytes: int = 0
+    accepted: bool = False
+    closes_after: bool = False
+    _head: RequestHead | None = None
+    _head_bytes: int = 0
+    _unread_bytes: int = 0
+    _progress_bytes: int = 0
+    _pipelined_count: int = 0
+    _refusal: BadRequestError | None = None
+    _lingers_after_refusal: bool = True
     _unprocessed_bytes: int = 0
     _is_lingering: bool = False
     _input_arrived: Event = field(factory=Event)
@@ -75,10 +89,13 @@
     async def run(self) -> None:
         """Serve the connection until either side closes it."""
         self.stream.deliver_to(self._take_input, self._disconnect)
+        self.stream.on_unread = self._hold_unread
         try:
             await self._serve()
         finally:
+            self.stream.on_unread = None
             self.stream.close()
+            self.budget.hold(self, 0, current_time())
 
     def close_if_idle(self) -> bool:
         """Close the connection unless it is in use; return whether it is closed now."""
@@ -108,12 +125,14 @@
 
     def _take_input(self, data: bytes) -> None:
         """Keep received data; pause reading while too much is unprocessed."""
-        if self._is_lingering:
+        if self._is_lingering or self.closes_after or self._refusal is not None:
             return
         self.protocol.reader.feed(data)
         self._unprocessed_bytes += len(data)
         self.request_bytes += len(data)
         self._input_arrived.set()
+        self._note_progress(len(data))
+        self.hold()
         if self._unprocessed_bytes > MAX_UNPROCESSED_BYTES:
             self.stream.pause_reading()
 
@@ -134,11 +153,77 @@
         """Wait for more input; return false after a disconnect."""
         self._unprocessed_bytes = 0
         self.stream.resume_reading()
-        if not self.disconnected:
+        if not self.disconnected and self._refusal is None:
             self._input_arrived = Event()
             await self._input_arrived.wait()
+        if self._refusal is not None:
+            # A new error: a kept one would keep the frames of the request, too.
+            raise BadRequestError(self._refusal.status, self._refusal.detail)
         return not self.disconnected
 
+    # Bytes held for the client.
+
+    def hold(self) -> None:
+        """Count what is held for this connection."""
+        buffered = len(self.protocol.reader.buffer) + self._unread_bytes
+        held = buffered + self.body_bytes + self._head_bytes
+        self.budget.hold(self, held, current_time())
+
+    def _hold_unread(self, unread_bytes: int) -> None:
+        """Count the bytes of the response that the system does not take."""
+        self._unread_bytes = unread_bytes
+        self.progressed_at = current_time()
+        self.hold()
+
+    def _note_progress(self, size: int) -> None:
+        """Count received bytes; a few of them are no progress."""
+        self._progress_bytes += size
+        if self._progress_bytes >= PROGRESS_BYTES:
+            self._progress_bytes = 0
+            self.progressed_at = current_time()
+
+    def stalled_seconds(self) -> float:
+        """Return how long there has been no progress."""
+        return current_time() - self.progressed_at
+
+    def is_unread(self) -> bool:
+        """Return whether the client does not read its response as it comes."""
+        return self._unread_bytes > 0
+
+    def is_pipelining(self) -> bool:
+        """Return whether more requests wait behind one that was pipelined, too."""
+        return self._pipelined_count > 0 and bool(self.protocol.reader.buffer)
+
+    def can_give_up(self) -> bool:
+        """Return whether something can be given up but an accepted request.
+
+        A response that its client does not read can be.
+        """
+        if self._refusal is not None:
+            return False
+        if self._unread_bytes:
+            return self.stalled_seconds() > UNREAD_SECONDS
+        return not self.accepted or bool(self.protocol.reader.buffer)
+
+    def give_up(self, reason: str) -> None:
+        """Refuse the request, drop those after it, or close the connection."""
+        self.budget.report_cut(reason)
+        self.protocol.reader.buffer.clear()
+        if self._unread_bytes:
+            self._unread_bytes = 0
+            self.stream.close()
+            self._disconnect()
+        elif not self.accepted:
+            # It holds nothing from now on: its task drops the body when it runs next.
+            self._refusal = BadRequestError(503, f"the server lacks {reason}")
+            # Lingering would occupy the connection that is needed for another client.
+            self._lingers_after_refusal = reason != "connections"
+            self.body_bytes = self._head_bytes = 0
+            self._input_arrived.set()
+        else:
+            self.closes_after = True
+        self.hold()
+
     # Requests.
 
     async def _serve(self) -> None:
@@ -158,9 +243,28 @@
                 # It waited here for longer than its client would.
                 self.report_unread()
                 return
+            self._begin_request(head)
             if not await self._serve_request(Exchange(self, head)) or self.closing():
                 return
 
+    def _begin_request(self, head: RequestHead) -> None:
+        """Count a request, which is accepted once its whole body has arrived."""
+        self._head_bytes = FIELD_BYTES * len(head.headers) + self.request_bytes
+        self._head = head
+        self.progressed_at = current_time()
+        if self._pipelined_count >= MAX_PIPELINED_REQUESTS:
+            self.budget.report_cut("pipelined")
+            self.closes_after = True
+        self.hold()
+
+    def _end_request(self) -> None:
+        """Release what was held for a request."""
+        self.busy = self.accepted = False
+        self.served_count += 1
+        self.request_bytes = self.body_bytes = self._head_bytes = 0
+        self.progressed_at = current_time()
+        self.hold()
+
     async def _serve_request(self, exchange: "Exchange") -> bool:
         """Serve one request; return whether the connection can take another one."""
         self.busy, self._exchange = True, exchange
@@ -168,17 +272,16 @@
             self._request_scope = scope
             await self._handle(exchange)
         self._request_scope = self._exchange = None
-        self.busy = False
-        self.served_count += 1
-        self.request_bytes = 0
+        self._end_request()
         if self.disconnected:
             return False
         if scope.cancel_called:
             await self._reject(BadRequestError(502, "the server stops"))
             return False
-        if self.protocol.start_next_cycle():
+        if self.protocol.start_next_cycle() and not self.closes_after:
             return True
-        if exchange.finished and not self.protocol.reader.is_complete:
+        is_whole = self.protocol.reader.is_complete and not self.closes_after
+        if exchange.finished and not is_whole:
             await self._linger()
         return False
 
@@ -204,11 +307,14 @@
     async def _next_head(self) -> RequestHead | None:
         """Return the head of the next request, or None to close the connection."""
         limits = self.limits()
+        is_pipelined = self.served_count > 0 and self._has_input()
+        self._pipelined_count = self._pipelined_count + 1 if is_pipelined else 0
         if not self._has_input():
             with move_on_after(limits.idle_seconds) as idle:
                 self._idle_scope = idle
                 await self.wait_for_input()
             self._idle_scope = None
+            self.progressed_at = current_time()
             if not self._has_input() and not has_input(self.stream):
                 return None
         head = self.protocol.read_head()
@@ -241,13 +347,16 @@
             (b"content-length", b"%d" % len(body)),
             (b"connection", b"close"),
         ]
+        if error.status == 503:
+            headers.append((b"retry-after", b"%d" % REFUSED_RETRY_SECONDS))
         data = self.protocol.encode_head(error.status, headers)
         data += self.protocol.encode_body(body)
         try:
             await self.stream.send(data)
         except (BrokenResourceError, ClosedResourceError):
             return
-        await self._linger()
+        if self._refusal is None or self._lingers_after_refusal:
+            await self._linger()
 
     async def _linger(self) -> None:
         """Read on for a while after a response, so that its client receives it.
@@ -259,132 +368,11 @@
         except (BrokenResourceError, ClosedResourceError):
             return
         self._is_lingering = True
+        if self._head is not None:
+            # Many short fields take far more memory than their bytes.
+            self._head.headers.clear()
         self.stream.resume_reading()
         with move_on_after(LINGER_SECONDS):
             while not self.disconnected:
                 self._input_arrived = Event()
                 await self._input_arrived.wait()
-
-
-def checked_head(head: RequestHead, limits: HttpLimits) -> RequestHead:
-    """Return the head of a request; raise BadRequestError if it is unsafe."""
-    # A line has at least a colon and a line feed, too.
-    size = len(head.target) + sum(
-        len(name) + len(value) + 2 for name, value in head.headers
-    )
-    if size > limits.max_head_bytes:
-        # The reader limits only heads that arrive in several reads.
-        raise BadRequestError(431, f"a head of over {limits.max_head_bytes} bytes")
-    names = [name for name, _ in head.headers]
-    if b"transfer-encoding" in names and b"content-length" in names:
-        raise BadRequestError(400, "both a length and a transfer coding")
-    length = head.value(b"content-length")
-    if length is not None and int(length) > limits.max_body_bytes:
-        raise BadRequestError(413, f"a body of over {limits.max_body_bytes} bytes")
-    return head
-
-
-@define(eq=False)
-class Exchange:
-    """A request and its response."""
-
-    connection: ServerConnection
-    head: RequestHead
-    started: bool = False
-    finished: bool = False
-    ends_with_connection: bool = False
-
-    async def read_body(self) -> bytes:
-        """Return the whole body; raise BadRequestError if it is too large."""
-        parts: list[bytes] = []
-        try:
-            if self._take_body(parts, 0) is None:
-                return b"".join(parts)
-            with fail_after(BODY_SECONDS):
-                return await self._read_body(parts)
-        except TimeoutError as error:
-            raise BadRequestError(408, "the body came too slowly") from error
-        except MalformedMessageError as error:
-            raise BadRequestError(error.status, error.detail) from error
-
-    async def _read_body(self, parts: list[bytes]) -> bytes:
-        """Return the whole body with the parts before, however long it takes."""
-        connection = self.connection
-        if connection.protocol.awaits_continue:
-            await connection.stream.send(connection.protocol.encode_continue())
-        size = sum(map(len, parts))
-        while (total := self._take_body(parts, size)) is not None:
-            size = total
-            if not await connection.wait_for_input():
-                raise BadRequestError(400, "the body is not whole")
-        return b"".join(parts)
-
-    def _take_body(self, parts: list[bytes], size: int) -> int | None:
-        """Add what is there of the body; return its size, None at the end.
-
-        Raise BadRequestError if it is too large.
-        """
-        connection = self.connection
-        max_bytes = connection.limits().max_body_bytes
-        while data := connection.protocol.read_body():
-            parts.append(data)
-            size += len(data)
-            if size > max_bytes:
-                raise BadRequestError(413, f"a body of over {max_bytes} bytes")
-            if connection.request_bytes > max_bytes + MAX_FRAMING_BYTES:
-                raise BadRequestError(413, "too many bytes beside the body")
-        if not connection.protocol.reader.is_complete:
-            return size
-        connection.resume_input()
-        return None
-
-    async def start(self, status: int, headers: list[Header]) -> None:
-        """Send the head of the response."""
-        if self._needs_close(status, headers):
-            # Without a reset, a response that is broken off would look complete.
-            self.ends_with_connection = True
-            set_reset_on_close(self.connection.stream, True)
-        await self._write(self._head_bytes(status, headers))
-
-    async def send(self, data: bytes) -> None:
-        """Send a part of the body; wait while the client does not read."""
-        data = self.connection.protocol.encode_body(data)
-        if data:
-            await self.connection.stream.send(data)
-
-    async def finish(self) -> None:
-        """Complete the response."""
-        self.finished = True
-        await self._write(self.connection.protocol.encode_end())
-        if self.ends_with_connection:
-            set_reset_on_close(self.connection.stream, False)
-
-    async def respond(self, status: int, headers: list[Header], body: bytes) -> None:
-        """Send a whole response in one write."""
-        protocol = self.connection.protocol
-        length = (b"content-length", b"%d" % len(body))
-        parts = [self._head_bytes(status, [*headers, length])]
-        if body:
-            parts.append(protocol.encode_body(body))
-        parts.append(protocol.encode_end())
-        self.finished = True
-        await self._write(b"".join(parts))
-
-    def _needs_close(self, status: int, headers: list[Header]) -> bool:
-        """Return whether only the end of the connection will end the response."""
-        if self.connection.protocol.version >= b"1.1":
-            return False
-        return framing_of(self.head.method, status, headers) is Framing.CLOSE
-
-    def _head_bytes(self, status: int, headers: list[Header]) -> bytes:
-        """Return the serialized head, with `connection: close` if it will be closed."""
-        self.started = True
-        protocol = self.connection.protocol
-        if self.connection.draining() or not protocol.reader.is_complete:
-            headers = [*headers, (b"connection", b"close")]
-        return protocol.encode_head(status, headers)
-
-    async def _write(self, data: bytes) -> None:
-        """Write to the socket."""
-        if data:
-            await self.connection.stream.send(data)
--- a/pistachiolever/http1/const.py
+++ b/pistachiolever/http1/const.py
@@ -31,14 +31,38 @@
 LINGER_SECONDS: Final = 0.3
 # Connections waiting to be accepted.
 LISTEN_BACKLOG: Final = 1024
-# Time for a whole request body; a request that is received more slowly is rejected.
-BODY_SECONDS: Final = 30.0
+# A body of which nothing arrives for so long is rejected, however long it takes in
+# all. As long as a connection may be idle between requests.
+BODY_STALL_SECONDS: Final = 15.0
+# Bytes held for the clients of a process without a limit of memory in its settings.
+DEFAULT_HELD_BYTES: Final = 64 * 1024 * 1024
+# Memory of one parsed header field beside its bytes: a tuple, two objects, a place.
+FIELD_BYTES: Final = 160
+# Shortest line of a header field, with LF only.
+MIN_FIELD_BYTES: Final = 3
+# Fields of a head: no more fit into one of the default size.
+MAX_FIELDS: Final = MAX_HEAD_BYTES // MIN_FIELD_BYTES
+# Requests that a client sends in a row ahead of the responses; common clients send one
+# at a time, and those that pipeline a few.
+MAX_PIPELINED_REQUESTS: Final = 100
+# Bytes that count as progress of a connection: the size of one head.
+PROGRESS_BYTES: Final = 16_384
+# A client that reads nothing for so long may lose its response for lack of memory.
+# The longest pause that the routes of a deployment allow between events.
+UNREAD_SECONDS: Final = 0.8
+# Seconds after which a refused client may return.
+REFUSED_RETRY_SECONDS: Final = 1
+# Connections that make room at once.
+MAX_CUT_CONNECTIONS: Final = 64
 # Bytes of a request on the wire beyond its body: chunk sizes, extensions, trailers.
 MAX_FRAMING_BYTES: Final = 1024 * 1024
 # Interim responses (1xx) before a response; a peer that sends more is broken.
 MAX_INTERIM_RESPONSES: Final = 16
 # Connections that a server keeps open unless it is told otherwise.
 DEFAULT_MAX_CONNECTIONS: Final = 2_000
+# Connections for scrapes or for checks of readiness: a few clients open them, and the
+# descriptors outside of the limits for callers suffice for them.
+MAX_MONITORING_CONNECTIONS: Final = 96
 # Pause after the system refused another connection, for instance for lack of
 # descriptors.
 ACCEPT_RETRY_SECONDS: Final = 0.05
--- a/pistachiolever/http1/models.py
+++ b/pistachiolever/http1/models.py
@@ -8,6 +8,7 @@
     HEAD_SECONDS,
     IDLE_SECONDS,
     MAX_BODY_BYTES,
+    MAX_FIELDS,
     MAX_HEAD_BYTES,
 )
 
@@ -22,6 +23,7 @@
     max_body_bytes: int = MAX_BODY_BYTES
     head_seconds: float = HEAD_SECONDS
     idle_seconds: float = IDLE_SECONDS
+    max_fields: int = MAX_FIELDS
 
 
 def first_value(headers: list[Header], name: bytes) -> bytes | None:
--- a/pistachiolever/http1/reader.py
+++ b/pistachiolever/http1/reader.py
@@ -102,7 +102,7 @@
                 and self._enter_chunk()
             ):
                 start = self._position
-                data = bytes(self.buffer[start : start + self._left])
+                data = self._copy(start, start + self._left)
                 parts.append(data)
                 size += len(data)
                 self._position += len(data)
@@ -128,7 +128,7 @@
         size = len(buffer) - start - 2
         if size <= 0 or size != int(match[1], 16) or not buffer.endswith(b"\r\n"):
             return b""
-        data = bytes(buffer[start:-2])
+        data = self._copy(start, start + size)
         buffer.clear()
         self._searched = 0
         return data
@@ -183,10 +183,15 @@
 
     def _take(self, size: int) -> bytes:
         """Return up to `size` bytes."""
-        data = bytes(self.buffer[:size])
+        data = self._copy(0, size)
         del self.buffer[:size]
         return data
 
+    def _copy(self, start: int, end: int) -> bytes:
+        """Return a part of the buffer; a slice of it would be a copy to copy again."""
+        with memoryview(self.buffer) as view:
+            return bytes(view[start:end])
+
     def _take_lines(self) -> bytes | None:
         """Return the lines up to the first empty one, None if it has not come."""
         if self.buffer.startswith(EMPTY_LINES):
--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -23,6 +23,7 @@
 )
 from attrs import define, field
 
+from pistachiolever.http1.budget import ByteBudget
 from pistachiolever.http1.connection import Handler, ServerConnection
 from pistachiolever.http1.const import (
     ACCEPT_RETRY_SECONDS,
@@ -31,6 +32,7 @@
     FIRST_REQUEST_SECONDS,
     LIMIT_REPORT_SECONDS,
     LISTEN_BACKLOG,
+    MAX_CUT_CONNECTIONS,
 )
 from pistachiolever.http1.models import HttpLimits
 from pistachiolever.http1.screening import ConnectionScreen, Screening
@@ -53,7 +55,8 @@
     While `draining`, responses ask the client to close the connection. While `closing`,
     connections are closed after the current request. At `max_connections` the newest
     idle connection is closed for a new one; if none is idle, clients wait to be
-    accepted. An active `screen` refuses new connections before they are set up.
+    accepted. Those that wait for a request that makes no progress are closed for new
+    ones. An active `screen` refuses new connections before they are set up.
     `report_limit` is called when a limit is reached, at most once in
     LIMIT_REPORT_SECONDS, `report_unread` for each request whose client left before it
     was read.
@@ -66,6 +69,7 @@
     report_limit: Callable[[str, int], None] = ignore_limit
     report_unread: Callable[[], None] = ignore_unread
     screen: ConnectionScreen | None = None
+    budget: ByteBudget = field(factory=ByteBudget)
     draining: bool = False
     closing: bool = False
     connections: dict[ServerConnection, None] = field(factory=dict)
@@ -180,6 +184,7 @@
             lambda: self.draining,
             lambda: self.closing,
             self.report_unread,
+            self.budget,
         )
         connection.feed(received)
         self.connections[connection] = None
@@ -190,7 +195,8 @@
         while self._open_count() >= self.max_connections:
             self._report_limit("connections")
             self._room = Event()
-            self._close_newest_idle()
+            if not self._close_newest_idle():
+                self._close_stalled()
             with move_on_after(FIRST_REQUEST_SECONDS):
                 await self._room.wait()
 
@@ -219,14 +225,37 @@
             self.connections.pop(connection, None)
             self._room.set()
 
-    def _close_newest_idle(self) -> None:
-        """Close the newest connection that waits for another request.
+    def _close_newest_idle(self) -> bool:
+        """Close the newest connection that waits for another request, if there is one.
 
         A connection may wait for its first one for FIRST_REQUEST_SECONDS.
         """
-        for connection in reversed(self.connections):
-            if connection.is_settled() and connection.close_if_idle():
-                return
+        return any(
+            connection.is_settled() and connection.close_if_idle()
+            for connection in reversed(self.connections)
+        )
+
+    def _close_stalled(self) -> None:
+        """Close the connections whose requests have made no progress for longest.
+
+        An accepted request is not given up, unless its client does not read.
+        Requests that were pipelined behind it are.
+        """
+        stalled = [
+            connection
+            for connection in self.connections
+            if connection.can_give_up() and self._is_dispensable(connection)
+        ]
+        stalled.sort(key=lambda connection: connection.progressed_at)
+        for connection in stalled[:MAX_CUT_CONNECTIONS]:
+            connection.give_up("connections")
+
+    def _is_dispensable(self, connection: ServerConnection) -> bool:
+        """Return whether a connection may be closed for one that waits."""
+        if connection.is_pipelining():
+            return True
+        is_waiting = not connection.accepted or connection.is_unread()
+        return is_waiting and connection.stalled_seconds() > FIRST_REQUEST_SECONDS
 
     def _report_limit(self, reason: str) -> None:
         """Report that a limit was reached, unless one was reported just before."""
--- a/pistachiolever/http1/stream.py
+++ b/pistachiolever/http1/stream.py
@@ -29,6 +29,7 @@
         """Create a stream, which its transport completes."""
         self._on_data: Callable[[bytes], None] | None = None
         self._on_end: Callable[[], None] | None = None
+        self.on_unread: Callable[[int], None] | None = None
         self.has_ended = False
         self._received: deque[bytes] = deque()
         self._received_bytes = 0
@@ -74,10 +75,14 @@
     def pause_writing(self) -> None:
         """Let senders wait until the system has taken the bytes."""
         self._is_writing_paused = True
+        if self.on_unread is not None:
+            self.on_unread(self.transport.get_write_buffer_size())
 
     def resume_writing(self) -> None:
         """Let senders go on."""
         self._is_writing_paused = False
+        if self.on_unread is not None:
+            self.on_unread(0)
         _wake(self._sender)
 
     def _end(self) -> None:
--- a/pistachiolever/metrics/exposition.py
+++ b/pistachiolever/metrics/exposition.py
@@ -35,7 +35,7 @@
 
     async def handle(self, exchange: Exchange) -> None:
         """Respond to a scrape."""
-        await exchange.read_body()
+        exchange.discard_body()
         if exchange.head.path != self.path:
             await exchange.respond(404, [], b"")
             return
--- a/pistachiolever/metrics/instruments.py
+++ b/pistachiolever/metrics/instruments.py
@@ -71,6 +71,11 @@
 UNREAD: Final = Instrument(
     "pistachiolever_unread", "Requests whose callers left before they were read"
 )
+CUT: Final = Instrument(
+    "pistachiolever_cut",
+    "Clients that lost their request or connection for lack of a resource",
+    ("reason",),
+)
 FIRST_CHUNK: Final = Instrument(
     "pistachiolever_first_part_seconds",
     "Time from arrival to the first chunk",
@@ -106,6 +111,7 @@
     REQUESTS,
     SHED,
     UNREAD,
+    CUT,
     RETRIES,
     STREAM_ENDS,
     GRANTS,
--- a/pistachiolever/platform/roles.py
+++ b/pistachiolever/platform/roles.py
@@ -71,7 +71,9 @@
     reporting = UsageReporting(
         fleet.reporter, choice, client, context.events, current_time
     )
-    process = GatewayProcess(settings, HEADER_FORMAT, fleet, watcher)
+    process = GatewayProcess(
+        settings, HEADER_FORMAT, fleet, watcher, budget=context.budget
+    )
     async with create_task_group() as group:
         group.start_soon(process.run)
         group.start_soon(reporting.run)
@@ -98,6 +100,7 @@
         process.api().handle,
         max_connections=context.max_connections(PEER_CONNECTION_FRACTION),
         report_limit=context.record_limit,
+        budget=context.budget,
     )
     async with create_task_group() as group:
         group.start_soon(process.run)
@@ -127,6 +130,7 @@
         lambda: CONTROL_LIMITS,
         context.max_connections(PEER_CONNECTION_FRACTION),
         context.record_limit,
+        budget=context.budget,
     )
     control_server = HttpServer(
         context.settings.control_address,
@@ -134,6 +138,7 @@
         lambda: CONTROL_LIMITS,
         context.max_connections(CONTROL_CONNECTION_FRACTION),
         context.record_limit,
+        budget=context.budget,
     )
     async with create_task_group() as group:
         group.start_soon(process.run)
--- a/pistachiolever/platform/settings.py
+++ b/pistachiolever/platform/settings.py
@@ -13,6 +13,7 @@
     DEFAULT_MAX_DESCRIPTORS,
 )
 from pistachiolever.gateway.settings import GatewaySettings
+from pistachiolever.http1.const import DEFAULT_HELD_BYTES
 from pistachiolever.platform.names import METRICS_PORT, READY_PATH
 from pistachiolever.registry.settings import RegistrySettings
 from pistachiolever.settings.errors import InvalidDocumentError, Problem
@@ -22,6 +23,10 @@
 # Sockets of a process, however few descriptors its settings name.
 MIN_SOCKETS: Final = 100
 
+# Part of the memory for what is held for clients. A process needs about 50 MB itself,
+# and of the rest about as much again for copies that are sent or decoded.
+CLIENT_MEMORY_FRACTION: Final = 0.2
+
 
 @frozen
 class PlatformSettings:
@@ -81,6 +86,17 @@
         descriptors = int(limits.get("maxFds", DEFAULT_MAX_DESCRIPTORS))
         return max(MIN_SOCKETS, descriptors - FILE_DESCRIPTORS)
 
+    @property
+    def max_held_bytes(self) -> int:
+        """Return the bytes that the process may hold for its clients."""
+        limits = self.fields.get("limits", {})
+        if "clientMemoryMb" in limits:
+            return int(float(limits["clientMemoryMb"]) * 1024 * 1024)
+        if "memoryMb" in limits:
+            memory_bytes = float(limits["memoryMb"]) * 1024 * 1024
+            return int(CLIENT_MEMORY_FRACTION * memory_bytes)
+        return DEFAULT_HELD_BYTES
+
     def gateway(self) -> GatewaySettings:
         """Return the settings of a router."""
         listen, bounds = self.fields["listen"], self.fields["bounds"]
--- a/pistachiolever/runtime/context.py
+++ b/pistachiolever/runtime/context.py
@@ -5,15 +5,20 @@
 from signal import SIGHUP, SIGINT, SIGTERM
 from typing import Final, Generic, Protocol, TypeVar
 
-from anyio import Event, create_task_group, open_signal_receiver, sleep
+from anyio import Event, create_task_group, current_time, open_signal_receiver, sleep
 from attrs import define, field
 
 from pistachiolever.core.early_signals import EarlySignals
 from pistachiolever.events.const import EventCode
 from pistachiolever.events.logger import EventLogger, LogWriter
+from pistachiolever.http1.budget import ByteBudget
+from pistachiolever.http1.const import (
+    LIMIT_REPORT_SECONDS,
+    MAX_MONITORING_CONNECTIONS,
+)
 from pistachiolever.http1.server import HttpServer
 from pistachiolever.metrics.exposition import LoopDelay, MetricsApi
-from pistachiolever.metrics.instruments import Instruments
+from pistachiolever.metrics.instruments import CUT, Instruments
 from pistachiolever.registry.member_choice import MemberChoice
 from pistachiolever.settings.errors import InvalidDocumentError
 
@@ -36,6 +41,10 @@
     def max_sockets(self) -> int:
         """Return the descriptors that the process has for sockets."""
 
+    @property
+    def max_held_bytes(self) -> int:
+        """Return the bytes that the process may hold for its clients."""
+
 
 S = TypeVar("S", bound=RoleSettings)
 
@@ -51,6 +60,12 @@
     early_signals: EarlySignals = field(factory=EarlySignals)
     stop: Event = field(factory=Event)
     instruments: Instruments = field(factory=Instruments)
+    budget: ByteBudget = field(init=False)
+    _cut_recorded_at: float = float("-inf")
+
+    def __attrs_post_init__(self) -> None:
+        """Create the budget, which all servers of the process share."""
+        self.budget = ByteBudget(self.settings.max_held_bytes, self.record_cut)
 
     @property
     def events(self) -> EventLogger:
@@ -67,6 +82,16 @@
             EventCode.CONNECTIONS_LIMITED, reason=reason, connections=connections
         )
 
+    def record_cut(self, reason: str) -> None:
+        """Count a client that lost its request; record one at most once a second."""
+        self.instruments.count(CUT, reason)
+        now = current_time()
+        if now - self._cut_recorded_at >= LIMIT_REPORT_SECONDS:
+            self._cut_recorded_at = now
+            self.events.record(
+                EventCode.CLIENTS_CUT, reason=reason, held=self.budget.held_bytes
+            )
+
     def choose_members(self, node_id: str, failure_domain: str) -> MemberChoice:
         """Return the choice among the members of the registry for a process."""
         return MemberChoice(node_id, failure_domain, lambda: self.settings.seeds)
@@ -80,9 +105,13 @@
         api = MetricsApi(path, self.instruments)
         async with create_task_group() as group:
             group.start_soon(delay.run)
-            group.start_soon(
-                HttpServer(self.settings.metrics_address, api.handle).serve
+            server = HttpServer(
+                self.settings.metrics_address,
+                api.handle,
+                max_connections=MAX_MONITORING_CONNECTIONS,
+                budget=self.budget,
             )
+            group.start_soon(server.serve)
 
     async def watch_signals(self) -> None:
         """Stop on SIGTERM or SIGINT; reload the settings on SIGHUP."""
