--- a/pistachiolever/http1/connection.py
+++ b/pistachiolever/http1/connection.py
@@ -219,6 +219,8 @@
             # Lingering would occupy the connection that is needed for another client.
             self._lingers_after_refusal = reason != "connections"
             self.body_bytes = self._head_bytes = 0
+            if self._head is not None:
+                self._head.headers.clear()
             self._input_arrived.set()
         else:
             self.closes_after = True
@@ -244,6 +246,9 @@
                 self.report_unread()
                 return
             self._begin_request(head)
+            if self._refusal is not None:
+                await self._reject(self._refusal)
+                return
             if not await self._serve_request(Exchange(self, head)) or self.closing():
                 return
 
