--- a/pistachiolever/gateway/incarnations.py
+++ b/pistachiolever/gateway/incarnations.py
@@ -22,6 +22,33 @@
         """Return the start time in ms since the epoch; raise PeerError."""
 
 
+class StartTimeReport(Protocol):
+    """What an engine reports of itself."""
+
+    @property
+    def born_ms(self) -> int:
+        """Return its start time in ms since the epoch."""
+
+
+class ReportProbe(Protocol):
+    """Fetches reports of one engine."""
+
+    async def report(self) -> StartTimeReport:
+        """Return the engine's report; raise PeerError."""
+
+
+@frozen
+class ReportedStartTimes:
+    """Reads start times from the reports of engines, whose probes it makes."""
+
+    make_probe: Callable[[str], ReportProbe]
+
+    async def __call__(self, address: str) -> int:
+        """Return the start time of an engine; raise PeerError."""
+        report = await self.make_probe(address).report()
+        return report.born_ms
+
+
 @frozen
 class ObservedStart:
     """The start time that an endpoint told at a time; None if it did not answer."""
--- a/pistachiolever/platform/control.py
+++ b/pistachiolever/platform/control.py
@@ -61,15 +61,19 @@
             else:
                 await self._answer(exchange, 404, _error("unknown method or path"))
         except InvalidConfigurationError as error:
-            self._record_refusal(EventCode.CONFIGURATION_REFUSED, str(error))
+            self.registry.events.record(
+                EventCode.CONFIGURATION_REFUSED, error=str(error)
+            )
             self._count(CONFIGURATIONS, "invalid")
             await self._answer(exchange, 400, _error(str(error)))
         except InvalidAnnouncementError as error:
-            self._record_refusal(EventCode.ANNOUNCEMENT_REFUSED, f"{path}: {error}")
+            self.registry.events.record(
+                EventCode.ANNOUNCEMENT_REFUSED, error=f"{path}: {error}"
+            )
             self._count(ANNOUNCEMENTS, "invalid")
             await self._answer(exchange, 400, _error(str(error)))
         except InvalidDomainError as error:
-            self._record_refusal(EventCode.EVACUATION_REFUSED, str(error))
+            self.registry.events.record(EventCode.EVACUATION_REFUSED, error=str(error))
             await self._answer(exchange, 400, _error(str(error)))
         except UnavailableError as error:
             await self._answer(exchange, 503, _error(str(error)))
@@ -99,10 +103,6 @@
         """Count the outcome of a request."""
         self.registry.instruments.count(instrument, outcome)
 
-    def _record_refusal(self, code: EventCode, error: str) -> None:
-        """Record a refused request."""
-        self.registry.events.record(code, error=error)
-
 
 def _error(message: str) -> bytes:
     """Return the JSON body of an error response."""
--- a/pistachiolever/platform/roles.py
+++ b/pistachiolever/platform/roles.py
@@ -2,6 +2,7 @@
 
 import sys
 from collections.abc import Awaitable, Callable
+from functools import partial
 from os import environ
 from pathlib import Path
 from random import SystemRandom
@@ -23,6 +24,7 @@
 from pistachiolever.events.const import EventCode
 from pistachiolever.events.logger import make_log_writer
 from pistachiolever.gateway.fleet import FleetView
+from pistachiolever.gateway.incarnations import ReportedStartTimes
 from pistachiolever.gateway.process import GatewayProcess
 from pistachiolever.http1.models import HttpLimits
 from pistachiolever.http1.server import HttpServer
@@ -32,7 +34,7 @@
     decode_configuration,
 )
 from pistachiolever.platform.control import ControlApi
-from pistachiolever.platform.endpoints import EngineClient, StartTimes
+from pistachiolever.platform.endpoints import EngineClient
 from pistachiolever.platform.names import HEADER_FORMAT, METRICS_PATH, SETTINGS_VARIABLE
 from pistachiolever.platform.settings import PlatformSettings, read_settings
 from pistachiolever.registry.const import LEADER_TRANSFER_SECONDS
@@ -64,14 +66,16 @@
         rng,
         loop_time,
         context.instruments,
-        start_time_probe=StartTimes(client),
+        start_time_probe=ReportedStartTimes(partial(EngineClient, client=client)),
     )
     choice = context.choose_members(settings.node_id, settings.failure_domain)
     watcher = RegistryWatcher(choice, client, fleet, context.events)
     reporting = UsageReporting(
         fleet.reporter, choice, client, context.events, current_time
     )
-    process = GatewayProcess(settings, HEADER_FORMAT, fleet, watcher)
+    process = GatewayProcess(
+        settings, HEADER_FORMAT, fleet, watcher, budget=context.budget
+    )
     async with create_task_group() as group:
         group.start_soon(process.run)
         group.start_soon(reporting.run)
@@ -100,6 +104,7 @@
         process.api().handle,
         max_connections=context.max_connections(PEER_CONNECTION_FRACTION),
         report_limit=context.record_limit,
+        budget=context.budget,
     )
     async with create_task_group() as group:
         group.start_soon(process.run)
@@ -129,6 +134,7 @@
         lambda: CONTROL_LIMITS,
         context.max_connections(PEER_CONNECTION_FRACTION),
         context.record_limit,
+        budget=context.budget,
     )
     control_server = HttpServer(
         context.settings.control_address,
@@ -136,6 +142,7 @@
         lambda: CONTROL_LIMITS,
         context.max_connections(CONTROL_CONNECTION_FRACTION),
         context.record_limit,
+        budget=context.budget,
     )
     async with create_task_group() as group:
         group.start_soon(process.run)
--- a/pistachiolever/platform/settings.py
+++ b/pistachiolever/platform/settings.py
@@ -15,6 +15,7 @@
     DEFAULT_MAX_DESCRIPTORS,
 )
 from pistachiolever.gateway.settings import GatewaySettings
+from pistachiolever.http1.budget import max_held_bytes
 from pistachiolever.platform.names import METRICS_PORT, READY_PATH
 from pistachiolever.registry.settings import RegistrySettings
 from pistachiolever.settings.errors import InvalidDocumentError, Problem
@@ -83,6 +84,12 @@
         descriptors = int(limits.get("maxFds", DEFAULT_MAX_DESCRIPTORS))
         return max(MIN_SOCKETS, descriptors - FILE_DESCRIPTORS)
 
+    @property
+    def max_held_bytes(self) -> int:
+        """Return the bytes that the process may hold for its clients."""
+        limits = self.fields.get("limits", {})
+        return max_held_bytes(limits.get("memoryMb"), limits.get("clientMemoryMb"))
+
     def gateway(self) -> GatewaySettings:
         """Return the settings of a router."""
         listen, bounds = self.fields["listen"], self.fields["bounds"]
