--- a/pistachiolever/platform/roles.py
+++ b/pistachiolever/platform/roles.py
@@ -6,7 +6,6 @@
 from os import environ
 from pathlib import Path
 from random import SystemRandom
-from typing import Final
 
 from anyio import (
     create_task_group,
@@ -26,7 +25,6 @@
 from pistachiolever.gateway.fleet import FleetView
 from pistachiolever.gateway.incarnations import ReportedStartTimes
 from pistachiolever.gateway.process import GatewayProcess
-from pistachiolever.http1.models import HttpLimits
 from pistachiolever.http1.server import HttpServer
 from pistachiolever.platform.configuration import (
     configuration_services,
@@ -41,15 +39,13 @@
 from pistachiolever.registry.process import RegistryProcess
 from pistachiolever.registry.usage_reporting import UsageReporting
 from pistachiolever.registry.watcher import RegistryWatcher
+from pistachiolever.runtime.const import (
+    CONTROL_CONNECTION_FRACTION,
+    CONTROL_LIMITS,
+    PEER_CONNECTION_FRACTION,
+)
 from pistachiolever.runtime.context import RoleContext
 
-# Parts of the sockets for calls of other processes, and of operators and endpoints.
-PEER_CONNECTION_FRACTION: Final = 0.5
-CONTROL_CONNECTION_FRACTION: Final = 0.3
-# Configurations of operators can have hundreds of routes.
-CONTROL_LIMITS: Final = HttpLimits(max_body_bytes=16 * 1024 * 1024)
-
-
 PlatformContext = RoleContext[PlatformSettings]
 
 
