--- a/pistachiolever/gateway/failures.py
+++ b/pistachiolever/gateway/failures.py
@@ -129,14 +129,24 @@
         seconds = max(0.05, min(seconds, RETRY_AFTER_FRACTION * remaining))
         return (b"retry-after", b"%.2f" % seconds)
 
+    def _plans_returns(self) -> bool:
+        """Return whether callers come back when the fleet has room again.
+
+        Where engines differ in capacity, the one that refused says little of when the
+        others have room.
+        """
+        service_id = self.request.service.service_id
+        index = self.fleet.index(service_id, self.request.version)
+        return self.fleet.settings.plans_returns or bool(index.classes.class_by_id)
+
     def _planned_return(self, remaining: float) -> float | None:
         """Return the seconds until the caller should come back.
 
-        None if the settings don't plan returns, the loads are not known or the endpoint
+        None if returns are not planned here, the loads are not known or the endpoint
         named a rate, whose limit its agent knows.
         """
         fleet, request = self.fleet, self.request
-        if not fleet.settings.plans_returns or not request.service.engine:
+        if not request.service.engine or not self._plans_returns():
             return None
         refusal = self.bidding.refusal
         if refusal is not None and refusal.reason == RATE_LIMITED:
--- a/pistachiolever/platform/settings.py
+++ b/pistachiolever/platform/settings.py
@@ -107,6 +107,7 @@
             self.max_sockets,
             float(bounds.get("coldOverage", DEFAULT_COLD_OVERAGE)),
             float(bounds.get("coldSlack", DEFAULT_COLD_SLACK)),
+            plans_returns="pressure" in self.fields.get("contracts", []),
         )
 
     def registry(self) -> RegistrySettings:
