--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -176,8 +176,8 @@
 INTAKE_NEAR: Final = 0.5
 MIN_INTAKE: Final = 8.0
 MAX_INTAKE: Final = 4_000.0
-# The users' bound for a cold engine: its rate times the first, plus the second,
-# requests in any one second.
+# In any second a cold engine may get its rate times the first and as many requests more
+# as the second says, from all routers together; above that it may crash.
 DEFAULT_COLD_OVERAGE: Final = 1.5
 DEFAULT_COLD_SLACK: Final = 5.0
 # Part of the rate of a cold engine that routers use if its agent does not respond,
--- a/pistachiolever/gateway/endpoint_handle.py
+++ b/pistachiolever/gateway/endpoint_handle.py
@@ -25,9 +25,8 @@
     these bids. `told_load` is the load that the registry told last, `rate_notice` the
     request rate that the endpoint named. `suspected_at` is the last time at which this
     router had a reason to suppose that the endpoint may have become cold. `slowdown`
-    filters what the endpoint reports.
-    `others` are the requests of other routers that a plain endpoint told of at
-    `others_at`.
+    filters what the endpoint reports, `others` are the requests of other routers that a
+    plain endpoint told of at `others_at`.
     """
 
     endpoint: Announcement
