--- a/pistachiolever/registry/process.py
+++ b/pistachiolever/registry/process.py
@@ -357,7 +357,15 @@
                 term=self.core.term,
             )
         self._restore_departures()
+        was_caught_up = self.watches.caught_up
         self.watches.handle_applied()
+        if self.watches.caught_up and not was_caught_up:
+            self.events.record(
+                EventCode.MEMBER_CAUGHT_UP,
+                seconds=round(self.now() - self.started_at, 3),
+                index=self.core.applied_index,
+                departures=len(self.state.departure_by_endpoint),
+            )
 
     def _restore_departures(self) -> None:
         """Let the directory know what was committed of endpoints that leave."""
