Tell routers of endpoints only once the committed departures are known

Cause found on the way, mended here: a restarted member published its directory once it had the others' ones, or after 0.6 s, and the configuration before the departures that were applied with it.

A member now publishes nothing of endpoints before it has caught up, and publishes the directory before the first reply with the configuration. The test failed before for both kinds of departure: the first reply held the ready endpoint.

--- a/pistachiolever/registry/watch_service.py
+++ b/pistachiolever/registry/watch_service.py
@@ -26,7 +26,8 @@
 
     `caught_up` is true once an entry of the current term was applied since the start,
     `synced` once the directory was filled. Before that, and while the member is out of
-    touch with a quorum, what it knows may be older than what was acknowledged.
+    touch with a quorum, what it knows may be older than what was acknowledged. It tells
+    nothing of endpoints before both: they may have left, by the log or by the others.
     """
 
     core: RaftCore
@@ -54,7 +55,9 @@
             await sleep(DIRECTORY_PUBLISH_SECONDS)
 
     def publish_directory(self) -> None:
-        """Let watchers see the directory as it is now."""
+        """Let watchers see the directory as it is now, once departures are known."""
+        if not self._knows_departures():
+            return
         self.published_change = self.directory.change_number
         self._changes_since.clear()
         self.notify()
@@ -69,8 +72,14 @@
         core = self.core
         if not self.caught_up and core.log.term_at(core.applied_index) == core.term:
             self.caught_up = True
+            # A watcher must not get the configuration before the departures.
+            self.publish_directory()
         self.notify()
 
+    def _knows_departures(self) -> bool:
+        """Return whether all departures acknowledged before the start are known."""
+        return self.synced and self.caught_up
+
     def members(self) -> list[MemberInfo]:
         """Return the voters, of which watchers should watch some."""
         addresses = [address_of(member) for member in self.core.members]
@@ -107,7 +116,7 @@
 
         It may be newer than what is published; then the watcher gets it twice.
         """
-        if change >= self.published_change:
+        if change >= self.published_change or not self._knows_departures():
             return []
         known = self._changes_since.get(change)
         if known is None:
@@ -116,7 +125,7 @@
 
     def _expired_since(self, change: int) -> list[Announcement]:
         """Return the endpoints that timed out since a watcher's last reply."""
-        if change >= self.published_change:
+        if change >= self.published_change or not self._knows_departures():
             return []
         return self.directory.expired_since(change)
 
--- a/tests/registry/test_departures.py
+++ b/tests/registry/test_departures.py
@@ -12,6 +12,7 @@
 from pistachiolever.discovery.models import EndpointState
 from pistachiolever.raft.models import Compact
 from pistachiolever.registry.errors import UnavailableError
+from pistachiolever.registry.models import WatchReply, WatchRequest
 from pistachiolever.registry.process import RegistryProcess
 from tests.discovery.test_directory import READY_ENDPOINT
 from tests.registry.test_process import Fleet, document, run_with_fleet
@@ -92,6 +93,52 @@
         self.assertEqual(copy.departure_by_endpoint, state.departure_by_endpoint)
 
 
+async def watch(
+    member: RegistryProcess, request: WatchRequest
+) -> tuple[WatchReply, WatchRequest]:
+    """Return the reply to a watch request, and the watcher's next request."""
+    reply = await member.watches.handle_watch(request)
+    next_request = evolve(
+        request, life=reply.life, change=reply.change, members=reply.members
+    )
+    return reply, next_request
+
+
+class RestartedMemberTest(CaseTest):
+    """A member that has just started tells nothing that departures may contradict."""
+
+    # A restarted member told routers of a late heartbeat before it knew what was
+    # committed: they sent requests to an endpoint that had left.
+    @params(EndpointState.DRAINING, EndpointState.GONE)
+    def test_tells_of_endpoints_once_it_knows_departures(
+        self, state: EndpointState
+    ) -> None:
+        async def test(fleet: Fleet) -> None:
+            await fleet.start_founders()
+            await fleet.store(document(1))
+            await fleet.first().endpoints.announce(READY_ENDPOINT)
+            await leave(fleet.first(), state)
+            for name in "abc":
+                await fleet.stop(name)
+            fleet.start("a", founder=True)
+            member = fleet.first()
+            await fleet.until(lambda: member.watches.synced)
+            await member.endpoints.announce(LATE)
+            reply, request = await watch(member, WatchRequest("r", -1))
+            self.assertEqual((reply.announcements, reply.expired), ([], []))
+            held, request = await watch(member, request)
+            self.assertEqual((held.announcements, held.expired), ([], []))
+            for name in "bc":
+                fleet.start(name, founder=True)
+            while reply.version < 0:
+                reply, request = await watch(member, request)
+            # A router uses the endpoints once it has the configuration.
+            states = [known.state for known in reply.announcements]
+            self.assertEqual((reply.version, states), (1, [state]))
+
+        run_with_fleet(test)
+
+
 def has_version(process: RegistryProcess, version: int) -> bool:
     """Return whether a member has applied a version."""
     return process.state.configuration.version == version
