Begin resumable streams only at versions that most members know

Reported by another operator (ORDER): streams that had begun on engines of a new version were resumed at a router that was out of step, and went on at the old one.

Its mirror image did: if the new endpoint announces itself at a member that is cut off from the others, a router there begins streams, and one that reaches the others infers the old version.

Cause: an endpoint is told to routers once one member has it, but the inference takes what a majority does not know for absent. The test failed before: all 6 streams of the new version went on at the old one.

A router now asks the members about a version that it learns of beside another one, and begins resumable streams there once a majority lists it; any majority that is asked later shares a member with that one. The first version of a service needs no confirmation.

--- a/pistachiolever/gateway/bidding.py
+++ b/pistachiolever/gateway/bidding.py
@@ -157,6 +157,12 @@
             list(plan.cached_by_endpoint),
             self.request.version,
         )
+        if self.request.begins_resumable_stream:
+            candidates = [
+                candidate
+                for candidate in candidates
+                if fleet.versions.may_begin(service_id, candidate.endpoint.version)
+            ]
         return fleet.placement.rank(plan, candidates, now)
 
     def _filter_short_waits(self, ranked: list[RankedEndpoint]) -> list[RankedEndpoint]:
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -55,6 +55,7 @@
 from pistachiolever.spillover.recorder import ShortageRecorder
 from pistachiolever.spillover.spillover import Spillover
 from pistachiolever.streams.const import DEADLINE_MARGIN_SECONDS
+from pistachiolever.streams.known_versions import KnownVersions
 from pistachiolever.streams.models import StreamOrigin
 from pistachiolever.streams.table import StreamTable
 from pistachiolever.usage.models import MeasuredLoad, UsageUpdate, unpack_measured
@@ -78,7 +79,8 @@
     `expired_ids` are the endpoints that the registry has not heard of for long. They
     are forgotten when they accept no connection. `draining_since_by_id` are the times
     at which this router learned that endpoints drain. `streams` are those that it has
-    forwarded. `loop_delay` is the smoothed delay of the event loop, in seconds.
+    forwarded. `unconfirmed_services` have versions that not enough members are known
+    to know. `loop_delay` is the smoothed delay of the event loop, in seconds.
     """
 
     settings: GatewaySettings
@@ -114,6 +116,8 @@
     reporter: UsageReporter = field(init=False)
     quarantine: Quarantine = field(init=False)
     streams: StreamTable = field(factory=StreamTable)
+    versions: KnownVersions = field(factory=KnownVersions)
+    unconfirmed_services: Mailbox[str] = field(factory=Mailbox)
     router_counts: deque[tuple[float, int]] = field(factory=deque)
     shares_stale: bool = False
     applied_change: int = -1
@@ -328,6 +332,7 @@
         for announcement in self.directory.changed_since(self.applied_change):
             self._sync_handle(announcement)
         self.applied_change = self.directory.change_number
+        self._add_versions()
 
     def _sync_handle(self, announcement: Announcement) -> None:
         """Apply the newest announcement of one endpoint."""
@@ -356,6 +361,23 @@
             self.draining_since_by_id.pop(endpoint_id, None)
             self._list(announcement)
 
+    def _add_versions(self) -> None:
+        """Add the versions of ready endpoints; have members asked about new ones."""
+        versions_by_service: dict[str, set[str]] = {}
+        for service_id, version in self.index_by_key:
+            if version is not None and self._names_service(service_id):
+                versions_by_service.setdefault(service_id, set()).add(version)
+        for service_id in self.versions.add(versions_by_service):
+            self.unconfirmed_services.put(service_id)
+
+    def present_versions(self, service_id: str) -> set[str]:
+        """Return the versions of the ready endpoints of a service."""
+        return {
+            version
+            for known_id, version in self.index_by_key
+            if known_id == service_id and version is not None
+        }
+
     def _list_agents(self) -> None:
         """List the agents of the endpoints whose services are named."""
         self.handle_by_agent = {
--- a/pistachiolever/gateway/models.py
+++ b/pistachiolever/gateway/models.py
@@ -115,6 +115,15 @@
             self.metadata.last_event_id
         )
 
+    @property
+    def begins_resumable_stream(self) -> bool:
+        """Return whether it begins a stream that its caller may resume elsewhere."""
+        return (
+            self.route.kind is RequestKind.STREAM
+            and self.route.resumable
+            and self.origin is None
+        )
+
     @property
     def stream_key(self) -> str:
         """Return the key under which its stream is known to all routers."""
--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -29,6 +29,7 @@
 from pistachiolever.gateway.request_processor import RequestProcessor
 from pistachiolever.gateway.settings import GatewaySettings
 from pistachiolever.gateway.stream_origins import StreamOrigins
+from pistachiolever.gateway.version_confirmation import VersionConfirmation
 from pistachiolever.gateway.work_counts import WorkCounts, WorkReporter
 from pistachiolever.http1.budget import ByteBudget
 from pistachiolever.http1.connection import Exchange
@@ -154,6 +155,7 @@
             group.start_soon(self.fleet.run)
             group.start_soon(self.watcher.run)
             group.start_soon(self.lookup.run)
+            group.start_soon(VersionConfirmation(self.fleet, self.lookup).run)
             group.start_soon(self.readiness_server.serve)
             group.start_soon(self.public_server.serve)
             group.start_soon(self._watch_delay)
--- a/pistachiolever/registry/stream_lookup.py
+++ b/pistachiolever/registry/stream_lookup.py
@@ -20,7 +20,10 @@
 
 @define(eq=False)
 class PendingLookup:
-    """A lookup of one stream and the replies of the members."""
+    """A lookup of one stream and the replies of the members.
+
+    The `key` is empty if only the versions of the service are looked up.
+    """
 
     key: str
     service_id: str
@@ -60,6 +63,10 @@
         await lookup.done.wait()
         return lookup
 
+    async def find_versions(self, service_id: str) -> PendingLookup:
+        """Return a lookup of the versions of a service that serve now."""
+        return await self.find("", service_id, 0.0)
+
     async def _ask_members(self, lookups: list[PendingLookup]) -> None:
         """Send some lookups to all members; wait for their replies."""
         addresses = self.choice.addresses()
@@ -70,7 +77,7 @@
             if until > now and address in addresses
         }
         query = StreamQuery(
-            list(dict.fromkeys(lookup.key for lookup in lookups)),
+            list(dict.fromkeys(lookup.key for lookup in lookups if lookup.key)),
             list(dict.fromkeys(lookup.service_id for lookup in lookups)),
             round(max(lookup.window_seconds for lookup in lookups) * 1000),
         )
--- a/pistachiolever/streams/const.py
+++ b/pistachiolever/streams/const.py
@@ -21,3 +21,8 @@
 # reported.
 LOOKUP_RETRY_SECONDS: Final = 0.35
 LOOKUPS: Final = 2
+# Members are asked again about an unconfirmed version after this time, in which they
+# tell each other of new endpoints.
+CONFIRM_RETRY_SECONDS: Final = 0.1
+# Versions of a service that are remembered as confirmed.
+MAX_KNOWN_VERSIONS: Final = 1_000
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -31,6 +31,7 @@
 from pistachiolever.registry.member_choice import MemberChoice
 from pistachiolever.registry.usage_reporting import UsageReporting
 from pistachiolever.registry.watcher import RegistryWatcher
+from pistachiolever.routing.models import ProxyConfiguration
 from pistachiolever.routing.table import RouteTable
 from tests.admission.test_core import BID
 from tests.gateway.test_notices import (
@@ -51,7 +52,11 @@
     id_of,
     value,
 )
-from tests.registry.test_process import Fleet as Registry, make_discarding_logger
+from tests.registry.test_process import (
+    CutClient,
+    Fleet as Registry,
+    make_discarding_logger,
+)
 from tests.support.addresses import free_address, wait_until_listening
 from tests.support.cases import CaseTest
 
@@ -106,9 +111,10 @@
 
 @define
 class Router:
-    """A router that can lose power."""
+    """A router that can lose power, and be cut off from members by its client."""
 
     process: GatewayProcess
+    client: CutClient = field(factory=CutClient)
     scope: CancelScope = field(factory=CancelScope)
 
     async def run(self) -> None:
@@ -116,7 +122,7 @@
         choice = self.process.watcher.choice
         fleet = self.process.fleet
         reporting = UsageReporting(
-            fleet.reporter, choice, PeerClient(), fleet.events, current_time
+            fleet.reporter, choice, self.client, fleet.events, current_time
         )
         with self.scope:
             async with create_task_group() as group:
@@ -134,6 +140,7 @@
     announcements: list[Announcement] = field(factory=list)
     agent_scopes: list[CancelScope] = field(factory=list)
     count: int = 0
+    configuration: ProxyConfiguration = CONFIGURATION
 
     async def add_endpoint(
         self, version: str, breaks_after: int = EVENT_COUNT, has_agent: bool = True
@@ -215,18 +222,20 @@
             name, "north", free_address(), free_address(), "/ready", 2, 1, 10, 99
         )
         events = make_discarding_logger(name)
+        client = CutClient()
         fleet = FleetView(
             settings,
             lambda _: CONFIGURATION,
-            PeerClient(),
+            client,
             events,
             Random(self.count),
             current_time,
         )
-        fleet.table = RouteTable(CONFIGURATION)
+        fleet.table = RouteTable(self.configuration)
         choice = MemberChoice(name, "north", lambda: self.registry.seeds)
-        watcher = RegistryWatcher(choice, PeerClient(), fleet, events)
-        router = Router(GatewayProcess(settings, HeaderFormat(), fleet, watcher))
+        watcher = RegistryWatcher(choice, client, fleet, events)
+        process = GatewayProcess(settings, HeaderFormat(), fleet, watcher)
+        router = Router(process, client)
         self.group.start_soon(router.run)
         while len(fleet.handle_by_id) < len(self.endpoints):
             await sleep(0.02)
--- a/tests/registry/test_process.py
+++ b/tests/registry/test_process.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 from random import Random
 from tempfile import TemporaryDirectory
+from typing import Any
 
 from anyio import CancelScope, create_task_group, fail_after, run, sleep
 from anyio.abc import TaskGroup
@@ -12,6 +13,7 @@
 
 from pistachiolever.control.storage import FolderDisk, LogStorage
 from pistachiolever.discovery.models import Announcement, EndpointState
+from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.peers import PeerClient
 from pistachiolever.evacuation.models import EvacuationOrders
 from pistachiolever.events.logger import EventLogger
@@ -49,6 +51,22 @@
     return b'{"version":%d,"text":"%s"}' % (version, text.encode())
 
 
+@define
+class CutClient(PeerClient):
+    """A client whose calls to the addresses in `cut` fail."""
+
+    cut: set[str] = field(factory=set)
+
+    async def call(self, *args: Any) -> Any:
+        """Call a process, unless it is cut off until its reply arrives."""
+        if args[0] in self.cut:
+            raise PeerError("cut off", False)
+        reply = await super().call(*args)
+        if args[0] in self.cut:
+            raise PeerError("cut off", True)
+        return reply
+
+
 @define(eq=False)
 class Member:
     """One running member."""
@@ -71,13 +89,17 @@
 
 @define(eq=False)
 class Fleet:
-    """Members by name; each has its own data folder."""
+    """Members by name; each has its own data folder.
+
+    A member's calls fail for the addresses in its set of `cut_by_name`.
+    """
 
     root: Path
     group: TaskGroup
     address_by_name: dict[str, str] = field(factory=dict)
     member_by_name: dict[str, Member] = field(factory=dict)
     seeds: list[str] = field(factory=list)
+    cut_by_name: dict[str, set[str]] = field(factory=dict)
 
     async def start_founders(self, names: str = "abc") -> None:
         """Start the initial members."""
@@ -103,6 +125,7 @@
             version_of,
             make_discarding_logger(name),
             Random(name),
+            CutClient(cut=self.cut_by_name.setdefault(name, set())),
         )
         self.member_by_name[name] = Member(process, disk)
         self.group.start_soon(self.member_by_name[name].run)
