--- a/tests/gateway/test_drain.py
+++ b/tests/gateway/test_drain.py
@@ -80,6 +80,7 @@
     """A router with one endpoint that can be told to drain."""
 
     script: Script
+    endpoint: Endpoint | None = None
     statuses: Counter[bytes] = field(factory=Counter)
     settings: GatewaySettings = field(init=False)
     process: GatewayProcess = field(init=False)
@@ -114,7 +115,8 @@
         group.start_soon(self.process.run)
         listener = await create_tcp_listener(local_host="127.0.0.1")
         port = listener.extra(SocketAttribute.local_port)
-        group.start_soon(listener.serve, Endpoint(self.script).serve)
+        endpoint = self.endpoint or Endpoint(self.script)
+        group.start_soon(listener.serve, endpoint.serve)
         announcement = Announcement(
             "e", 1, 1, EndpointState.READY, "s", f"127.0.0.1:{port}", "north", 64
         )
