--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from anyio import CancelScope, sleep
+from anyio import CancelScope, move_on_after, sleep
 from attrs import define, field
 
 from pistachiolever.core.verdict import Verdict
@@ -32,7 +32,12 @@
     RETRIES,
 )
 from pistachiolever.routing.models import RequestKind
-from pistachiolever.streams.const import LOOKUP_RETRY_SECONDS, LOOKUPS
+from pistachiolever.streams.const import (
+    CONFIRM_POLL_SECONDS,
+    CONFIRM_WAIT_SECONDS,
+    LOOKUP_RETRY_SECONDS,
+    LOOKUPS,
+)
 from pistachiolever.streams.origins import Resolution
 
 
@@ -78,11 +83,23 @@
             self.fleet.shares.own.record_demand(
                 request.account_id, request.cost, self.fleet.now()
             )
+        if request.begins_resumable_stream:
+            await self._wait_for_version()
         try:
             await self._run_attempts()
         finally:
             self._release_successor()
 
+    async def _wait_for_version(self) -> None:
+        """Wait for a while if the versions of the service are not confirmed yet.
+
+        That is so when this router has started beside several versions.
+        """
+        versions, service_id = self.fleet.versions, self.request.service.service_id
+        with move_on_after(CONFIRM_WAIT_SECONDS):
+            while not versions.is_any_confirmed(service_id):
+                await sleep(CONFIRM_POLL_SECONDS)
+
     async def _find_origin(self) -> str:
         """Find out which version began the stream that the caller resumes.
 
--- a/pistachiolever/streams/const.py
+++ b/pistachiolever/streams/const.py
@@ -24,5 +24,9 @@
 # Members are asked again about an unconfirmed version after this time, in which they
 # tell each other of new endpoints.
 CONFIRM_RETRY_SECONDS: Final = 0.1
+# A stream waits for so long for the first confirmed version of its service, which is
+# looked for at this interval.
+CONFIRM_WAIT_SECONDS: Final = 0.6
+CONFIRM_POLL_SECONDS: Final = 0.02
 # Versions of a service that are remembered as confirmed.
 MAX_KNOWN_VERSIONS: Final = 1_000
--- a/pistachiolever/streams/known_versions.py
+++ b/pistachiolever/streams/known_versions.py
@@ -23,7 +23,13 @@
 
     def may_begin(self, service_id: str, version: str) -> bool:
         """Return whether a stream may begin at a version."""
-        return version in self.confirmed_by_service.get(service_id, ())
+        return version not in self.pending_by_service.get(service_id, ())
+
+    def is_any_confirmed(self, service_id: str) -> bool:
+        """Return whether a majority knows some version, or none is asked about."""
+        return bool(self.confirmed_by_service.get(service_id)) or not self.is_pending(
+            service_id
+        )
 
     def add(self, versions_by_service: dict[str, set[str]]) -> list[str]:
         """Add versions that endpoints have announced together.
