Refuse in a drain what can't be finished when it would be passed on

Reported by another operator (LOST): in a planned stop in calm, requests that came late in the grace period were passed on and cut at its end, among them ones that may not be repeated.

Causes: a request was judged when it was taken, with 0.1 s left for its response, and not again when it was passed on; and when the drain ended early, because the router had nothing to do, what came then was judged by the end of the grace period.

A drain window now decides at both places, by twice the route's target and the longest recent response, and moves with the end. What waits for a grant is refused as not run before the end, in place of 502.

--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -9,6 +9,7 @@
 
 from pistachiolever.core.verdict import Verdict
 from pistachiolever.gateway.const import (
+    DRAINING,
     MAX_BUFFERED_RESPONSE_BYTES,
     MAX_EVENT_BYTES,
     MAX_EVENT_PARTS,
@@ -23,6 +24,7 @@
     STALL_CHECK_SECONDS,
     TAKE_OVER_RETRY_SECONDS,
 )
+from pistachiolever.gateway.drain_window import DrainWindow
 from pistachiolever.gateway.endpoint_handle import EndpointHandle
 from pistachiolever.gateway.event_stream import EventBoundary, EventSplitter
 from pistachiolever.gateway.fleet import FleetView
@@ -132,6 +134,7 @@
     bid_id: str = ""
     find_successor: Callable[[Callable[[], bool]], Awaitable[bool]] = keep_waiting
     is_repeated: bool = False
+    drain_window: DrainWindow = field(factory=DrainWindow)
     connection: ClientConnection | None = None
     first_chunk_at: float | None = None
     framing: Framing | None = None
@@ -206,6 +209,9 @@
             return "version"
         if not self.fleet.parts.may_send_parts(self.request.suspect_ids):
             return QUARANTINED
+        window, now = self.drain_window, self.fleet.now()
+        if not self.sink.started and not window.may_send(self.request, now):
+            return DRAINING
         return ""
 
     def _unknown_outcome(self, reason: str, at_fault: bool = True) -> AttemptResult:
--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -128,8 +128,15 @@
 CALLER_CONNECTION_FRACTION: Final = 0.6
 ENDPOINT_CONNECTION_FRACTION: Final = 0.3
 DEFAULT_MAX_DESCRIPTORS: Final = 4_000
-# A draining router takes a new request of a plain service if so much time is left.
+# A draining router sends a request to a plain service if so much time is left for the
+# response, so many times the target of its route, and so many times the longest recent
+# response. Recent ones are those of this interval and the one before.
 PLAIN_RESPONSE_SECONDS: Final = 0.5
+RESPONSE_TARGETS: Final = 2.0
+RESPONSE_TIME_MARGIN: Final = 1.5
+RESPONSE_TIME_SECONDS: Final = 10.0
+# Reason of a refusal: the router stops before it could finish the request.
+DRAINING: Final = "draining"
 # Time for the last requests on accepted connections before the process ends.
 LAST_REQUESTS_SECONDS: Final = 0.2
 # Hexadecimal digits that tell the bids of one life of a router from all others.
--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -14,13 +14,14 @@
     CALLER_CONNECTION_FRACTION,
     DELAY_SAMPLE_SECONDS,
     DRAIN_POLL_SECONDS,
+    DRAINING,
     ENDPOINT_DISCOVERY_SECONDS,
     GRACE_MARGIN_SECONDS,
     LAST_REQUESTS_SECONDS,
     OVERLOAD_RETRY_AFTER_SECONDS,
-    PLAIN_RESPONSE_SECONDS,
     STARTUP_RETRY_AFTER_SECONDS,
 )
+from pistachiolever.gateway.drain_window import DrainWindow
 from pistachiolever.gateway.fleet import FleetView
 from pistachiolever.gateway.header_format import HeaderFormat
 from pistachiolever.gateway.intake import IntakeLimit
@@ -39,7 +40,7 @@
 from pistachiolever.metrics.instruments import REQUESTS, SHED, UNREAD
 from pistachiolever.registry.stream_lookup import StreamLookup
 from pistachiolever.registry.watcher import RegistryWatcher
-from pistachiolever.routing.models import ProxyAccount, ProxyRoute, RequestKind
+from pistachiolever.routing.models import ProxyAccount, ProxyRoute
 from pistachiolever.routing.table import RouteTable, host_name
 
 AUTHORIZATION: Final = compile_pattern(rb"(?i)\r\nauthorization:[ \t]*([^\r\n]*)")
@@ -91,12 +92,11 @@
     fleet: FleetView
     watcher: RegistryWatcher
     draining: bool = False
-    drain_ends_at: float = 0.0
-    balancer_leaves_at: float = 0.0
     started_at: float = field(init=False)
     public_server: HttpServer = field(init=False)
     readiness_server: HttpServer = field(init=False)
     lookup: StreamLookup = field(init=False)
+    drain_window: DrainWindow = field(init=False)
     origins: StreamOrigins = field(init=False)
     was_ready: bool = False
     guard: OverloadGuard = field(factory=OverloadGuard)
@@ -110,6 +110,7 @@
     def __attrs_post_init__(self) -> None:
         """Create the servers and register the gauges."""
         self.started_at = self.fleet.now()
+        self.drain_window = DrainWindow(self.fleet.runs)
         self.lookup = StreamLookup(
             self.fleet.client, self.watcher.choice, self.fleet.now
         )
@@ -219,8 +220,9 @@
         started_at = self.fleet.now()
         server, self.draining = self.public_server, True
         drain_seconds = self.settings.grace_seconds - GRACE_MARGIN_SECONDS
-        self.drain_ends_at = started_at + drain_seconds
-        self.balancer_leaves_at = started_at + BALANCER_REMOVAL_SECONDS
+        window = self.drain_window
+        window.ends_at = started_at + drain_seconds - 2 * LAST_REQUESTS_SECONDS
+        window.balancer_leaves_at = started_at + BALANCER_REMOVAL_SECONDS
         server.draining = True
         self.fleet.events.record(
             EventCode.PROCESS_DRAINING, busy=self.public_server.busy_count()
@@ -232,6 +234,9 @@
             while server.busy_count():
                 await sleep(DRAIN_POLL_SECONDS)
                 server.close_idle()
+                if window.is_closing(self.fleet.now()):
+                    window.end_waits()
+        window.close(self.fleet.now())
         server.stop_listening()
         with move_on_after(LAST_REQUESTS_SECONDS):
             # Requests on connections accepted just now are answered, too.
@@ -250,27 +255,6 @@
             cut=cut,
         )
 
-    def _can_finish(self, request: ProxyRequest) -> bool:
-        """Return whether a request can be served before this process ends.
-
-        Until the balancer has left, callers have no other router to go to.
-        """
-        now = self.fleet.now()
-        if not self.draining or now < self.balancer_leaves_at:
-            return True
-        # How long a stream will take is not known well enough.
-        is_stream = request.route.kind is RequestKind.STREAM
-        return not is_stream and now + PLAIN_RESPONSE_SECONDS < self.drain_ends_at
-
-    def _shorten_deadline(self, request: ProxyRequest) -> None:
-        """Let a request that comes during a drain end before the process does.
-
-        Its caller then gets an answer in place of a closed connection.
-        """
-        if self.draining:
-            ends_at = self.drain_ends_at - 2 * LAST_REQUESTS_SECONDS
-            request.deadline_at = min(request.deadline_at, ends_at)
-
     def _limits(self) -> HttpLimits:
         """Return the HTTP limits of the configuration in force."""
         table = self.fleet.table
@@ -349,9 +333,9 @@
         try:
             request = self._resolve_request(exchange, metadata, arrived_at)
             request.body = await exchange.read_body()
-            if not self._can_finish(request):
-                raise NotAllowedError(503, "draining")
-            self._shorten_deadline(request)
+            if not self.drain_window.may_take(request, self.fleet.now()):
+                raise NotAllowedError(503, DRAINING)
+            self.drain_window.shorten_deadline(request)
         except NotAllowedError as error:
             exchange.discard_body()
             self.fleet.events.record(
@@ -369,7 +353,12 @@
             await exchange.respond(error.status, headers, b"")
             return
         processor = RequestProcessor(
-            self.fleet, self.header_format, request, exchange, self.origins
+            self.fleet,
+            self.header_format,
+            request,
+            exchange,
+            self.origins,
+            self.drain_window,
         )
         done = False
         try:
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -15,12 +15,14 @@
 from pistachiolever.gateway.attempt_records import output_tokens, record_attempt
 from pistachiolever.gateway.bidding import Bidding
 from pistachiolever.gateway.const import (
+    DRAINING,
     MAX_PREFERRED_RESUMPTIONS,
     MIN_ATTEMPT_SECONDS,
     QUARANTINED,
     VERSION_GONE,
     VERSION_UNKNOWN,
 )
+from pistachiolever.gateway.drain_window import DrainWindow
 from pistachiolever.gateway.endpoint_handle import EndpointHandle
 from pistachiolever.gateway.event_stream import EventSplitter
 from pistachiolever.gateway.failures import FailureResponder
@@ -53,6 +55,7 @@
     request: ProxyRequest
     sink: ResponseSink
     origins: OriginFinder = field(factory=NoOrigins)
+    drain_window: DrainWindow = field(factory=DrainWindow)
     splitter: EventSplitter = field(init=False)
     bidding: Bidding = field(init=False)
     failures: FailureResponder = field(init=False)
@@ -149,7 +152,12 @@
                 return
             handle, self.successor = self.successor, None
             if handle is None:
-                handle = await self.bidding.acquire()
+                with self.drain_window.waiting():
+                    handle = await self.bidding.acquire()
+            if not self._may_finish():
+                self._release(handle)
+                await self.failures.respond(DRAINING)
+                return
             if handle is None:
                 await self.failures.respond(self.failures.no_grant_reason())
                 return
@@ -160,6 +168,11 @@
                 await self.failures.respond(result.reason)
                 return
 
+    def _may_finish(self) -> bool:
+        """Return whether this process can finish the request, or has begun to."""
+        window, now = self.drain_window, self.fleet.now()
+        return self.sink.started or window.may_send(self.request, now)
+
     # Grants.
 
     async def _find_successor(self, is_stalled: Callable[[], bool]) -> bool:
@@ -180,6 +193,10 @@
     def _release_successor(self) -> None:
         """Give back a grant that will not be used."""
         handle, self.successor = self.successor, None
+        self._release(handle)
+
+    def _release(self, handle: EndpointHandle | None) -> None:
+        """Give back a grant, if there is one."""
         if handle is not None:
             handle.admission.report_end(self.request.bid_id, 0)
 
@@ -206,6 +223,7 @@
             bid_id,
             self._find_successor,
             is_repeated,
+            self.drain_window,
         )
         result = AttemptResult(Verdict.MAY_HAVE_RUN, reason="cancelled")
         try:
@@ -235,6 +253,10 @@
                 )
             if result.answered and is_there:
                 fleet.parts.record_sound_run(request.suspect_ids)
+        if result.answered and request.route.kind is not RequestKind.STREAM:
+            seconds = fleet.now() - sent_at
+            response_times = self.drain_window.response_times
+            response_times.record(request.route.route_id, seconds, fleet.now())
         if not result.sent:
             request.attempt_count -= 1
         elif result.verdict is not Verdict.NOT_RUN:
