--- a/tests/registry/test_departures.py
+++ b/tests/registry/test_departures.py
@@ -36,6 +36,16 @@
             await sleep(0.05)
 
 
+async def stop_after_departure(fleet: Fleet, state: EndpointState) -> None:
+    """Let an endpoint leave, and stop all members once that is acknowledged."""
+    await fleet.start_founders()
+    await fleet.store(document(1))
+    await fleet.first().endpoints.announce(READY_ENDPOINT)
+    await leave(fleet.first(), state)
+    for name in "abc":
+        await fleet.stop(name)
+
+
 class DepartureTest(CaseTest):
     """A late announcement does not make an endpoint ready again that has left."""
 
@@ -44,12 +54,7 @@
     @params(EndpointState.DRAINING, EndpointState.GONE)
     def test_departure_survives_a_restart_of_all(self, state: EndpointState) -> None:
         async def test(fleet: Fleet) -> None:
-            await fleet.start_founders()
-            await fleet.store(document(1))
-            await fleet.first().endpoints.announce(READY_ENDPOINT)
-            await leave(fleet.first(), state)
-            for name in "abc":
-                await fleet.stop(name)
+            await stop_after_departure(fleet, state)
             for name in "abc":
                 fleet.start(name, founder=True)
             await fleet.until(lambda: bool(fleet.leader()))
@@ -114,12 +119,7 @@
         self, state: EndpointState
     ) -> None:
         async def test(fleet: Fleet) -> None:
-            await fleet.start_founders()
-            await fleet.store(document(1))
-            await fleet.first().endpoints.announce(READY_ENDPOINT)
-            await leave(fleet.first(), state)
-            for name in "abc":
-                await fleet.stop(name)
+            await stop_after_departure(fleet, state)
             fleet.start("a", founder=True)
             member = fleet.first()
             await fleet.until(lambda: member.watches.synced)
