Ask an engine for its start time when an agent's grant was under way for long

Cause: the agent compares start times when it decides on a bid; a reply that was late, or waited at a router that stood still, was taken for fresh. The test failed before: with a reply 1 s under way and a restart meanwhile, the stream held v1 and v2.

The agent tells how long it had the bid. If bid and reply were under way for over 0.5 s beyond that, the router asks the engine itself, as it does without an agent. An agent of an earlier build does not tell; its replies are used as before.

--- a/pistachiolever/admission/agent.py
+++ b/pistachiolever/admission/agent.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from anyio import create_task_group, current_time, sleep
-from attrs import define, field
+from attrs import define, evolve, field
 
 from pistachiolever.admission.const import (
     BID_PATH,
@@ -120,17 +120,16 @@
             reply = BidReply(False, load, "restarted", MIN_RETRY_AFTER_SECONDS)
         else:
             reply = await self.controller.acquire(bid)
+        waited_seconds = self.controller.now() - started_at
         outcome = "granted" if reply.granted else reply.reason
         self.instruments.count(GRANTS, bid.account_id, outcome)
         if reply.granted:
-            self.instruments.observe(
-                GRANT_WAIT, self.controller.now() - started_at, bid.kind
-            )
+            self.instruments.observe(GRANT_WAIT, waited_seconds, bid.kind)
         self.events.record(
             EventCode.GRANT_MADE if reply.granted else EventCode.GRANT_REFUSED,
             bid.request_id,
             account=bid.account_id,
-            waited=round(self.controller.now() - started_at, 4),
+            waited=round(waited_seconds, 4),
             reason=reply.reason,
             retry_after=round(reply.retry_after_seconds, 2),
             prompt=bid.prompt_tokens,
@@ -148,7 +147,7 @@
             elsewhere=round(service.elsewhere(bid.account_id, self.controller.now())),
             fair=round(bid.share) if bid.share is not None else None,
         )
-        return reply
+        return evolve(reply, waited_seconds=round(waited_seconds, 4))
 
     def _may_have_restarted(self, bid: Bid) -> bool:
         """Return whether the engine may not be the incarnation that a bid names.
--- a/pistachiolever/admission/models.py
+++ b/pistachiolever/admission/models.py
@@ -86,13 +86,26 @@
 
 @frozen
 class BidReply:
-    """A grant, or the reason of a refusal and the seconds until a retry makes sense."""
+    """A grant, or the reason of a refusal and the seconds until a retry makes sense.
+
+    `waited_seconds` is how long an agent had the bid, negative if it doesn't tell.
+    """
 
     granted: bool
     load: Load
     reason: str = ""
     retry_after_seconds: float = 0.0
     cached_tokens: int = 0
+    waited_seconds: float = -1.0
+
+    def transit_seconds(self, elapsed_seconds: float) -> float:
+        """Return how long bid and reply were under way, 0 if that is not known.
+
+        `elapsed_seconds` is the time since the bid was submitted.
+        """
+        if self.waited_seconds < 0.0:
+            return 0.0
+        return elapsed_seconds - self.waited_seconds
 
 
 @frozen
--- a/pistachiolever/gateway/bidding.py
+++ b/pistachiolever/gateway/bidding.py
@@ -8,6 +8,7 @@
 from pistachiolever.gateway.const import (
     BID_TURNS,
     CONTINUED_TARGET_FACTOR,
+    INCARNATION_CHECK_SECONDS,
     INCARNATION_UNKNOWN,
     MIN_ATTEMPT_SECONDS,
 )
@@ -25,7 +26,8 @@
     """The bids of one request.
 
     `refusal` is the last refused bid. `expected_prefill_seconds` is the prefill time
-    that was pending at the endpoint when it granted the request.
+    that was pending at the endpoint when it granted the request, `transit_seconds` how
+    long the last bid and its reply were under way.
     """
 
     fleet: FleetView
@@ -33,6 +35,7 @@
     refusal: BidReply | None = None
     queued_seconds: float = 0.0
     expected_prefill_seconds: float = 0.0
+    transit_seconds: float = 0.0
 
     async def acquire(self, elsewhere: bool = False) -> EndpointHandle | None:
         """Return an endpoint with a grant; None if the tried endpoints refused.
@@ -90,11 +93,13 @@
         """Return whether an endpoint has the version that its announcement names.
 
         Only streams that can be resumed depend on it. An agent compares the start time
-        of the bid with that of its engine itself.
+        of the bid with that of its engine itself, but the endpoint may have restarted
+        while its reply was under way, or this process stood still.
         """
         if not self.request.route.resumable or not handle.endpoint.agent:
             return True
-        if not handle.is_without_agent():
+        is_recent = self.transit_seconds <= INCARNATION_CHECK_SECONDS
+        if is_recent and not handle.is_without_agent():
             return True
         is_current = await self.fleet.incarnations.is_current(handle.endpoint)
         if not is_current:
@@ -210,6 +215,7 @@
         if reply is None:
             fleet.withdrawn_count += 1
             return None
+        self.transit_seconds = reply.transit_seconds(fleet.now() - submitted_at)
         fleet.update_free(handle)
         if reply.granted and request.service.engine:
             fleet.shares.own.record_grant(
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -18,6 +18,7 @@
 from nose2.tools import params
 
 from pistachiolever.admission.agent import AgentProcess
+from pistachiolever.admission.const import BID_PATH
 from pistachiolever.admission.models import BidCall, BidReply, EngineReport, EngineRun
 from pistachiolever.admission.settings import AgentSettings
 from pistachiolever.discovery.models import Announcement, EndpointState
@@ -70,6 +71,8 @@
 TRIES_AFTER_LOST_MEMBER = 4
 # Half of the streams fill one endpoint, so that both versions begin some.
 SLOTS = 6
+# A reply is under way for so long.
+DELAY_SECONDS = 1.0
 
 
 @define
@@ -97,16 +100,17 @@
 
 @define
 class ListingProbe:
-    """An engine that started at 1 ms and lists all runs that its agent granted."""
+    """An engine that lists all runs that its agent granted."""
 
     agent: AgentProcess | None = None
+    born_ms: int = 1
 
     async def report(self) -> EngineReport:
         """Return the report."""
         assert self.agent is not None
         granted = self.agent.controller.core.run_by_id.values()
         runs = [EngineRun(run.bid.request_id, 0, 0) for run in granted]
-        return EngineReport(1, 0, len(runs), 0, 0, runs)
+        return EngineReport(self.born_ms, 0, len(runs), 0, 0, runs)
 
 
 @define
@@ -139,6 +143,7 @@
     endpoints: list[VersionedEndpoint] = field(factory=list)
     announcements: list[Announcement] = field(factory=list)
     agent_scopes: list[CancelScope] = field(factory=list)
+    probes: list[ListingProbe] = field(factory=list)
     count: int = 0
     configuration: ProxyConfiguration = CONFIGURATION
 
@@ -202,6 +207,7 @@
         """Run an agent until stopped."""
         events = make_discarding_logger(address)
         probe = ListingProbe()
+        self.probes.append(probe)
         process = probe.agent = AgentProcess(probe, events, Random(1))
         settings = AgentSettings(address, "north", address)
         choice = MemberChoice(address, "north", lambda: self.registry.seeds)
@@ -521,6 +527,46 @@
                 group.cancel_scope.cancel()
         return resumed.status
 
+    # A router stood still while an agent granted what it had asked for. The endpoint
+    # came back meanwhile, and the router sent it the rest of a stream.
+    @params(1, 2)
+    def test_grant_from_before_a_restart_is_not_used(self, born_ms: int) -> None:
+        stream = run(self.resume_after_delay, born_ms)
+        self.assertEqual(stream.versions(), {"v1"})
+        self.assertEqual(stream.is_whole(), born_ms == 1)
+
+    async def resume_after_delay(self, born_ms: int) -> ResumedStream:
+        """Resume a stream while its endpoint restarts, if it has another start time."""
+
+        async def tell(address: str) -> int:
+            """Return the start time of the engine."""
+            return born_ms
+
+        with TemporaryDirectory() as root, fail_after(20):
+            async with create_task_group() as group:
+                system = await start_system(group, root, "v1")
+                endpoint = system.endpoints[0]
+                endpoint.breaks_after = 5
+                router = await system.start_router()
+                begun = await send(router, "a")
+                endpoint.breaks_after = EVENT_COUNT
+                router.client.delay_by_path[BID_PATH] = DELAY_SECONDS
+                router.process.fleet.incarnations.probe = tell
+                if born_ms > 1:
+                    group.start_soon(self.restart, system, born_ms)
+                resumed = await resume_stream(router, "a", begun, 1)
+                group.cancel_scope.cancel()
+        return ResumedStream(begun, resumed)
+
+    async def restart(self, system: System, born_ms: int) -> None:
+        """Restart the endpoint with another version once a grant is under way."""
+        agent = system.probes[0].agent
+        assert agent is not None
+        while not agent.controller.core.run_by_id:
+            await sleep(0.01)
+        system.endpoints[0].version = "v2"
+        system.probes[0].born_ms = born_ms
+
     async def bid_for(self, born_ms: int, engine_known: bool) -> BidReply:
         """Return an agent's reply to a bid for one incarnation of its engine."""
         agent = AgentProcess(SilentProbe(), make_discarding_logger("a"), Random(1))
--- a/tests/registry/test_process.py
+++ b/tests/registry/test_process.py
@@ -53,15 +53,20 @@
 
 @define
 class CutClient(PeerClient):
-    """A client whose calls to the addresses in `cut` fail."""
+    """A client whose calls to the addresses in `cut` fail.
+
+    Replies to calls of the paths in `delay_by_path` take so many seconds more.
+    """
 
     cut: set[str] = field(factory=set)
+    delay_by_path: dict[str, float] = field(factory=dict)
 
     async def call(self, *args: Any) -> Any:
         """Call a process, unless it is cut off until its reply arrives."""
         if args[0] in self.cut:
             raise PeerError("cut off", False)
         reply = await super().call(*args)
+        await sleep(self.delay_by_path.get(args[1], 0.0))
         if args[0] in self.cut:
             raise PeerError("cut off", True)
         return reply
