Check late grants for the rest of a stream only

An overloaded router reads all replies late; asking engines for each stream that begins there would add work when there is least time for it.

--- a/pistachiolever/gateway/bidding.py
+++ b/pistachiolever/gateway/bidding.py
@@ -94,12 +94,16 @@
 
         Only streams that can be resumed depend on it. An agent compares the start time
         of the bid with that of its engine itself, but the endpoint may have restarted
-        while its reply was under way, or this process stood still.
+        while its reply was under way, or this process stood still. That is checked for
+        the rest of a stream only: an overloaded router reads all replies late.
         """
         if not self.request.route.resumable or not handle.endpoint.agent:
             return True
-        is_recent = self.transit_seconds <= INCARNATION_CHECK_SECONDS
-        if is_recent and not handle.is_without_agent():
+        is_late = self.transit_seconds > INCARNATION_CHECK_SECONDS
+        is_checked = handle.is_without_agent() or (
+            is_late and self.request.version is not None
+        )
+        if not is_checked:
             return True
         is_current = await self.fleet.incarnations.is_current(handle.endpoint)
         if not is_current:
