--- a/tests/gateway/test_late_in_drain.py
+++ b/tests/gateway/test_late_in_drain.py
@@ -89,29 +89,44 @@
     return script
 
 
-async def stop_under_load(
-    path: str, seconds: float, caller_count: int
-) -> tuple[list[Caller], Endpoint]:
-    """Stop a router whose endpoint takes some seconds for each request.
+@define
+class StoppedRouter:
+    """A router whose endpoint takes some seconds for each request, and its callers.
 
     With few callers it has nothing to do at times.
     """
-    endpoint = Endpoint(responding_after(seconds))
-    router = DrainingRouter(endpoint.script, endpoint=endpoint)
-    callers: list[Caller] = []
-    with fail_after(25):
+
+    path: str
+    seconds: float
+    caller_count: int
+    callers: list[Caller] = field(factory=list)
+    reached_ids: set[bytes] = field(factory=set)
+
+    async def run(self) -> None:
+        """Stop the router while its callers send requests."""
+        endpoint = Endpoint(responding_after(self.seconds))
+        router = DrainingRouter(endpoint.script, endpoint=endpoint)
         async with create_task_group() as group:
             await router.start(group)
-            for number in range(caller_count):
+            for number in range(self.caller_count):
                 address = router.settings.front_address
-                callers.append(Caller(address, f"c{number}", path))
-                group.start_soon(callers[-1].run)
+                caller = Caller(address, f"c{number}", self.path)
+                self.callers.append(caller)
+                group.start_soon(caller.run)
             await sleep(0.5)
             await router.process.drain()
             # Callers read what was sent until the end.
             await sleep(0.2)
             group.cancel_scope.cancel()
-    return callers, endpoint
+        self.reached_ids = {id_of(head) for head in endpoint.heads}
+
+
+async def stop_all(routers: list[StoppedRouter]) -> None:
+    """Stop all routers at the same time."""
+    with fail_after(25):
+        async with create_task_group() as group:
+            for router in routers:
+                group.start_soon(router.run)
 
 
 class LateRequestTest(CaseTest):
@@ -119,21 +134,27 @@
 
     # Requests that were passed on shortly before the end of the grace period, or after
     # an idle moment had ended it early, got 502, 504 or no answer.
-    @params(
-        *(
-            (path, seconds, callers)
-            for path in ("/book/1", "/bulk/1", "/read/1")
+    @params("/book/1", "/bulk/1", "/read/1")
+    def test_request_that_reached_its_endpoint_gets_its_answer(self, path: str) -> None:
+        routers = [
+            StoppedRouter(path, seconds, caller_count)
             for seconds in (0.09, 0.3, 0.5)
-            for callers in (2, 12)
-        )
-    )
-    def test_request_that_reached_its_endpoint_gets_its_answer(
-        self, path: str, seconds: float, caller_count: int
-    ) -> None:
-        callers, endpoint = run(stop_under_load, path, seconds, caller_count)
-        reached = {id_of(head) for head in endpoint.heads}
-        self.assertGreater(len(reached), 2 * caller_count)
-        for caller in callers:
-            for request_id, answer in caller.answer_by_id.items():
-                with self.subTest(request_id=request_id, answer=answer):
-                    self.assertEqual(b"good" in answer, request_id in reached)
+            for caller_count in (2, 12)
+        ]
+        run(stop_all, routers)
+        for router in routers:
+            self.assertGreater(len(router.reached_ids), 2 * router.caller_count)
+            for caller in router.callers:
+                self.check(router, caller)
+
+    def check(self, router: StoppedRouter, caller: Caller) -> None:
+        """Compare what one caller received with what reached the endpoint."""
+        for request_id, answer in caller.answer_by_id.items():
+            with self.subTest(
+                seconds=router.seconds,
+                callers=router.caller_count,
+                request_id=request_id,
+                answer=answer,
+            ):
+                has_answer = b"good" in answer
+                self.assertEqual(has_answer, request_id in router.reached_ids)
