--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -86,8 +86,7 @@
             self.fleet.shares.own.record_demand(
                 request.account_id, request.cost, self.fleet.now()
             )
-        if request.begins_resumable_stream:
-            await self._wait_for_version()
+        await self._wait_for_version()
         try:
             await self._run_attempts()
         finally:
@@ -99,6 +98,10 @@
         That is so when this router has started beside several versions.
         """
         versions, service_id = self.fleet.versions, self.request.service.service_id
+        if not self.request.begins_resumable_stream:
+            return
+        if versions.is_any_confirmed(service_id):
+            return
         with move_on_after(CONFIRM_WAIT_SECONDS):
             while not versions.is_any_confirmed(service_id):
                 await sleep(CONFIRM_POLL_SECONDS)
