Measure a timeout by the clock that it uses

It read time.monotonic, while timeouts go by the event loop's clock, which counts whole milliseconds in uvloop. The bound is the same, by the loop's clock.

--- a/tests/core/test_timeouts.py
+++ b/tests/core/test_timeouts.py
@@ -1,9 +1,9 @@
 """Timeouts of a process that is delayed itself, on both event loops."""
 
 from collections.abc import Awaitable, Callable
-from time import monotonic, sleep as block
+from time import sleep as block
 
-from anyio import Event, create_task_group, run, sleep
+from anyio import Event, create_task_group, current_time, run, sleep
 
 from pistachiolever.core.timeouts import fail_after_peer, move_on_after_peer
 from tests.support.cases import CaseTest
@@ -34,8 +34,11 @@
 
 
 async def time_of_silence(block_seconds: float) -> float:
-    """Return how long a silent peer is waited for."""
-    started_at = monotonic()
+    """Return how long a silent peer is waited for, by the clock of the event loop.
+
+    That of uvloop counts whole milliseconds.
+    """
+    started_at = current_time()
 
     async def delay() -> None:
         block(block_seconds)
@@ -46,7 +49,7 @@
             with fail_after_peer(TIMEOUT_SECONDS):
                 await sleep(30)
         except TimeoutError:
-            return monotonic() - started_at
+            return round(current_time() - started_at, 6)
     return 30.0
 
 
