--- /dev/null
+++ b/pistachiolever/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwards callers' connections from an overloaded router to its siblings."""
--- a/pistachiolever/gateway/intake.py
+++ b/pistachiolever/gateway/intake.py
@@ -5,6 +5,15 @@
 
 from attrs import define, field
 
+from pistachiolever.forwarding.const import (
+    FORWARD_COST,
+    FORWARD_DELAY_SECONDS,
+    FORWARD_FROM,
+    FORWARDED_SHARE,
+    LATE_SAMPLES,
+    MAX_FORWARDED,
+    MIN_OWN_REQUESTS,
+)
 from pistachiolever.gateway.const import (
     INTAKE_DECREASE,
     INTAKE_DELAY_SECONDS,
@@ -27,7 +36,9 @@
     share of it are taken beyond it, so that one account can't displace the others.
     The others can't add more than the limit to what that one has.
     `expected_by_account` are new connections that were let in since the last sample and
-    whose requests have not begun yet.
+    whose requests have not begun yet. `forwarded` are connections that siblings serve;
+    each counts as FORWARD_COST requests. `late_samples` is above zero for some samples
+    after a delay that is worth forwarding.
     """
 
     limit: float = MAX_INTAKE
@@ -35,14 +46,41 @@
     total: int = 0
     expected_by_account: Counter[str] = field(factory=Counter)
     last_delay: float = 0.0
+    forwarded: int = 0
+    late_samples: int = 0
 
     def is_near(self) -> bool:
-        """Return whether some requests may be refused now."""
-        return self._taken() >= INTAKE_NEAR * self.limit
+        """Return whether some requests may be refused or forwarded now."""
+        return self._taken() >= INTAKE_NEAR * self.limit or self._is_pressed()
+
+    def _is_pressed(self) -> bool:
+        """Return whether siblings should serve what comes.
+
+        That is so before the limit falls, once the event loop is late.
+        """
+        own = self.total + self.expected_by_account.total()
+        if not self.late_samples and self._taken() < INTAKE_NEAR * self.limit:
+            return False
+        return own >= min(MIN_OWN_REQUESTS, FORWARD_FROM * self.limit)
+
+    def work(self) -> float:
+        """Return the requests that are taken, and their part for those forwarded."""
+        return self.total + FORWARD_COST * self.forwarded
+
+    def _taken(self) -> float:
+        """Return what is taken or expected."""
+        return self.work() + self.expected_by_account.total()
 
-    def _taken(self) -> int:
-        """Return the number of requests that are taken or expected."""
-        return self.total + self.expected_by_account.total()
+    def may_forward(self) -> bool:
+        """Return whether to forward a connection rather than to take its request.
+
+        A part of the limit is left for it, whatever was taken before the limit fell.
+        """
+        if not self._is_pressed() or self.forwarded >= MAX_FORWARDED:
+            return False
+        own = self.total + self.expected_by_account.total()
+        room = max(self.limit - own, (1.0 - FORWARD_FROM) * self.limit)
+        return FORWARD_COST * (self.forwarded + 1) <= room
 
     def expect(self, account_id: str) -> bool:
         """Return whether a new connection of an account is let in."""
@@ -53,9 +91,19 @@
             self.expected_by_account[account_id] += 1
         return is_admitted
 
+    def expect_forwarded(self, account_id: str) -> bool:
+        """Return whether a connection that a sibling forwards is let in.
+
+        The own callers keep a part of the limit: they have no other router.
+        """
+        if self._taken() >= FORWARDED_SHARE * self.limit:
+            return False
+        self.expected_by_account[account_id] += 1
+        return True
+
     def admits(self, account_id: str) -> bool:
         """Return whether a new request of an account is taken."""
-        return self.total < self.limit or self._is_below_share(
+        return self.work() < self.limit or self._is_below_share(
             account_id, self.count_by_account
         )
 
@@ -86,12 +134,15 @@
         """
         self.expected_by_account.clear()
         lasting, self.last_delay = min(delay, self.last_delay), delay
+        self.late_samples = max(0, self.late_samples - 1)
+        if lasting >= FORWARD_DELAY_SECONDS:
+            self.late_samples = LATE_SAMPLES
         if lasting > INTAKE_DELAY_SECONDS:
             factor = max(INTAKE_DECREASE, INTAKE_DELAY_SECONDS / lasting)
             # The delay lasts until some of the taken requests have ended.
-            lowered = self.total * min(factor, MIN_INTAKE_DECREASE)
+            lowered = self.work() * min(factor, MIN_INTAKE_DECREASE)
             self.limit = max(MIN_INTAKE, min(self.limit, lowered))
         elif lasting < INTAKE_DELAY_SECONDS / 2:
-            is_used = self.total >= INTAKE_RECOVERY * self.limit
+            is_used = self.work() >= INTAKE_RECOVERY * self.limit
             raised = self.limit * (1 + INTAKE_INCREASE) + is_used
             self.limit = min(MAX_INTAKE, raised)
--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -1,6 +1,6 @@
 """The gateway process: callers' server, readiness and graceful shutdown."""
 
-from re import compile as compile_pattern
+from re import Pattern, compile as compile_pattern, escape
 from time import process_time
 from typing import Final
 
@@ -9,6 +9,11 @@
 
 from pistachiolever.edge.keys import bearer_key
 from pistachiolever.events.const import EventCode
+from pistachiolever.forwarding.forwarder import (
+    ForwardedScreen,
+    Forwarder,
+    without_preface,
+)
 from pistachiolever.gateway.const import (
     BALANCER_REMOVAL_SECONDS,
     CALLER_CONNECTION_FRACTION,
@@ -36,8 +41,9 @@
 from pistachiolever.http1.connection import Exchange
 from pistachiolever.http1.const import MAX_MONITORING_CONNECTIONS
 from pistachiolever.http1.models import Header, HttpLimits
-from pistachiolever.http1.server import HttpServer
+from pistachiolever.http1.server import ForwardedEntry, HttpServer
 from pistachiolever.metrics.instruments import REQUESTS, SHED, UNREAD
+from pistachiolever.registry.sibling_lookup import SiblingLookup
 from pistachiolever.registry.stream_lookup import StreamLookup
 from pistachiolever.registry.watcher import RegistryWatcher
 from pistachiolever.routing.models import ProxyAccount, ProxyRoute
@@ -79,8 +85,51 @@
         is_shedding = self.process.guard.level is Overload.SHEDDING
         if not is_shedding and self.process.intake.expect(account_id):
             return b""
-        _, seconds = self.process.overload_header(account_id)
-        return OVERLOAD_RESPONSE % seconds
+        return self.process.overload_response(head)
+
+
+@define
+class ForwardingGateway:
+    """What a gateway process forwards to its siblings, and takes from them."""
+
+    process: "GatewayProcess"
+
+    def version(self) -> int:
+        """Return the version of the configuration in force, -1 without one."""
+        return self.process.version()
+
+    def request_id_of(self, head: bytes) -> str:
+        """Return the id of a request by its unparsed head, empty if it has none."""
+        match = self.process.request_id_pattern.search(head)
+        return match.group(1).decode("latin-1") if match else ""
+
+    def may_forward(self) -> bool:
+        """Return whether to forward a new connection if a sibling has time."""
+        process = self.process
+        if process.draining or process.guard.level is Overload.SHEDDING:
+            return False
+        return process.fleet.table is not None and process.intake.may_forward()
+
+    def may_take(self, head: bytes) -> bool:
+        """Return whether to take a forwarded connection, by the head of its request."""
+        process = self.process
+        if process.draining or process.guard.level > Overload.NONE:
+            return False
+        match = AUTHORIZATION.search(head)
+        account_id = process.account_of(match.group(1) if match else b"")
+        return process.intake.expect_forwarded(account_id)
+
+    def refuse(self, head: bytes) -> bytes:
+        """Return the response to a request for which no router has time."""
+        return self.process.overload_response(head)
+
+    def count_forwarded(self, change: int) -> None:
+        """Count a connection that begins or ends to be forwarded."""
+        self.process.intake.forwarded += change
+
+    def is_busy(self) -> bool:
+        """Return whether connections may have to be forwarded soon."""
+        return self.process.intake.is_near()
 
 
 @define
@@ -106,6 +155,8 @@
     intake: IntakeLimit = field(factory=IntakeLimit)
     unread_count: int = 0
     budget: ByteBudget = field(factory=ByteBudget)
+    forwarder: Forwarder = field(init=False)
+    request_id_pattern: Pattern[bytes] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the servers and register the gauges."""
@@ -115,6 +166,31 @@
             self.fleet.client, self.watcher.choice, self.fleet.now
         )
         self.origins = StreamOrigins(self.fleet, self.lookup)
+        name = escape(self.header_format.request_id)
+        self.request_id_pattern = compile_pattern(
+            rb"(?i)\r\n" + name + rb":[ \t]*([^\r\n]*)"
+        )
+        self.watcher.forward_address = self.settings.forward_address
+        forwarding = ForwardingGateway(self)
+        self.forwarder = Forwarder(
+            forwarding,
+            SiblingLookup(
+                self.fleet.client,
+                self.watcher.choice,
+                self.settings.forward_address,
+            ),
+            self.fleet.events,
+            self.fleet.instruments,
+            self.fleet.rng,
+            self.fleet.now,
+        )
+        entry = None
+        if self.settings.forward_address:
+            entry = ForwardedEntry(
+                self.settings.forward_address,
+                ForwardedScreen(forwarding),
+                without_preface,
+            )
         self.public_server = HttpServer(
             self.settings.front_address,
             self._handle_request,
@@ -124,6 +200,8 @@
             self._count_unread,
             IntakeScreen(self),
             self.budget,
+            self.forwarder,
+            entry,
         )
         self.readiness_server = HttpServer(
             self.settings.ready_address,
@@ -132,11 +210,12 @@
             budget=self.budget,
         )
         gauge = self.fleet.instruments.gauge
-        gauge("pistachiolever_configuration_version", self._version)
+        gauge("pistachiolever_configuration_version", self.version)
         gauge("pistachiolever_endpoints", lambda: len(self.fleet.handle_by_id))
         gauge("pistachiolever_busy_connections", self.public_server.busy_count)
         gauge("pistachiolever_overload", lambda: self.guard.level)
         gauge("pistachiolever_request_limit", lambda: self.intake.limit)
+        gauge("pistachiolever_forwarded_connections", self.forwarder.count)
         gauge("pistachiolever_connections", lambda: len(self.public_server.connections))
         gauge("pistachiolever_endpoint_connections", lambda: self.fleet.pool.open_count)
         gauge("pistachiolever_routers", lambda: self.fleet.budget.router_count)
@@ -160,6 +239,8 @@
             group.start_soon(self.readiness_server.serve)
             group.start_soon(self.public_server.serve)
             group.start_soon(self._watch_delay)
+            if self.settings.forward_address:
+                group.start_soon(self.forwarder.run)
 
     async def _watch_delay(self) -> None:
         """Measure the delay of the event loop; record changes of the overload."""
@@ -209,6 +290,7 @@
             self.fleet.bid_count,
             self.fleet.withdrawn_count,
             self.fleet.pool.opened_count + self.fleet.client.pool.opened_count,
+            self.forwarder.forwarded_count,
         )
 
     async def drain(self) -> None:
@@ -224,14 +306,12 @@
         window.ends_at = started_at + drain_seconds - 2 * LAST_REQUESTS_SECONDS
         window.balancer_leaves_at = started_at + BALANCER_REMOVAL_SECONDS
         server.draining = True
-        self.fleet.events.record(
-            EventCode.PROCESS_DRAINING, busy=self.public_server.busy_count()
-        )
+        self.fleet.events.record(EventCode.PROCESS_DRAINING, busy=self._busy_count())
         with move_on_after(max(0.0, drain_seconds - 2 * LAST_REQUESTS_SECONDS)):
             # The balancer sends new connections until two more checks have failed.
             await sleep(BALANCER_REMOVAL_SECONDS)
             server.close_idle()
-            while server.busy_count():
+            while self._busy_count():
                 await sleep(DRAIN_POLL_SECONDS)
                 server.close_idle()
                 if window.is_closing(self.fleet.now()):
@@ -242,10 +322,11 @@
             # Requests on connections accepted just now are answered, too.
             await sleep(LAST_REQUESTS_SECONDS / 2)
             server.close_after_requests()
-            while server.connections:
+            while server.connections or self.forwarder.count():
                 await sleep(DRAIN_POLL_SECONDS / 5)
-        cut = server.busy_count()
+        cut = self._busy_count()
         server.abandon_requests()
+        self.forwarder.abandon()
         if cut:
             # The answers are sent meanwhile.
             await sleep(DRAIN_POLL_SECONDS)
@@ -255,6 +336,10 @@
             cut=cut,
         )
 
+    def _busy_count(self) -> int:
+        """Return the number of requests being served here or at siblings."""
+        return self.public_server.busy_count() + self.forwarder.count()
+
     def _limits(self) -> HttpLimits:
         """Return the HTTP limits of the configuration in force."""
         table = self.fleet.table
@@ -343,7 +428,7 @@
                 metadata.request_id,
                 status=error.status,
                 reason=error.reason,
-                version=self._version(),
+                version=self.version(),
             )
             headers: list[Header] = []
             if error.status == 503:
@@ -376,6 +461,13 @@
         headers = [self.overload_header(account_id), (b"connection", b"close")]
         await exchange.respond(503, headers, b"")
 
+    def overload_response(self, head: bytes) -> bytes:
+        """Count a refusal by the unparsed head of a request; return the response."""
+        match = AUTHORIZATION.search(head)
+        account_id = self.account_of(match.group(1) if match else b"")
+        _, seconds = self.overload_header(account_id)
+        return OVERLOAD_RESPONSE % seconds
+
     def overload_header(self, account_id: str) -> Header:
         """Count a refusal for lack of processor time; return its Retry-After."""
         self.shed_count += 1
@@ -439,7 +531,7 @@
             arrived_at + timeout_seconds,
         )
 
-    def _version(self) -> int:
+    def version(self) -> int:
         """Return the configuration version in force; -1 without one."""
         table = self.fleet.table
         return table.configuration.version if table else -1
--- a/pistachiolever/gateway/settings.py
+++ b/pistachiolever/gateway/settings.py
@@ -30,6 +30,9 @@
     moved between them counts as `spillover_seconds_per_megabyte`. An endpoint at which
     requests wait for `spillover_short_wait_seconds` has no room for more.
 
+    At `forward_address` siblings forward connections to this router, and this one then
+    forwards to them; empty to do neither.
+
     With `plans_returns`, Retry-After follows the estimated time at which engines have
     room again.
     """
@@ -52,3 +55,4 @@
     spillover_seconds_per_megabyte: float = DEFAULT_SECONDS_PER_MEGABYTE
     spillover_short_wait_seconds: float = DEFAULT_SHORT_WAIT_SECONDS
     plans_returns: bool = False
+    forward_address: str = ""
--- a/pistachiolever/gateway/work_counts.py
+++ b/pistachiolever/gateway/work_counts.py
@@ -13,7 +13,8 @@
 
     `accepted` are connections of callers, `requests` those whose heads were read, of
     which `shed` were refused at once. `withdrawn` are bids without a reply in time,
-    `opened` new connections to endpoints and other processes.
+    `opened` new connections to endpoints and other processes, `forwarded` the callers'
+    connections that were passed on to siblings.
     """
 
     processor: float = 0.0
@@ -23,6 +24,7 @@
     bids: int = 0
     withdrawn: int = 0
     opened: int = 0
+    forwarded: int = 0
 
     def since(self, earlier: "WorkCounts") -> "WorkCounts":
         """Return the work done after an earlier moment."""
--- a/pistachiolever/http1/screening.py
+++ b/pistachiolever/http1/screening.py
@@ -31,6 +31,19 @@
         """Return the whole response to a request that is refused; empty to serve it."""
 
 
+class ConnectionForwarder(Protocol):
+    """Passes on connections to other servers."""
+
+    def takes(self, head: bytes) -> bool:
+        """Return whether a new connection is passed on, by its request."""
+
+    def forward(self, raw: socket, head: bytes, received: bytes) -> None:
+        """Take over an accepted socket, and its input so far."""
+
+    def count(self) -> int:
+        """Return the number of connections that are passed on now."""
+
+
 @frozen(eq=False)
 class HeldSocket:
     """An accepted socket, held until a time; `received` is its input so far."""
@@ -45,12 +58,13 @@
     """Answers the first request of a connection with a few system calls.
 
     While the screen is active, new connections wait here for the head of their request,
-    without a task each. Those that are not refused go on to `serve` with their input.
-    `waiting` is by descriptor.
+    without a task each. Those that are not refused go on to `serve` with their input,
+    unless a `forwarder` takes them. `waiting` is by descriptor.
     """
 
     screen: ConnectionScreen
     serve: Callable[[socket, bytes], None]
+    forwarder: ConnectionForwarder | None = None
     waiting: dict[int, HeldSocket] = field(factory=dict)
     refused: deque[HeldSocket] = field(factory=deque)
     _poller: poll = field(factory=poll)
@@ -131,6 +145,9 @@
                 return
             self._wait(HeldSocket(held.raw, held.until, received))
             return
+        if self.forwarder is not None and self.forwarder.takes(head):
+            self.forwarder.forward(held.raw, head, received)
+            return
         response = self.screen.refusal(head)
         if not response:
             self.serve(held.raw, received)
--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -21,7 +21,7 @@
     SocketStream as AnySocketStream,
     TaskGroup,
 )
-from attrs import define, field
+from attrs import define, field, frozen
 
 from pistachiolever.http1.budget import ByteBudget
 from pistachiolever.http1.connection import Handler, ServerConnection
@@ -35,7 +35,11 @@
     MAX_CUT_CONNECTIONS,
 )
 from pistachiolever.http1.models import HttpLimits
-from pistachiolever.http1.screening import ConnectionScreen, Screening
+from pistachiolever.http1.screening import (
+    ConnectionForwarder,
+    ConnectionScreen,
+    Screening,
+)
 from pistachiolever.http1.sockets import tune_socket
 from pistachiolever.http1.stream import accepted_stream
 
@@ -48,15 +52,28 @@
     """Ignore that a client left before its request was read."""
 
 
+@frozen
+class ForwardedEntry:
+    """Where a server takes connections that other servers forward.
+
+    The `screen` decides on each of them; `unwrap` returns the bytes of the client.
+    """
+
+    address: str
+    screen: ConnectionScreen
+    unwrap: Callable[[bytes], bytes]
+
+
 @define(eq=False)
 class HttpServer:
-    """Listens on one address.
+    """Listens on one address, and on that of its `entry` for forwarded connections.
 
     While `draining`, responses ask the client to close the connection. While `closing`,
     connections are closed after the current request. At `max_connections` the newest
     idle connection is closed for a new one; if none is idle, clients wait to be
     accepted. Those that wait for a request that makes no progress are closed for new
-    ones. An active `screen` refuses new connections before they are set up.
+    ones. An active `screen` refuses new connections before they are set up, unless the
+    `forwarder` takes them. A forwarded connection is closed after one request.
     `report_limit` is called when a limit is reached, at most once in
     LIMIT_REPORT_SECONDS, `report_unread` for each request whose client left before it
     was read.
@@ -70,6 +87,8 @@
     report_unread: Callable[[], None] = ignore_unread
     screen: ConnectionScreen | None = None
     budget: ByteBudget = field(factory=ByteBudget)
+    forwarder: ConnectionForwarder | None = None
+    entry: ForwardedEntry | None = None
     draining: bool = False
     closing: bool = False
     connections: dict[ServerConnection, None] = field(factory=dict)
@@ -77,7 +96,7 @@
     _accepting: CancelScope = field(factory=CancelScope)
     _room: Event = field(factory=Event)
     _opening_count: int = 0
-    _screening: Screening | None = None
+    _screenings: list[Screening] = field(factory=list)
     _limit_reported_at: float = float("-inf")
 
     async def serve(self) -> None:
@@ -89,19 +108,45 @@
         # Open connections outlive the listener. Its socket must be closed, or the
         # kernel would accept connections that nobody serves.
         async with create_task_group() as group, multi_listener:
+            serve = partial(self._start_serving, group)
             with self._accepting:
                 async with create_task_group() as acceptors:
+                    offer: Callable[[socket], None] = partial(serve, received=b"")
                     if self.screen is not None:
-                        serve = partial(self._start_serving, group)
-                        self._screening = Screening(self.screen, serve)
-                        acceptors.start_soon(self._screening.run)
+                        screening = Screening(self.screen, serve, self.forwarder)
+                        offer = self._start_screening(acceptors, screening)
                     for listener in multi_listener.listeners:
-                        acceptors.start_soon(self._accept_all, listener, group)
-            if self._screening is not None:
-                self._screening.close()
-                self._screening = None
+                        acceptors.start_soon(self._accept_all, listener, offer)
+                    if self.entry is not None:
+                        acceptors.start_soon(self._serve_entry, self.entry, group)
+            for screening in self._screenings:
+                screening.close()
+            self._screenings.clear()
             for listener in multi_listener.listeners:
-                await self._close_listener(listener, group)
+                await self._close_listener(listener, partial(serve, received=b""))
+
+    def _start_screening(
+        self, group: TaskGroup, screening: Screening
+    ) -> Callable[[socket], None]:
+        """Run a screening; return what takes an accepted connection."""
+        self._screenings.append(screening)
+        group.start_soon(screening.run)
+        return screening.offer
+
+    async def _serve_entry(self, entry: ForwardedEntry, group: TaskGroup) -> None:
+        """Accept forwarded connections until cancelled."""
+
+        def serve(accepted: socket, received: bytes) -> None:
+            self._start_serving(group, accepted, entry.unwrap(received), True)
+
+        host, _, port = entry.address.rpartition(":")
+        multi_listener = await create_tcp_listener(
+            local_host=host, local_port=int(port), backlog=LISTEN_BACKLOG
+        )
+        async with multi_listener, create_task_group() as acceptors:
+            offer = self._start_screening(acceptors, Screening(entry.screen, serve))
+            for listener in multi_listener.listeners:
+                acceptors.start_soon(self._accept_all, listener, offer)
 
     def stop_listening(self) -> None:
         """Accept the connections that are pending, then no more."""
@@ -114,7 +159,7 @@
         self.close_idle()
 
     async def _accept_all(
-        self, listener: Listener[AnySocketStream], group: TaskGroup
+        self, listener: Listener[AnySocketStream], offer: Callable[[socket], None]
     ) -> None:
         """Accept connections until cancelled."""
         raw_listener = listener.extra(SocketAttribute.raw_socket)
@@ -122,15 +167,17 @@
             await wait_readable(raw_listener)
             if self._open_count() >= self.max_connections:
                 await self._make_room()
-            await self._accept_pending(raw_listener, group)
+            await self._accept_pending(raw_listener, offer)
 
-    async def _accept_pending(self, raw_listener: socket, group: TaskGroup) -> None:
+    async def _accept_pending(
+        self, raw_listener: socket, offer: Callable[[socket], None]
+    ) -> None:
         """Accept all pending connections that there is room for.
 
         Waiting for each one to be set up would limit the rate to one in some turns of
         the event loop, and later ones would be served after their clients had given up.
         """
-        error = self._accept_raw(raw_listener, group)
+        error = self._accept_raw(raw_listener, offer)
         if error is None:
             return
         # The peer has gone, or a resource is exhausted; both pass.
@@ -138,7 +185,9 @@
         self._close_newest_idle()
         await sleep(ACCEPT_RETRY_SECONDS)
 
-    def _accept_raw(self, raw_listener: socket, group: TaskGroup) -> OSError | None:
+    def _accept_raw(
+        self, raw_listener: socket, offer: Callable[[socket], None]
+    ) -> OSError | None:
         """Accept until none is pending; return what the system refused with."""
         while self._open_count() < self.max_connections:
             try:
@@ -148,25 +197,29 @@
             except OSError as error:
                 return error
             self.accepted_count += 1
-            if self._screening is None:
-                self._start_serving(group, accepted, b"")
-            else:
-                self._screening.offer(accepted)
+            offer(accepted)
         return None
 
     def _start_serving(
-        self, group: TaskGroup, accepted: socket, received: bytes
+        self,
+        group: TaskGroup,
+        accepted: socket,
+        received: bytes,
+        is_forwarded: bool = False,
     ) -> None:
         """Serve an accepted connection in a task of its own."""
         self._opening_count += 1
-        group.start_soon(self._open_connection, accepted, received)
+        group.start_soon(self._open_connection, accepted, received, is_forwarded)
 
     def _open_count(self) -> int:
         """Return the number of connections, with those that are being set up."""
-        held = self._screening.count() if self._screening else 0
-        return len(self.connections) + self._opening_count + held
+        held = sum(screening.count() for screening in self._screenings)
+        forwarded = self.forwarder.count() if self.forwarder else 0
+        return len(self.connections) + self._opening_count + held + forwarded
 
-    async def _open_connection(self, accepted: socket, received: bytes) -> None:
+    async def _open_connection(
+        self, accepted: socket, received: bytes, is_forwarded: bool
+    ) -> None:
         """Set up an accepted connection and serve it; some input was read already."""
         try:
             stream = await accepted_stream(accepted)
@@ -181,8 +234,8 @@
             stream,
             self.handler,
             self.limits,
-            lambda: self.draining,
-            lambda: self.closing,
+            lambda: self.draining or is_forwarded,
+            lambda: self.closing or is_forwarded,
             self.report_unread,
             self.budget,
         )
@@ -201,14 +254,14 @@
                 await self._room.wait()
 
     async def _close_listener(
-        self, listener: Listener[AnySocketStream], group: TaskGroup
+        self, listener: Listener[AnySocketStream], offer: Callable[[socket], None]
     ) -> None:
         """Close a listener and serve the connections already established by the kernel.
 
         Closing alone would reset them, with the requests that they carry.
         """
         raw_listener = listener.extra(SocketAttribute.raw_socket)
-        self._accept_raw(raw_listener, group)
+        self._accept_raw(raw_listener, offer)
         # The listener lets other tasks run before it closes the socket.
         raw_listener.close()
         await listener.aclose()
--- a/pistachiolever/metrics/instruments.py
+++ b/pistachiolever/metrics/instruments.py
@@ -68,6 +68,9 @@
 SHED: Final = Instrument(
     "pistachiolever_shed", "Requests refused for lack of processor time", ("account",)
 )
+FORWARDED: Final = Instrument(
+    "pistachiolever_forwarded", "Connections forwarded to siblings", ("outcome",)
+)
 UNREAD: Final = Instrument(
     "pistachiolever_unread", "Requests whose callers left before they were read"
 )
@@ -125,6 +128,7 @@
 COUNTERS: Final = (
     REQUESTS,
     SHED,
+    FORWARDED,
     UNREAD,
     CUT,
     RETRIES,
@@ -161,6 +165,9 @@
         "pistachiolever_overload",
         "1 while callers are sent to other routers, 2 while requests are refused",
     ),
+    Instrument(
+        "pistachiolever_forwarded_connections", "Connections that siblings serve"
+    ),
     Instrument("pistachiolever_connections", "Open connections of callers"),
     Instrument("pistachiolever_endpoint_connections", "Open connections to endpoints"),
     Instrument(
--- a/pistachiolever/registry/const.py
+++ b/pistachiolever/registry/const.py
@@ -13,6 +13,7 @@
 REPORT_PATH: Final = "/registry/report"
 DIGEST_PATH: Final = "/registry/digest"
 STREAMS_PATH: Final = "/registry/streams"
+SIBLINGS_PATH: Final = "/registry/siblings"
 
 # An operator's client stops waiting for a member after one second.
 OPERATOR_TIMEOUT_SECONDS: Final = 0.85
--- a/pistachiolever/registry/models.py
+++ b/pistachiolever/registry/models.py
@@ -109,7 +109,8 @@
     `usage` that of its sums and `members` the voters, all as of its last reply. Only a
     watcher that `wants_usage` gets the sums. `evacuations` is the revision of the
     orders of evacuation that it has from any member, None if it is of an earlier
-    version that applies none.
+    version that applies none. A router of `domain` takes forwarded connections at
+    `forward_address`; empty if it takes none.
     """
 
     watcher_id: str
@@ -120,6 +121,8 @@
     usage: int = 0
     members: list[MemberInfo] = field(factory=list)
     evacuations: int | None = None
+    domain: str = ""
+    forward_address: str = ""
 
 
 @frozen
--- a/pistachiolever/registry/process.py
+++ b/pistachiolever/registry/process.py
@@ -20,6 +20,7 @@
 from pistachiolever.edge.peers import PeerApi, PeerClient
 from pistachiolever.events.const import EventCode
 from pistachiolever.events.logger import EventLogger
+from pistachiolever.forwarding.models import SiblingQuery, SiblingReply
 from pistachiolever.metrics.instruments import Instruments
 from pistachiolever.raft.core import RaftCore
 from pistachiolever.raft.membership import address_of
@@ -37,6 +38,7 @@
     RAFT_CALL_SECONDS,
     RAFT_PATH,
     REPORT_PATH,
+    SIBLINGS_PATH,
     STREAMS_PATH,
     SYNC_PATH,
     WATCH_PATH,
@@ -243,6 +245,7 @@
         api.add(REPORT_PATH, AgentReport, self._handle_report)
         api.add(DIGEST_PATH, MemberDigest, self._handle_digest)
         api.add(STREAMS_PATH, StreamQuery, self._handle_stream_query)
+        api.add(SIBLINGS_PATH, SiblingQuery, self._handle_sibling_query)
         return api
 
     # Calls of operators.
@@ -426,6 +429,11 @@
         """Apply another member's digest of usage and loads."""
         return self.usage.handle_digest(digest)
 
+    async def _handle_sibling_query(self, query: SiblingQuery) -> SiblingReply:
+        """Tell a router which others of its failure domain watch this member."""
+        siblings = self.watches.siblings
+        return SiblingReply(siblings.find(query.domain, self.now(), self.rng))
+
     async def _handle_stream_query(self, query: StreamQuery) -> StreamReply:
         """Tell a router where streams began, and which versions have served."""
         now = self.now()
--- a/pistachiolever/registry/watch_service.py
+++ b/pistachiolever/registry/watch_service.py
@@ -9,6 +9,7 @@
 from pistachiolever.control.state import ControlState
 from pistachiolever.discovery.directory import EndpointDirectory
 from pistachiolever.discovery.models import Announcement
+from pistachiolever.forwarding.directory import SiblingDirectory
 from pistachiolever.raft.core import RaftCore
 from pistachiolever.raft.membership import address_of
 from pistachiolever.registry.const import (
@@ -41,6 +42,7 @@
     changed: Event = field(factory=Event)
     directory_changed: Event = field(factory=Event)
     published_change: int = 0
+    siblings: SiblingDirectory = field(factory=SiblingDirectory)
     _changes_since: dict[int, list[Announcement]] = field(factory=dict)
 
     async def run(self) -> None:
@@ -93,6 +95,8 @@
     async def handle_watch(self, request: WatchRequest) -> WatchReply:
         """Reply when there are updates, or after WATCH_HOLD_SECONDS."""
         self.aggregate.record_router(request.watcher_id, self.now())
+        if request.forward_address:
+            self.siblings.record(request.domain, request.forward_address, self.now())
         with move_on_after(WATCH_HOLD_SECONDS):
             while not self._has_updates(request):
                 await self.changed.wait()
--- a/pistachiolever/registry/watcher.py
+++ b/pistachiolever/registry/watcher.py
@@ -52,7 +52,8 @@
 
     The first one also tells the sums of usage and the loads. A configuration is applied
     only once orders of evacuation are known (`evacuations` is then their revision, at
-    least 0): a restarted router serves nothing before.
+    least 0): a restarted router serves nothing before. Siblings learn from the members
+    the `forward_address` of a router.
     """
 
     choice: MemberChoice
@@ -62,6 +63,7 @@
     now: Callable[[], float] = current_time
     version: int = -1
     evacuations: int = -1
+    forward_address: str = ""
     primary: str = ""
     scope_by_address: dict[str, CancelScope] = field(factory=dict)
     _group: TaskGroup | None = None
@@ -94,7 +96,12 @@
         """Watch one member."""
         if address in self.scope_by_address:
             return
-        request = WatchRequest(self.choice.process_id, self.version)
+        request = WatchRequest(
+            self.choice.process_id,
+            self.version,
+            domain=self.choice.failure_domain,
+            forward_address=self.forward_address,
+        )
         with CancelScope() as scope:
             self.scope_by_address[address] = scope
             while True:
--- a/tests/emulator/test_processor_time.py
+++ b/tests/emulator/test_processor_time.py
@@ -78,7 +78,7 @@
     def test_account_at_one_slow_router_got_less_than_half_of_the_best(self) -> None:
         self.check(SLOW_STEP_SECONDS)
 
-    # FAIR: refused callers came back to the router that had refused them, since the load
+    # FAIR: refused callers came back to the router that had refused them, as the load
     # balancer chooses by a hash, and its idle siblings got none of their requests.
     def test_refused_callers_that_return_to_the_same_router(self) -> None:
         self.check(SLOW_STEP_SECONDS, returns_elsewhere=False)
--- /dev/null
+++ b/tests/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of forwarded connections."""
--- /dev/null
+++ b/tests/forwarding/test_forwarder.py
@@ -0,0 +1,339 @@
+"""Connections that are forwarded over loopback, on both event loops.
+
+The siblings are servers of the HTTP layer, or fakes that end a connection in some way.
+"""
+
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from anyio import (
+    BrokenResourceError,
+    EndOfStream,
+    connect_tcp,
+    create_task_group,
+    create_tcp_listener,
+    current_time,
+    fail_after,
+    run,
+    sleep,
+)
+from anyio.abc import SocketStream
+from attrs import define, field, frozen
+from nose2.tools import params
+
+from pistachiolever.events.logger import EventLogger
+from pistachiolever.forwarding.const import REFUSAL
+from pistachiolever.forwarding.forwarder import (
+    ForwardedScreen,
+    Forwarder,
+    without_preface,
+)
+from pistachiolever.http1.connection import Exchange
+from pistachiolever.http1.const import READ_BYTES
+from pistachiolever.http1.server import ForwardedEntry, HttpServer
+from pistachiolever.metrics.instruments import Instruments
+from tests.support.addresses import free_address, wait_until_listening
+from tests.support.cases import CaseTest
+
+LIMIT_SECONDS = 10.0
+REFUSED = b"HTTP/1.1 503 No\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+HEAD = b"POST /one HTTP/1.1\r\nHost: x\r\nX-Id: 7\r\nContent-Length: %d\r\n\r\n"
+LOOPS = [False, True]
+
+
+@define
+class Router:
+    """A router that forwards all it gets, and takes all of siblings."""
+
+    configuration: int = 3
+    takes: bool = True
+    forwarded: int = 0
+    most_forwarded: int = 0
+
+    def version(self) -> int:
+        """Return the version of the configuration."""
+        return self.configuration
+
+    def request_id_of(self, head: bytes) -> str:
+        """Return the id of a request."""
+        return head.partition(b"X-Id: ")[2].partition(b"\r\n")[0].decode()
+
+    def may_forward(self) -> bool:
+        """Forward all."""
+        return True
+
+    def may_take(self, head: bytes) -> bool:
+        """Return whether to take a connection."""
+        return self.takes and head.startswith(b"POST /one ")
+
+    def refuse(self, head: bytes) -> bytes:
+        """Return the refusal."""
+        return REFUSED
+
+    def count_forwarded(self, change: int) -> None:
+        """Count connections."""
+        self.forwarded += change
+        self.most_forwarded = max(self.most_forwarded, self.forwarded)
+
+    def is_busy(self) -> bool:
+        """Ask for siblings often."""
+        return True
+
+    def is_active(self) -> bool:
+        """Look at each connection."""
+        return True
+
+    def refusal(self, head: bytes) -> bytes:
+        """Refuse what no sibling takes."""
+        return REFUSED
+
+
+@frozen
+class Finder:
+    """Knows the siblings."""
+
+    addresses: list[str]
+
+    async def find(self) -> list[str]:
+        """Return their addresses."""
+        return self.addresses
+
+
+@define
+class Sibling:
+    """A server that answers with the body of the request, and notes who left."""
+
+    router: Router = field(factory=Router)
+    bodies: list[bytes] = field(factory=list)
+    left: int = 0
+    waits: bool = False
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer a request, or wait until its caller has left."""
+        body = await exchange.read_body()
+        self.bodies.append(body)
+        try:
+            if self.waits:
+                await sleep(LIMIT_SECONDS)
+        finally:
+            self.left += self.waits
+        await exchange.start(200, [(b"transfer-encoding", b"chunked")])
+        await exchange.send(body)
+        await exchange.finish()
+
+    def server(self) -> HttpServer:
+        """Return the server."""
+        screen = ForwardedScreen(self.router)
+        entry = ForwardedEntry(free_address(), screen, without_preface)
+        return HttpServer(free_address(), self.handle, entry=entry)
+
+
+@define
+class Setup:
+    """A forwarding router and its siblings, while they run."""
+
+    address: str
+    forwarder: Forwarder
+    lines: list[str]
+
+
+Test = Callable[[Setup], Awaitable[None]]
+
+
+async def fake_sibling(end: str, stream: SocketStream) -> None:
+    """Take a connection and end it in some way."""
+    async with stream:
+        received = b""
+        while b"\r\n\r\n" not in received:
+            received += await stream.receive()
+        if end == "refuses":
+            await stream.send(REFUSAL[:20])
+            await sleep(0.02)
+            await stream.send(REFUSAL[20:])
+        elif end == "in the response":
+            await stream.send(
+                b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n"
+            )
+
+
+async def read_all(stream: SocketStream) -> bytes:
+    """Return what comes until the end of the connection."""
+    received = b""
+    while True:
+        try:
+            received += await stream.receive()
+        except (EndOfStream, BrokenResourceError):
+            return received
+
+
+class ForwarderTest(CaseTest):
+    """Callers get whole responses of siblings, or true refusals."""
+
+    def play(
+        self, siblings: list[Sibling | str], test: Test, use_uvloop: bool
+    ) -> tuple[Router, list[str]]:
+        """Run a test with a forwarding router; return the router and its log."""
+        router, lines = Router(), list[str]()
+
+        async def play() -> None:
+            async with create_task_group() as group:
+                addresses: list[str] = []
+                for sibling in siblings:
+                    if isinstance(sibling, Sibling):
+                        server = sibling.server()
+                        group.start_soon(server.serve)
+                        await wait_until_listening(server.address)
+                        assert server.entry is not None
+                        addresses.append(server.entry.address)
+                    elif sibling == "is gone":
+                        addresses.append(free_address())
+                    else:
+                        address = free_address()
+                        host, _, port = address.rpartition(":")
+                        listener = await create_tcp_listener(
+                            local_host=host, local_port=int(port)
+                        )
+
+                        async def take(
+                            stream: SocketStream, end: str = sibling
+                        ) -> None:
+                            await fake_sibling(end, stream)
+
+                        group.start_soon(listener.serve, take)
+                        addresses.append(address)
+                forwarder = Forwarder(
+                    router,
+                    Finder(addresses),
+                    EventLogger("r", lambda: 0, lines.append),
+                    Instruments(),
+                    Random(1),
+                    current_time,
+                )
+                own = HttpServer(
+                    free_address(),
+                    Sibling().handle,
+                    screen=router,
+                    forwarder=forwarder,
+                )
+                group.start_soon(own.serve)
+                group.start_soon(forwarder.run)
+                await wait_until_listening(own.address)
+                while len(forwarder.table.sibling_by_address) < len(addresses):
+                    await sleep(0.01)
+                with fail_after(LIMIT_SECONDS):
+                    await test(Setup(own.address, forwarder, lines))
+                    while forwarder.count():
+                        await sleep(0.01)
+                group.cancel_scope.cancel()
+
+        run(play, backend_options={"use_uvloop": use_uvloop})
+        return router, lines
+
+    def ask(
+        self,
+        siblings: list[Sibling | str],
+        use_uvloop: bool,
+        body: bytes = b"body",
+    ) -> tuple[bytes, Router, list[str]]:
+        """Return what a caller receives, the router and its log."""
+        received = b""
+
+        async def ask(setup: Setup) -> None:
+            nonlocal received
+            host, _, port = setup.address.rpartition(":")
+            async with await connect_tcp(host, int(port)) as stream:
+                await stream.send(HEAD % len(body) + body)
+                received = await read_all(stream)
+
+        router, lines = self.play(siblings, ask, use_uvloop)
+        return received, router, lines
+
+    @params(*LOOPS)
+    def test_sibling_answers_one_request_of_a_connection(self, loop: bool) -> None:
+        for body in (b"body", 3 * READ_BYTES * b"x"):
+            with self.subTest(len(body)):
+                sibling = Sibling()
+                received, router, lines = self.ask([sibling], loop, body)
+                self.assertTrue(received.startswith(b"HTTP/1.1 200"))
+                self.assertIn(b"connection: close", received)
+                self.assertTrue(received.endswith(b"0\r\n\r\n"))
+                self.assertEqual(sibling.bodies, [body])
+                self.assertEqual((router.forwarded, router.most_forwarded), (0, 1))
+                self.assertIn('"outcome":"answered"', lines[-1])
+                self.assertIn('"request":"7"', lines[-1])
+
+    @params(*[(end, loop) for end in ("refuses", "is gone") for loop in LOOPS])
+    def test_next_sibling_is_tried(self, end: str, loop: bool) -> None:
+        for _ in range(5):
+            sibling = Sibling()
+            received, _, _ = self.ask([end, sibling], loop)
+            self.assertTrue(received.startswith(b"HTTP/1.1 200"), received)
+            self.assertEqual(sibling.bodies, [b"body"])
+
+    @params(*[(end, loop) for end in ("refuses", "is gone") for loop in LOOPS])
+    def test_caller_is_refused_if_no_sibling_takes_it(
+        self, end: str, loop: bool
+    ) -> None:
+        received, router, _ = self.ask([end, end], loop)
+        self.assertEqual((received, router.forwarded), (REFUSED, 0))
+
+    # CONFIG: a request would be handled by an older configuration than an earlier one.
+    @params(2, 4)
+    def test_sibling_with_another_configuration_takes_nothing(self, other: int) -> None:
+        sibling = Sibling(Router(configuration=other))
+        received, _, _ = self.ask([sibling], True)
+        self.assertEqual((received, sibling.bodies), (REFUSED, []))
+
+    # REFUSED, TWICE: the request of a sibling that has ended may have run.
+    @params(*LOOPS)
+    def test_outcome_is_unknown_if_the_sibling_ends(self, loop: bool) -> None:
+        sibling = Sibling()
+        received, _, lines = self.ask(["ends"], loop)
+        self.assertTrue(received.startswith(b"HTTP/1.1 502"), received)
+        self.assertIn('"outcome":"broken-off"', lines[-1])
+        self.assertEqual(sibling.bodies, [])
+
+    # MIXED: a response that a sibling broke off must not look whole.
+    @params(*LOOPS)
+    def test_response_that_is_broken_off_is_not_whole(self, loop: bool) -> None:
+        received, _, _ = self.ask(["in the response"], loop)
+        self.assertFalse(received.endswith(b"0\r\n\r\n"))
+        self.assertNotIn(b"502", received)
+
+    # GONE: engines worked on for callers that had left the forwarding router.
+    @params(*LOOPS)
+    def test_sibling_learns_that_the_caller_has_left(self, loop: bool) -> None:
+        sibling = Sibling(waits=True)
+
+        async def leave(setup: Setup) -> None:
+            host, _, port = setup.address.rpartition(":")
+            async with await connect_tcp(host, int(port)) as stream:
+                await stream.send(HEAD % 4 + b"body")
+                while not sibling.bodies:
+                    await sleep(0.01)
+            while not sibling.left:
+                await sleep(0.01)
+
+        _, lines = self.play([sibling], leave, loop)
+        self.assertIn('"outcome":"caller-left"', lines[-1])
+
+    # LOST: requests at siblings were cut without an answer when the router stopped.
+    @params(*LOOPS)
+    def test_requests_at_siblings_are_answered_when_the_router_stops(
+        self, loop: bool
+    ) -> None:
+        sibling = Sibling(waits=True)
+        received = b""
+
+        async def stop(setup: Setup) -> None:
+            nonlocal received
+            host, _, port = setup.address.rpartition(":")
+            async with await connect_tcp(host, int(port)) as stream:
+                await stream.send(HEAD % 4 + b"body")
+                while not sibling.bodies:
+                    await sleep(0.01)
+                setup.forwarder.abandon()
+                received = await read_all(stream)
+
+        self.play([sibling], stop, loop)
+        self.assertTrue(received.startswith(b"HTTP/1.1 502"), received)
--- a/tests/gateway/test_work_counts.py
+++ b/tests/gateway/test_work_counts.py
@@ -14,7 +14,7 @@
             (5.9, WorkCounts(1.2, 12, 30, 0, 30, 0, 6), None),
             (
                 6.5,
-                WorkCounts(1.4, 15, 40, 7, 31, 2, 9),
+                WorkCounts(1.4, 15, 40, 7, 31, 2, 9, 3),
                 {
                     "seconds": 1.5,
                     "processor": 0.4,
@@ -24,9 +24,10 @@
                     "bids": 11,
                     "withdrawn": 2,
                     "opened": 4,
+                    "forwarded": 3,
                 },
             ),
-            (7.4, WorkCounts(1.5, 15, 40, 7, 31, 2, 9), None),
+            (7.4, WorkCounts(1.5, 15, 40, 7, 31, 2, 9, 3), None),
         ]
         for now, counts, expected in cases:
             with self.subTest(now):
--- a/tests/support/crowded_fleet.py
+++ b/tests/support/crowded_fleet.py
@@ -33,6 +33,7 @@
 from pistachiolever.emulator.links import HEADER_FORMAT, EmulatedEngine
 from pistachiolever.emulator.models import Arrival
 from pistachiolever.emulator.processor import CURRENT_PROCESSOR, EmulatedProcessor
+from pistachiolever.forwarding.models import ForwardOutcome
 from pistachiolever.gateway.fleet import FleetView
 from pistachiolever.gateway.process import GatewayProcess
 from pistachiolever.http1.models import Header, RequestHead, first_value
@@ -50,6 +51,11 @@
 START_STEPS = 20
 EVENT_STEPS = 3
 EVENT_END = b"\n\n"
+# To look at a head before a connection is set up, to pass a connection on, and to pass
+# on an event of its response.
+SCREEN_STEPS = 4
+FORWARD_STEPS = 12
+FORWARDED_EVENT_STEPS = 1
 # A load balancer checks each router at this interval and removes it after two misses.
 CHECK_SECONDS = 1.0
 MISSES = 2
@@ -106,13 +112,79 @@
         self.retry_after = float(first_value(headers, b"retry-after") or 0.0)
         await take_steps(RESPONSE_STEPS)
 
+    def refuse(self, response: bytes) -> None:
+        """Record a response that was sent before the connection was set up."""
+        _, _, rest = response.partition(b"retry-after: ")
+        self.started, self.status = True, 503
+        self.retry_after = float(rest.partition(b"\r\n")[0])
+        self.ended.set()
+
+
+def raw_head(head: RequestHead) -> bytes:
+    """Return the bytes of a head."""
+    lines = [b"%s %s HTTP/1.1" % (head.method, head.target)]
+    lines.extend(b"%s: %s" % header for header in head.headers)
+    return b"\r\n".join(lines)
+
+
+@define(eq=False)
+class ForwardedExchange:
+    """A request that a router has forwarded; it also passes on the response."""
+
+    exchange: EmulatedExchange
+    processor: EmulatedProcessor
+
+    @property
+    def head(self) -> RequestHead:
+        """Return the head of the request."""
+        return self.exchange.head
+
+    @property
+    def started(self) -> bool:
+        """Return whether the response has begun."""
+        return self.exchange.started
+
+    async def read_body(self) -> bytes:
+        """Return the body."""
+        return await self.exchange.read_body()
+
+    async def start(self, status: int, headers: list[Header]) -> None:
+        """Pass on the head of the response."""
+        await self.exchange.start(status, headers)
+        await self._pass_on(1)
+
+    async def send(self, data: bytes) -> None:
+        """Pass on events."""
+        await self.exchange.send(data)
+        await self._pass_on(data.count(EVENT_END))
+
+    async def finish(self) -> None:
+        """Pass on the end of the response."""
+        await self.exchange.finish()
+        await self._pass_on(1)
+
+    async def respond(self, status: int, headers: list[Header], body: bytes) -> None:
+        """Pass on a response that is not streamed."""
+        await self.exchange.respond(status, headers, body)
+        await self._pass_on(1)
+
+    async def _pass_on(self, events: int) -> None:
+        """Use the processor of the router that has forwarded the request."""
+        token = CURRENT_PROCESSOR.set(self.processor)
+        await take_steps(FORWARDED_EVENT_STEPS * events)
+        CURRENT_PROCESSOR.reset(token)
+
 
 @define(eq=False)
 class CrowdedRouter:
-    """A gateway process with a processor of its own, as the load balancer sees it."""
+    """A gateway process with a processor of its own, as the load balancer sees it.
+
+    It forwards to `siblings` by the decisions of the process, without sockets.
+    """
 
     process: GatewayProcess
     processor: EmulatedProcessor
+    siblings: "list[CrowdedRouter]"
     misses: int = 0
     group: TaskGroup = field(init=False)
 
@@ -153,6 +225,15 @@
     async def _serve(self, exchange: EmulatedExchange) -> None:
         """Read the head and pass the request to the process."""
         CURRENT_PROCESSOR.set(self.processor)
+        forwarding = self.process.forwarder.router
+        screen = self.process.public_server.screen
+        if screen is not None and screen.is_active():
+            await take_steps(SCREEN_STEPS)
+            if forwarding.may_forward() and await self._forward(exchange):
+                return
+            if response := screen.refusal(raw_head(exchange.head)):
+                exchange.refuse(response)
+                return
         await take_steps(HEAD_STEPS)
         if exchange.has_left:
             return
@@ -160,6 +241,36 @@
             await self.process.public_server.handler(exchange)  # type: ignore[arg-type]
         exchange.ended.set()
 
+    async def _forward(self, exchange: EmulatedExchange) -> bool:
+        """Let a sibling serve a request; return whether one has taken it."""
+        table, rng = self.process.forwarder.table, self.process.fleet.rng
+        by_name = {str(number): other for number, other in enumerate(self.siblings)}
+        table.update(name for name, other in by_name.items() if other is not self)
+        sibling = table.choose(set(), current_time(), rng)
+        if sibling is None:
+            return False
+        other = by_name[sibling.address]
+        self.process.intake.forwarded += 1
+        sibling.forwarded += 1
+        try:
+            await take_steps(FORWARD_STEPS)
+            if not other.process.forwarder.router.may_take(raw_head(exchange.head)):
+                table.record(sibling, ForwardOutcome.REFUSED, current_time())
+                return False
+            CURRENT_PROCESSOR.set(other.processor)
+            await take_steps(HEAD_STEPS)
+            forwarded = ForwardedExchange(exchange, self.processor)
+            with exchange.scope:
+                if not exchange.has_left:
+                    handler = other.process.public_server.handler
+                    await handler(forwarded)  # type: ignore[arg-type]
+            exchange.ended.set()
+            return True
+        finally:
+            CURRENT_PROCESSOR.set(self.processor)
+            self.process.intake.forwarded -= 1
+            sibling.forwarded -= 1
+
 
 @define
 class Usage:
@@ -268,7 +379,8 @@
         choice = MemberChoice(router.settings.node_id, "", list)
         watcher = RegistryWatcher(choice, router.client, router, router.events)
         process = GatewayProcess(router.settings, HEADER_FORMAT, router, watcher)
-        crowded = CrowdedRouter(process, EmulatedProcessor(self.step_seconds))
+        processor = EmulatedProcessor(self.step_seconds)
+        crowded = CrowdedRouter(process, processor, self.crowded_routers)
         self.crowded_routers.append(crowded)
         await crowded.run()
 
