--- a/pistachiolever/cli/processes.py
+++ b/pistachiolever/cli/processes.py
@@ -8,7 +8,8 @@
 
 from pistachiolever.control.http import make_control_app
 from pistachiolever.control.process import ControlProcess
-from pistachiolever.control.storage import FolderDisk, LogStorage
+from pistachiolever.control.startup import open_disk
+from pistachiolever.control.storage import LogStorage
 from pistachiolever.declarations.models import Revision
 from pistachiolever.edge.client import FleetClient
 from pistachiolever.edge.context import ProcessContext, make_context
@@ -39,7 +40,10 @@
         raise ValueError("control: missing settings")
     context = make_context(settings, "control")
     client = FleetClient(settings)
-    disk = FolderDisk(Path(settings.control.data_folder))
+    disk = await open_disk(
+        Path(settings.control.data_folder),
+        lambda error: context.recorder.record(EventCode.DISK_FAILED, detail=str(error)),
+    )
     try:
         process = ControlProcess(context, settings.control, client, LogStorage(disk))
         await _serve_role(process, make_control_app(process), settings, stop)
--- a/pistachiolever/control/const.py
+++ b/pistachiolever/control/const.py
@@ -7,6 +7,9 @@
 IDENTITY_FILE: Final = "identity.json"
 SNAPSHOT_FILE: Final = "snapshot.json"
 LOG_FILE: Final = "log"
+# Written to find out whether a new data folder has room; nobody reads it.
+ROOM_FILE: Final = "room"
+ROOM_BYTES: Final = 4096
 # A claim that is open for longer is reported as unknown instead of running.
 CLAIM_TIMEOUT_SECONDS: Final = 900.0
 PROPOSE_TIMEOUT_SECONDS: Final = 4.0
--- a/pistachiolever/control/storage.py
+++ b/pistachiolever/control/storage.py
@@ -3,7 +3,7 @@
 import fcntl
 import os
 from pathlib import Path
-from typing import IO, Any, Protocol, TypeVar
+from typing import Any, Protocol, TypeVar
 from zlib import crc32
 
 from attrs import define, field, frozen
@@ -58,24 +58,36 @@
     def replace(self, name: str, data: bytes) -> None:
         """Replace a file atomically and sync it and its folder."""
 
+    def truncate(self, name: str, size: int) -> None:
+        """Drop what follows the first bytes of a file, at the next `append` at last."""
+
 
 @define
 class FolderDisk:
-    """A data folder, locked for one process."""
+    """A data folder, locked for one process.
+
+    `whole_bytes_by_name` are the sizes of files without what is left of writes that
+    have failed. A full disk may refuse to truncate a file, too, so the rest is removed
+    before the next write.
+    """
 
     folder: Path
-    lock: IO[str] = field(init=False)
+    lock: int = field(init=False)
     open_files: dict[str, int] = field(factory=dict)
+    whole_bytes_by_name: dict[str, int] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
-        """Create and lock the folder; raise StorageError if it is in use."""
+        """Create and lock the folder.
+
+        Raise StorageError if it is in use, OSError if it is new and can't be written.
+        """
         self.folder.mkdir(parents=True, exist_ok=True)
         # The lock is held as long as the file is open.
-        self.lock = open(self.folder / LOCK_FILE, "w")  # noqa: SIM115
+        self.lock = os.open(self.folder / LOCK_FILE, os.O_RDWR | os.O_CREAT, 0o600)
         try:
             fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as error:
-            self.lock.close()
+            os.close(self.lock)
             detail = f"{self.folder}: another process uses this data folder"
             raise StorageError(detail) from error
 
@@ -84,7 +96,7 @@
         for descriptor in self.open_files.values():
             os.close(descriptor)
         self.open_files.clear()
-        self.lock.close()
+        os.close(self.lock)
 
     def read(self, name: str) -> bytes | None:
         """Return the content of a file, or None if it does not exist."""
@@ -95,22 +107,32 @@
         """Append to a file and sync it, and sync the folder of a new file."""
         descriptor = self.open_files.get(name)
         if descriptor is None:
-            is_new = not (self.folder / name).exists()
-            flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
-            descriptor = os.open(self.folder / name, flags, 0o600)
-            self.open_files[name] = descriptor
-            if is_new:
-                self._sync_folder()
+            descriptor = self._open(name)
         size = os.lseek(descriptor, 0, os.SEEK_END)
+        whole_bytes = self.whole_bytes_by_name.setdefault(name, size)
+        if size > whole_bytes:
+            os.ftruncate(descriptor, whole_bytes)
         view = memoryview(data)
+        while view:
+            view = view[os.write(descriptor, view) :]
+        os.fsync(descriptor)
+        self.whole_bytes_by_name[name] = whole_bytes + len(data)
+
+    def truncate(self, name: str, size: int) -> None:
+        """Drop what follows the first bytes of a file, at the next `append`."""
+        self.whole_bytes_by_name[name] = size
+
+    def _open(self, name: str) -> int:
+        """Open a file for `append`; its folder is synced, as the file may be new."""
+        flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+        descriptor = os.open(self.folder / name, flags, 0o600)
         try:
-            while view:
-                view = view[os.write(descriptor, view) :]
-            os.fsync(descriptor)
+            self._sync_folder()
         except OSError:
-            # The caller retries, so a partial write must not remain in the file.
-            os.ftruncate(descriptor, size)
+            os.close(descriptor)
             raise
+        self.open_files[name] = descriptor
+        return descriptor
 
     def replace(self, name: str, data: bytes) -> None:
         """Replace a file atomically and sync it and its folder."""
@@ -123,6 +145,7 @@
             file.flush()
             os.fsync(file.fileno())
         os.replace(temporary, self.folder / name)
+        self.whole_bytes_by_name[name] = len(data)
         self._sync_folder()
 
     def _sync_folder(self) -> None:
@@ -139,7 +162,7 @@
     """The persisted log, term and snapshot of a member.
 
     The log file holds checksummed lines. An entry replaces all entries from its
-    index on. An invalid last line is the result of a crash and is removed; an invalid
+    index on. An invalid last line is the result of a crash and is dropped; an invalid
     line with valid ones after it is damage and raises StorageError.
     """
 
@@ -214,7 +237,7 @@
         return _converter.structure(loads(body), Snapshot)
 
     def _load_records(self) -> list[Record]:
-        """Return the records of the log; truncate an invalid end."""
+        """Return the records of the log; drop an invalid end."""
         data = self.disk.read(LOG_FILE)
         if data is None:
             return []
@@ -237,7 +260,7 @@
             records.append(_decode_record(body))
             valid_bytes += len(line) + 1
         if has_invalid_end:
-            self.disk.replace(LOG_FILE, data[:valid_bytes])
+            self.disk.truncate(LOG_FILE, valid_bytes)
         self.log_bytes = valid_bytes
         return records
 
--- a/pistachiolever/platform/roles.py
+++ b/pistachiolever/platform/roles.py
@@ -16,7 +16,8 @@
 )
 
 from pistachiolever.admission.agent import AgentProcess
-from pistachiolever.control.storage import FolderDisk, LogStorage
+from pistachiolever.control.startup import open_disk
+from pistachiolever.control.storage import LogStorage
 from pistachiolever.core.clock import loop_time, wall_ms
 from pistachiolever.core.early_signals import EarlySignals
 from pistachiolever.edge.peers import PeerClient
@@ -113,7 +114,7 @@
 async def run_control(context: PlatformContext) -> None:
     """Run a member of the registry until the stop event is set."""
     settings = context.settings.registry()
-    disk = FolderDisk(Path(settings.data_folder))
+    disk = await open_disk(Path(settings.data_folder), context.record_disk_failure)
     process = RegistryProcess(
         settings,
         LogStorage(disk),
--- a/pistachiolever/runtime/context.py
+++ b/pistachiolever/runtime/context.py
@@ -92,6 +92,10 @@
                 EventCode.CLIENTS_CUT, reason=reason, held=self.budget.held_bytes
             )
 
+    def record_disk_failure(self, error: OSError) -> None:
+        """Record that the data folder can't be opened yet."""
+        self.events.record(EventCode.DISK_FAILED, error=str(error))
+
     def choose_members(self, node_id: str, failure_domain: str) -> MemberChoice:
         """Return the choice among the members of the registry for a process."""
         return MemberChoice(node_id, failure_domain, lambda: self.settings.seeds)
--- a/tests/control/test_storage.py
+++ b/tests/control/test_storage.py
@@ -37,6 +37,10 @@
         """Replace a file."""
         self.content_by_name[name] = data
 
+    def truncate(self, name: str, size: int) -> None:
+        """Drop what follows the first bytes."""
+        self.content_by_name[name] = self.content_by_name[name][:size]
+
 
 def sample_records() -> list[Record]:
     """Return records in which a later entry replaces earlier ones."""
