--- a/pistachiolever/edge/peers.py
+++ b/pistachiolever/edge/peers.py
@@ -11,6 +11,7 @@
 from pistachiolever.edge.const import JSON_CONTENT_TYPE
 from pistachiolever.edge.errors import CallRefusedError, PeerError
 from pistachiolever.edge.keys import bearer_key, same_key
+from pistachiolever.http1.budget import ByteBudget
 from pistachiolever.http1.client import ClientConnection, open_connection
 from pistachiolever.http1.connection import Exchange
 from pistachiolever.http1.errors import PeerClosedError
@@ -24,6 +25,8 @@
 MAX_IDLE_CONNECTIONS: Final = 16
 # Connections to all peers; a process has a few descriptors beside them.
 MAX_OPEN_CONNECTIONS: Final = 800
+# Body of an endpoint's report or health check; decoded it takes several times as much.
+MAX_ENDPOINT_BODY_BYTES: Final = 1024 * 1024
 # Shorter than the server's idle timeout, so that the server never closes first.
 MAX_IDLE_SECONDS: Final = 10.0
 JSON_HEADER: Final[Header] = (b"content-type", JSON_CONTENT_TYPE.encode())
@@ -33,12 +36,14 @@
 class ConnectionPool:
     """Idle connections by address; `max_idle` is the limit per address.
 
-    At `max_open` connections in all, idle ones are closed for new ones.
+    At `max_open` connections in all, idle ones are closed for new ones. The `budget`
+    limits the bytes of responses that are held for all of them.
     """
 
     idle_by_address: dict[str, list[ClientConnection]] = field(factory=dict)
     max_idle: int = MAX_IDLE_CONNECTIONS
     max_open: int = MAX_OPEN_CONNECTIONS
+    budget: ByteBudget = field(factory=ByteBudget)
     open_count: int = 0
     opened_count: int = 0
 
@@ -66,6 +71,7 @@
         finally:
             self.open_count -= not opened
         connection.on_close = self._count_closed
+        connection.budget = self.budget
         return connection
 
     async def release(
@@ -136,18 +142,28 @@
         if self.secret:
             headers.append((b"authorization", b"Bearer " + self.secret.encode()))
         request = RequestHead(b"POST", path.encode(), headers)
-        return await self.exchange(address, request, body, seconds)
+        return await self.exchange(
+            address, request, body, seconds, MAX_INNER_BODY_BYTES
+        )
 
     async def exchange(
-        self, address: str, request: RequestHead, body: bytes, seconds: float
+        self,
+        address: str,
+        request: RequestHead,
+        body: bytes,
+        seconds: float,
+        max_bytes: int = MAX_ENDPOINT_BODY_BYTES,
     ) -> tuple[ResponseHead, bytes]:
-        """Send a request; return the head and body of the response."""
+        """Send a request; return the head and body of the response.
+
+        Raise PeerError, also if the body has more than `max_bytes`.
+        """
         connection: ClientConnection | None = None
         try:
             with fail_after_peer(seconds):
                 connection = await self.pool.acquire(address, seconds)
                 head = await connection.exchange(request, body)
-                response_body = await connection.read_all(MAX_INNER_BODY_BYTES)
+                response_body = await connection.read_all(max_bytes)
                 await self.pool.release(connection)
                 connection = None
                 return head, response_body
--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -405,10 +405,12 @@
         while (chunk := await connection.read_chunk()) is not None:
             chunks.append(chunk)
             size += len(chunk)
+            connection.keep(size)
             if len(chunks) > MAX_RESPONSE_PARTS:
                 return self._unknown_outcome("a response has too many chunks")
             if size > MAX_BUFFERED_RESPONSE_BYTES:
                 return await self._forward_unbuffered(connection, response, chunks)
+        connection.keep(0)
         await self._release_connection(response)
         self._record_first_chunk(self.fleet.now())
         headers = self.header_format.response_headers(response, whole=True)
@@ -427,6 +429,8 @@
         await self.sink.start(response.status, headers)
         for buffered in chunks:
             await self.sink.send(buffered)
+        chunks.clear()
+        connection.keep(0)
         size = 0
         while (chunk := await connection.read_chunk()) is not None:
             size += len(chunk)
@@ -448,6 +452,8 @@
                 # Events that come then would count as sent.
                 await checkpoint_if_cancelled()
             events = self._accept_stream(data)
+            if len(self.splitter.buffer) != connection.kept_bytes:
+                connection.keep(len(self.splitter.buffer))
             if events:
                 await self._send_events(response, events)
             if self.splitter.fault:
--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -170,6 +170,9 @@
         self.request_id_pattern = compile_pattern(
             rb"(?i)\r\n" + name + rb":[ \t]*([^\r\n]*)"
         )
+        # As many bytes of responses as of callers' requests.
+        responses = ByteBudget(self.budget.max_bytes, self.budget.report_cut)
+        self.fleet.pool.budget = self.fleet.client.pool.budget = responses
         self.watcher.forward_address = self.settings.forward_address
         forwarding = ForwardingGateway(self)
         self.forwarder = Forwarder(
--- a/pistachiolever/http1/client.py
+++ b/pistachiolever/http1/client.py
@@ -14,10 +14,12 @@
 
 from pistachiolever.core.addresses import split_address
 from pistachiolever.core.timeouts import fail_after_peer
+from pistachiolever.http1.budget import ByteBudget
 from pistachiolever.http1.const import (
     CONNECT_SECONDS,
     MAX_HEAD_BYTES,
     MAX_INTERIM_RESPONSES,
+    MIN_COUNTED_BYTES,
     READ_BYTES,
 )
 from pistachiolever.http1.errors import MalformedMessageError, PeerClosedError
@@ -37,7 +39,8 @@
     """A connection to one address, for one request at a time.
 
     `broken` is set while a request has not been sent completely; the connection cannot
-    be reused then. `on_close` is called once.
+    be reused then. `on_close` is called once. `kept_bytes` of the response are kept by
+    whoever reads it; with what is not read yet they count in the `budget`.
     """
 
     address: str
@@ -48,7 +51,12 @@
     requests: int = 0
     broken: bool = False
     on_close: Callable[[], None] | None = None
+    budget: ByteBudget = field(factory=ByteBudget)
+    held_bytes: int = 0
+    kept_bytes: int = 0
+    progressed_at: float = field(factory=current_time)
     _method: bytes = b""
+    _is_given_up: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Create the protocol state machine."""
@@ -113,7 +121,7 @@
         try:
             for _ in range(MAX_INTERIM_RESPONSES + 1):
                 while (response := self.protocol.read_head()) is None:
-                    self.protocol.reader.feed(await self._receive())
+                    await self._feed()
                 if response.status >= 200:
                     status, headers = response.status, response.headers
                     framing = framing_of(self._method, status, headers)
@@ -141,7 +149,7 @@
             while not (data := reader.read_body()):
                 if reader.is_complete:
                     return None
-                reader.feed(await self._receive())
+                await self._feed()
         except MalformedMessageError as error:
             raise PeerClosedError(f"no HTTP: {error}") from error
         return data
@@ -155,8 +163,48 @@
             size += len(part)
             if size > max_bytes:
                 raise PeerClosedError(f"an answer of over {max_bytes} bytes")
+            self.keep(size)
+        self.keep(0)
         return b"".join(parts)
 
+    # Bytes held of the response.
+
+    async def _feed(self) -> None:
+        """Read from the socket."""
+        self.protocol.reader.feed(await self._receive())
+        self._hold()
+
+    def keep(self, kept_bytes: int) -> None:
+        """Count bytes of the response that are kept; raise PeerClosedError.
+
+        None are progress: what was received has been passed on.
+        """
+        self.kept_bytes = kept_bytes
+        if not kept_bytes:
+            self.progressed_at = current_time()
+        self._hold()
+
+    def _hold(self) -> None:
+        """Count what is held, if it is much; raise PeerClosedError if it was cut."""
+        held = len(self.protocol.reader.buffer) + self.kept_bytes
+        if held >= MIN_COUNTED_BYTES or self.held_bytes:
+            self.budget.hold(self, held, current_time())
+            if self._is_given_up:
+                raise PeerClosedError("too many bytes of responses are held")
+
+    def can_give_up(self) -> bool:
+        """Return whether the response can be given up."""
+        return not self._is_given_up
+
+    def give_up(self, reason: str) -> None:
+        """Release the bytes and close the connection; its reader gets an error."""
+        self.budget.report_cut(reason)
+        self._is_given_up = True
+        self.protocol.reader.buffer.clear()
+        self.kept_bytes = 0
+        self.stream.close()
+        self.budget.hold(self, 0, current_time())
+
     async def _receive(self) -> bytes:
         """Return the next bytes from the socket; empty at the end of input."""
         try:
@@ -185,6 +233,8 @@
         on_close, self.on_close = self.on_close, None
         if on_close is not None:
             on_close()
+        if self.held_bytes:
+            self.budget.hold(self, 0, current_time())
         self.stream.close()
 
 
--- a/pistachiolever/http1/const.py
+++ b/pistachiolever/http1/const.py
@@ -40,6 +40,8 @@
 # Bytes held for the clients of a process without a limit of memory in its settings.
 DEFAULT_HELD_BYTES: Final = 64 * 1024 * 1024
 BYTES_PER_MB: Final = 1024 * 1024
+# Bytes held of a response from which on they are counted. Sound responses hold less.
+MIN_COUNTED_BYTES: Final = 16_384
 # Memory of one parsed header field beside its bytes: a tuple, two objects, a place.
 FIELD_BYTES: Final = 160
 # Shortest line of a header field, with LF only.
--- a/tests/gateway/test_attempt.py
+++ b/tests/gateway/test_attempt.py
@@ -87,6 +87,8 @@
 class ResumingConnection:
     """A connection whose endpoint goes on when another one grants the rest."""
 
+    kept_bytes = 0
+
     fleet: FleetView
     requests: int = 0
     reads: int = 0
@@ -127,6 +129,8 @@
 class BrokenConnection:
     """A connection that ends after one event at each of some times."""
 
+    kept_bytes = 0
+
     clock: list[float]
     times: list[float]
     requests: int = 0
--- a/tests/gateway/test_endless.py
+++ b/tests/gateway/test_endless.py
@@ -9,15 +9,35 @@
 from time import process_time
 from unittest.mock import patch
 
+from anyio import sleep
 from anyio.abc import SocketStream
-from attrs import define
+from attrs import define, field
 
 from pistachiolever.gateway.attempt import Attempt, AttemptResult
 from pistachiolever.gateway.const import MAX_EVENT_BYTES, MAX_RESPONSE_BYTES
-from tests.gateway.test_relay import Endpoint, Script, id_of, respond, send_requests
+from tests.gateway.test_relay import (
+    EVENTS,
+    Endpoint,
+    Script,
+    chunk,
+    id_of,
+    respond,
+    send_requests,
+)
 from tests.support.cases import CaseTest
 
 BLOCK = 16_384
+# Responses at the same time, each of which stays below the limit of an event.
+HELD_RESPONSES = 40
+FAULTY_ENDPOINTS = 6
+# A router that knows no other one uses a part of the slots.
+ASSUMED_ROUTERS = 8
+HELD_EVENT_BYTES = 7 * MAX_EVENT_BYTES // 8
+HELD_BLOCK = BLOCK * b"x"
+STALL_SECONDS = 10.0
+# What the router may hold of all of them; what was just read comes on top.
+HELD_BYTES = 4 * 1024 * 1024
+MAX_PEAK_BYTES = 2 * HELD_BYTES
 # The timeout of the routes used here.
 DEADLINE_MS = 9000
 MAX_PROCESSOR_SECONDS = 3.0
@@ -94,6 +114,75 @@
         yield results
 
 
+async def stall_within_event(
+    endpoint: Endpoint, stream: SocketStream, head: bytes
+) -> None:
+    """Send one event, the beginning of the next one, and then nothing."""
+    begin = CHUNKED.replace(b"%s", id_of(head)) + chunk(EVENTS[0])
+    await stream.send(begin)
+    await sleep(0.05)
+    await stream.send(b"%x\r\n" % (2 * HELD_EVENT_BYTES))
+    for _ in range(HELD_EVENT_BYTES // BLOCK):
+        await stream.send(HELD_BLOCK)
+    await sleep(STALL_SECONDS)
+
+
+@define
+class Holdings:
+    """The bytes of unfinished events that attempts hold, and the most at a time."""
+
+    bytes_by_attempt: dict[int, int] = field(factory=dict)
+    most_bytes: int = 0
+
+
+@contextmanager
+def recorded_holdings() -> Iterator[Holdings]:
+    """Return what all attempts hold in the meantime."""
+    holdings = Holdings()
+    accept_stream, run_attempt = Attempt._accept_stream, Attempt.run
+
+    def accept(attempt: Attempt, data: bytes) -> bytes:
+        events = accept_stream(attempt, data)
+        holdings.bytes_by_attempt[id(attempt)] = len(attempt.splitter.buffer)
+        held_bytes = sum(holdings.bytes_by_attempt.values())
+        holdings.most_bytes = max(holdings.most_bytes, held_bytes)
+        return events
+
+    async def run(attempt: Attempt) -> AttemptResult:
+        try:
+            return await run_attempt(attempt)
+        finally:
+            holdings.bytes_by_attempt.pop(id(attempt), None)
+
+    with (
+        patch.object(Attempt, "_accept_stream", accept),
+        patch.object(Attempt, "run", run),
+    ):
+        yield holdings
+
+
+class ManyResponsesTest(CaseTest):
+    """Many responses, each below its limits, must not take the memory of the process.
+
+    Processes ended by themselves, LOST: a faulty endpoint sent bytes without end in all
+    responses that it had under way.
+    """
+
+    def test_responses_that_are_held_share_a_limit(self) -> None:
+        with recorded_holdings() as holdings:
+            results = send_requests(
+                b"/epic/1",
+                *FAULTY_ENDPOINTS * [stall_within_event],
+                copies=HELD_RESPONSES,
+                slots=ASSUMED_ROUTERS * HELD_RESPONSES,
+                deadline_ms=3000,
+                held_bytes=HELD_BYTES,
+            )
+        self.assertEqual(len(results), HELD_RESPONSES)
+        self.assertGreater(holdings.most_bytes, HELD_BYTES // 2)
+        self.assertLess(holdings.most_bytes, MAX_PEAK_BYTES)
+
+
 class EndlessTest(CaseTest):
     """An endpoint that sends without end."""
 
