--- a/tests/gateway/test_router_load.py
+++ b/tests/gateway/test_router_load.py
@@ -1,6 +1,7 @@
 """A whole router with more requests than processor time; its clock is that time."""
 
 from functools import cache
+from unittest.mock import patch
 
 from pistachiolever.admission.const import BID_PATH
 from tests.support.cases import CaseTest
@@ -9,11 +10,14 @@
     DEADLINE_SECONDS,
     ENDPOINTS,
     Answerer,
+    Caller,
     LoadResult,
     RouterLoad,
     grant,
+    header,
     ignore_connection,
     random_times,
+    send_stream,
 )
 
 # One request takes so much time of the clock when there is no other one.
@@ -26,6 +30,8 @@
 # Longer than a router waits for a connection or for the reply to a message.
 STOP_SECONDS = 2.0
 FAST = 1e-3
+# Time beyond what a caller has left that an endpoint may be given, in milliseconds.
+MAX_EXTRA_MS = 500
 # Two thirds of the time that a bid waits if there are other endpoints.
 SLOW_AGENT_SECONDS = 0.1
 
@@ -142,6 +148,27 @@
         load = RouterLoad(FAST, reply=reply)
         self.assertNotIn("AGENT_LOST", load.play([0.0, 1.0]).event_names)
 
+    # GONE: an endpoint was given more time than the caller still waited, as the time in
+    # which the request had not been read was not counted.
+    def test_deadline_of_an_endpoint_counts_from_the_arrival(self) -> None:
+        granted_ms: list[int] = []
+
+        def answer(answerer: Answerer, head: bytes) -> None:
+            granted_ms.append(int(header(head, b"x-deadline-ms")))
+            send_stream(answerer, head)
+
+        load = RouterLoad(FAST, answer=answer)
+        start = Caller.start
+
+        def start_and_stop(caller: Caller) -> None:
+            start(caller)
+            load.selector.skip(STOP_SECONDS)
+
+        with patch.object(Caller, "start", start_and_stop):
+            load.play([0.5])
+        left_ms = 1000 * (DEADLINE_SECONDS - STOP_SECONDS)
+        self.assertLessEqual(granted_ms[0], left_ms + MAX_EXTRA_MS)
+
     # SHORT: endpoints that had accepted the connection were ejected.
     def test_connection_to_endpoint_is_noticed_late(self) -> None:
         load = RouterLoad(FAST)
