--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -7,6 +7,7 @@
 from anyio import CancelScope, create_task_group, move_on_after, sleep
 from attrs import define, field
 
+from pistachiolever.core.arrivals import ArrivalClock
 from pistachiolever.edge.keys import bearer_key
 from pistachiolever.events.const import EventCode
 from pistachiolever.forwarding.forwarder import (
@@ -157,10 +158,12 @@
     budget: ByteBudget = field(factory=ByteBudget)
     forwarder: Forwarder = field(init=False)
     request_id_pattern: Pattern[bytes] = field(init=False)
+    arrivals: ArrivalClock = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the servers and register the gauges."""
         self.started_at = self.fleet.now()
+        self.arrivals = ArrivalClock(self.fleet.now)
         self.drain_window = DrainWindow(self.fleet.runs)
         self.lookup = StreamLookup(
             self.fleet.client, self.watcher.choice, self.fleet.now
@@ -205,6 +208,7 @@
             self.budget,
             self.forwarder,
             entry,
+            self.arrivals.estimate,
         )
         self.readiness_server = HttpServer(
             self.settings.ready_address,
@@ -249,6 +253,7 @@
         """Measure the delay of the event loop; record changes of the overload."""
         while True:
             started_at = self.fleet.now()
+            self.arrivals.expect(started_at + DELAY_SAMPLE_SECONDS)
             await sleep(DELAY_SAMPLE_SECONDS)
             now, known = self.fleet.now(), self.guard.level
             delay = max(0.0, now - started_at - DELAY_SAMPLE_SECONDS)
@@ -417,6 +422,8 @@
     async def _serve_request(self, exchange: Exchange) -> None:
         """Serve a request that was taken."""
         arrived_at = self.fleet.now()
+        if exchange.arrived_at is not None:
+            arrived_at = min(arrived_at, exchange.arrived_at)
         metadata = self.header_format.parse_request(exchange.head)
         try:
             request = self._resolve_request(exchange, metadata, arrived_at)
--- a/pistachiolever/http1/connection.py
+++ b/pistachiolever/http1/connection.py
@@ -47,7 +47,8 @@
     """A client's connection.
 
     The socket is read all the time, so that a disconnect is noticed while the request
-    waits.
+    waits. `arrived_at` is when the first bytes of the request have arrived, by the
+    estimate of `arrival`.
     """
 
     stream: SocketStream
@@ -57,11 +58,13 @@
     closing: Callable[[], bool]
     report_unread: Callable[[], None]
     budget: ByteBudget = field(factory=ByteBudget)
+    arrival: Callable[[], float] = current_time
     protocol: ServerProtocol = field(init=False)
     disconnected: bool = False
     busy: bool = False
     request_bytes: int = 0
     served_count: int = 0
+    arrived_at: float | None = None
     opened_at: float = field(factory=current_time)
     held_bytes: int = 0
     progressed_at: float = field(factory=current_time)
@@ -127,6 +130,8 @@
         """Keep received data; pause reading while too much is unprocessed."""
         if self._is_lingering or self.closes_after or self._refusal is not None:
             return
+        if self.arrived_at is None:
+            self.arrived_at = self.arrival()
         self.protocol.reader.feed(data)
         self._unprocessed_bytes += len(data)
         self.request_bytes += len(data)
@@ -267,6 +272,7 @@
         self.busy = self.accepted = False
         self.served_count += 1
         self.request_bytes = self.body_bytes = self._head_bytes = 0
+        self.arrived_at = self.arrival() if self.protocol.reader.buffer else None
         self.progressed_at = current_time()
         self.hold()
 
--- a/pistachiolever/http1/exchange.py
+++ b/pistachiolever/http1/exchange.py
@@ -51,6 +51,11 @@
     finished: bool = False
     ends_with_connection: bool = False
 
+    @property
+    def arrived_at(self) -> float | None:
+        """Return when the request has arrived, None if that is not known."""
+        return self.connection.arrived_at
+
     async def read_body(self) -> bytes:
         """Return the whole body; raise BadRequestError if it is too large."""
         parts: list[bytes] = []
--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from functools import partial
 from socket import socket
+from weakref import WeakKeyDictionary
 
 from absl import logging
 from anyio import (
@@ -40,7 +41,7 @@
     ConnectionScreen,
     Screening,
 )
-from pistachiolever.http1.sockets import tune_socket
+from pistachiolever.http1.sockets import has_input, tune_socket
 from pistachiolever.http1.stream import accepted_stream
 
 
@@ -74,6 +75,7 @@
     accepted. Those that wait for a request that makes no progress are closed for new
     ones. An active `screen` refuses new connections before they are set up, unless the
     `forwarder` takes them. A forwarded connection is closed after one request.
+    `arrival` estimates when input that is read now has arrived.
     `report_limit` is called when a limit is reached, at most once in
     LIMIT_REPORT_SECONDS, `report_unread` for each request whose client left before it
     was read.
@@ -89,6 +91,7 @@
     budget: ByteBudget = field(factory=ByteBudget)
     forwarder: ConnectionForwarder | None = None
     entry: ForwardedEntry | None = None
+    arrival: Callable[[], float] = current_time
     draining: bool = False
     closing: bool = False
     connections: dict[ServerConnection, None] = field(factory=dict)
@@ -97,6 +100,9 @@
     _room: Event = field(factory=Event)
     _opening_count: int = 0
     _screenings: list[Screening] = field(factory=list)
+    _arrival_by_socket: WeakKeyDictionary[socket, float] = field(
+        factory=WeakKeyDictionary
+    )
     _limit_reported_at: float = float("-inf")
 
     async def serve(self) -> None:
@@ -197,6 +203,10 @@
             except OSError as error:
                 return error
             self.accepted_count += 1
+            arrived_at = self.arrival()
+            if arrived_at < current_time():
+                # Its request waits, too, and is read some turns later.
+                self._arrival_by_socket[accepted] = arrived_at
             offer(accepted)
         return None
 
@@ -221,6 +231,7 @@
         self, accepted: socket, received: bytes, is_forwarded: bool
     ) -> None:
         """Set up an accepted connection and serve it; some input was read already."""
+        arrived_at = self._arrival_by_socket.pop(accepted, None)
         try:
             stream = await accepted_stream(accepted)
         except (OSError, ValueError) as error:
@@ -238,7 +249,10 @@
             lambda: self.closing or is_forwarded,
             self.report_unread,
             self.budget,
+            self.arrival,
         )
+        if received or (arrived_at is not None and has_input(stream)):
+            connection.arrived_at = arrived_at
         connection.feed(received)
         self.connections[connection] = None
         await self._serve_connection(connection)
--- a/tests/support/crowded_fleet.py
+++ b/tests/support/crowded_fleet.py
@@ -76,6 +76,7 @@
 
     head: RequestHead
     latency_seconds: float
+    arrived_at: float | None = None
     scope: CancelScope = field(factory=CancelScope)
     ended: Event = field(factory=Event)
     has_left: bool = False
@@ -139,6 +140,11 @@
         """Return the head of the request."""
         return self.exchange.head
 
+    @property
+    def arrived_at(self) -> float | None:
+        """Return when the request has arrived, None if that is not known."""
+        return self.exchange.arrived_at
+
     @property
     def started(self) -> bool:
         """Return whether the response has begun."""
