--- a/pistachiolever/gateway/intake.py
+++ b/pistachiolever/gateway/intake.py
@@ -31,7 +31,7 @@
     """Follows the delay of the event loop with a limit of concurrent requests.
 
     Work that a router can't finish in time costs it the time for what it could finish,
-    so it refuses that work at once and its callers go to other routers. The limit falls
+    so siblings serve a part of it, and the rest is refused at once. The limit falls
     in proportion to the delay and rises slowly. Accounts with less than their max-min
     share of it are taken beyond it, so that one account can't displace the others.
     The others can't add more than the limit to what that one has.
--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -34,6 +34,7 @@
 from pistachiolever.gateway.models import ProxyRequest, RequestMetadata
 from pistachiolever.gateway.overload import Overload, OverloadGuard
 from pistachiolever.gateway.request_processor import RequestProcessor
+from pistachiolever.gateway.screens import ForwardingGateway, IntakeScreen
 from pistachiolever.gateway.settings import GatewaySettings
 from pistachiolever.gateway.stream_origins import StreamOrigins
 from pistachiolever.gateway.version_confirmation import VersionConfirmation
@@ -67,72 +68,6 @@
         self.reason = reason
 
 
-@define
-class IntakeScreen:
-    """Refuses new connections of accounts for which there is no processor time."""
-
-    process: "GatewayProcess"
-
-    def is_active(self) -> bool:
-        """Return whether some requests may be refused now."""
-        process = self.process
-        is_shedding = process.guard.level is Overload.SHEDDING
-        return is_shedding or process.intake.is_near()
-
-    def refusal(self, head: bytes) -> bytes:
-        """Return the response to a request that is refused; empty if it is taken."""
-        match = AUTHORIZATION.search(head)
-        account_id = self.process.account_of(match.group(1) if match else b"")
-        is_shedding = self.process.guard.level is Overload.SHEDDING
-        if not is_shedding and self.process.intake.expect(account_id):
-            return b""
-        return self.process.overload_response(head)
-
-
-@define
-class ForwardingGateway:
-    """What a gateway process forwards to its siblings, and takes from them."""
-
-    process: "GatewayProcess"
-
-    def version(self) -> int:
-        """Return the version of the configuration in force, -1 without one."""
-        return self.process.version()
-
-    def request_id_of(self, head: bytes) -> str:
-        """Return the id of a request by its unparsed head, empty if it has none."""
-        match = self.process.request_id_pattern.search(head)
-        return match.group(1).decode("latin-1") if match else ""
-
-    def may_forward(self) -> bool:
-        """Return whether to forward a new connection if a sibling has time."""
-        process = self.process
-        if process.draining or process.guard.level is Overload.SHEDDING:
-            return False
-        return process.fleet.table is not None and process.intake.may_forward()
-
-    def may_take(self, head: bytes) -> bool:
-        """Return whether to take a forwarded connection, by the head of its request."""
-        process = self.process
-        if process.draining or process.guard.level > Overload.NONE:
-            return False
-        match = AUTHORIZATION.search(head)
-        account_id = process.account_of(match.group(1) if match else b"")
-        return process.intake.expect_forwarded(account_id)
-
-    def refuse(self, head: bytes) -> bytes:
-        """Return the response to a request for which no router has time."""
-        return self.process.overload_response(head)
-
-    def count_forwarded(self, change: int) -> None:
-        """Count a connection that begins or ends to be forwarded."""
-        self.process.intake.forwarded += change
-
-    def is_busy(self) -> bool:
-        """Return whether connections may have to be forwarded soon."""
-        return self.process.intake.is_near()
-
-
 @define
 class GatewayProcess:
     """Serves callers until it is stopped, then drains."""
@@ -413,6 +348,11 @@
         account = table.account_by_key.get(bearer_key(authorization.decode("latin-1")))
         return account.account_id if account else ""
 
+    def account_of_head(self, head: bytes) -> str:
+        """Return the account of an unparsed head; empty if there is none."""
+        match = AUTHORIZATION.search(head)
+        return self.account_of(match.group(1) if match else b"")
+
     def admits(self, account_id: str) -> bool:
         """Return whether there is processor time for a request of an account."""
         if self.guard.level is Overload.SHEDDING:
@@ -473,9 +413,7 @@
 
     def overload_response(self, head: bytes) -> bytes:
         """Count a refusal by the unparsed head of a request; return the response."""
-        match = AUTHORIZATION.search(head)
-        account_id = self.account_of(match.group(1) if match else b"")
-        _, seconds = self.overload_header(account_id)
+        _, seconds = self.overload_header(self.account_of_head(head))
         return OVERLOAD_RESPONSE % seconds
 
     def overload_header(self, account_id: str) -> Header:
