--- a/pistachiolever/forwarding/const.py
+++ b/pistachiolever/forwarding/const.py
@@ -11,8 +11,10 @@
 FORWARD_DELAY_SECONDS: Final = 0.01
 LATE_SAMPLES: Final = 20
 MIN_OWN_REQUESTS: Final = 12
-# A router takes forwarded connections while it uses less than this part of its limit.
+# A router takes forwarded connections while it uses less than this part of its limit,
+# and its event loop has not been late by FORWARD_DELAY_SECONDS for so many samples.
 FORWARDED_SHARE: Final = 0.8
+CALM_SAMPLES: Final = 5
 # Connections that are forwarded at a time; each needs two descriptors.
 MAX_FORWARDED: Final = 256
 # Siblings that are tried for one connection.
--- a/pistachiolever/gateway/intake.py
+++ b/pistachiolever/gateway/intake.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 
 from pistachiolever.forwarding.const import (
+    CALM_SAMPLES,
     FORWARD_COST,
     FORWARD_DELAY_SECONDS,
     FORWARD_FROM,
@@ -94,9 +95,11 @@
     def expect_forwarded(self, account_id: str) -> bool:
         """Return whether a connection that a sibling forwards is let in.
 
-        The own callers keep a part of the limit: they have no other router.
+        The own callers keep a part of the limit, and must not be late by it: they have
+        no other router.
         """
-        if self._taken() >= FORWARDED_SHARE * self.limit:
+        was_late = self.late_samples > LATE_SAMPLES - CALM_SAMPLES
+        if was_late or self._taken() >= FORWARDED_SHARE * self.limit:
             return False
         self.expected_by_account[account_id] += 1
         return True
--- a/tests/forwarding/test_siblings.py
+++ b/tests/forwarding/test_siblings.py
@@ -7,6 +7,7 @@
 
 from pistachiolever.forwarding.const import (
     BUSY_QUERY_SECONDS,
+    CALM_SAMPLES,
     FORWARD_DELAY_SECONDS,
     IDLE_QUERY_SECONDS,
     MAX_SIBLINGS,
@@ -134,6 +135,16 @@
                 self.assertGreater(intake.forwarded, 40)
                 self.assertLess(intake.forwarded, 400)
 
+    # SHORT: what siblings forwarded made routers late for their own callers.
+    def test_late_router_takes_nothing_from_siblings(self) -> None:
+        intake = IntakeLimit()
+        for _ in range(2):
+            intake.observe(FORWARD_DELAY_SECONDS)
+        self.assertFalse(intake.expect_forwarded("one"))
+        for _ in range(CALM_SAMPLES):
+            intake.observe(0.0)
+        self.assertTrue(intake.expect_forwarded("one"))
+
     def test_router_near_its_limit_takes_nothing_from_siblings(self) -> None:
         intake = IntakeLimit(40.0)
         taken = 0
