--- a/pistachiolever/forwarding/forwarder.py
+++ b/pistachiolever/forwarding/forwarder.py
@@ -22,6 +22,7 @@
 from pistachiolever.forwarding.models import ForwardOutcome
 from pistachiolever.forwarding.siblings import SiblingTable
 from pistachiolever.forwarding.splice import Splice, end_broken_off
+from pistachiolever.http1.screening import END_OF_HEAD
 from pistachiolever.metrics.instruments import FORWARDED, Instruments
 
 PREFACE_LINE: Final = compile_pattern(rb"FORWARD (-?[0-9]{1,20})\r\n")
@@ -193,8 +194,11 @@
         return b"" if self.router.may_take(head[match.end() :]) else REFUSAL
 
 
-def without_preface(received: bytes) -> bytes:
-    """Return the bytes of the caller that a sibling has forwarded."""
-    if not received.startswith(PREFACE_START):
-        return received
+def without_preface(received: bytes) -> bytes | None:
+    """Return the bytes of the caller that a sibling has forwarded.
+
+    None without a preface and a whole head.
+    """
+    if not received.startswith(PREFACE_START) or END_OF_HEAD not in received:
+        return None
     return received.partition(b"\r\n")[2]
--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -10,6 +10,7 @@
 from pistachiolever.core.arrivals import ArrivalClock
 from pistachiolever.edge.keys import bearer_key
 from pistachiolever.events.const import EventCode
+from pistachiolever.forwarding.const import REFUSAL
 from pistachiolever.forwarding.forwarder import (
     ForwardedScreen,
     Forwarder,
@@ -131,6 +132,7 @@
                 self.settings.forward_address,
                 ForwardedScreen(forwarding),
                 without_preface,
+                REFUSAL,
             )
         self.public_server = HttpServer(
             self.settings.front_address,
--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -57,12 +57,14 @@
 class ForwardedEntry:
     """Where a server takes connections that other servers forward.
 
-    The `screen` decides on each of them; `unwrap` returns the bytes of the client.
+    The `screen` decides on each of them; `unwrap` returns the bytes of the client, None
+    if the head of its request has not come in time. Then the `refusal` is sent.
     """
 
     address: str
     screen: ConnectionScreen
-    unwrap: Callable[[bytes], bytes]
+    unwrap: Callable[[bytes], bytes | None]
+    refusal: bytes
 
 
 @define(eq=False)
@@ -143,7 +145,15 @@
         """Accept forwarded connections until cancelled."""
 
         def serve(accepted: socket, received: bytes) -> None:
-            self._start_serving(group, accepted, entry.unwrap(received), True)
+            request = entry.unwrap(received)
+            if request is not None:
+                self._start_serving(group, accepted, request, True)
+                return
+            try:
+                accepted.send(entry.refusal)
+            except OSError as error:
+                logging.info("a forwarded connection has ended: %s", error)
+            accepted.close()
 
         host, _, port = entry.address.rpartition(":")
         multi_listener = await create_tcp_listener(
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -124,7 +124,7 @@
     def server(self) -> HttpServer:
         """Return the server."""
         screen = ForwardedScreen(self.router)
-        entry = ForwardedEntry(free_address(), screen, without_preface)
+        entry = ForwardedEntry(free_address(), screen, without_preface, REFUSAL)
         return HttpServer(free_address(), self.handle, entry=entry)
 
 
@@ -284,6 +284,31 @@
         received, _, _ = self.ask([sibling], True)
         self.assertEqual((received, sibling.bodies), (REFUSED, []))
 
+    # DENIED: where a link lost packets, the preface came late, was taken for a request,
+    # and its caller got 400.
+    @params(b"", b"FORW", b"FORWARD 3\r\nPOST /one HT")
+    def test_connection_whose_head_is_late_is_refused(self, begin: bytes) -> None:
+        sibling = Sibling()
+        received = b""
+
+        async def connect_late() -> None:
+            nonlocal received
+            server = sibling.server()
+            assert server.entry is not None
+            async with create_task_group() as group:
+                group.start_soon(server.serve)
+                await wait_until_listening(server.entry.address)
+                host, _, port = server.entry.address.rpartition(":")
+                async with await connect_tcp(host, int(port)) as stream:
+                    if begin:
+                        await stream.send(begin)
+                    with fail_after(LIMIT_SECONDS):
+                        received = await read_all(stream)
+                group.cancel_scope.cancel()
+
+        run(connect_late)
+        self.assertEqual((received, sibling.bodies), (REFUSAL, []))
+
     # REFUSED, TWICE: the request of a sibling that has ended may have run.
     @params(*LOOPS)
     def test_outcome_is_unknown_if_the_sibling_ends(self, loop: bool) -> None:
