--- a/pistachiolever/forwarding/const.py
+++ b/pistachiolever/forwarding/const.py
@@ -12,13 +12,14 @@
 LATE_SAMPLES: Final = 20
 MIN_OWN_REQUESTS: Final = 12
 # A router takes forwarded connections while it uses less than this part of its limit,
-# and its event loop has not been late by FORWARD_DELAY_SECONDS for so many samples.
+# and its event loop has not been late by FORWARD_DELAY_SECONDS for LATE_SAMPLES.
 FORWARDED_SHARE: Final = 0.8
-CALM_SAMPLES: Final = 5
 # Connections that are forwarded at a time; each needs two descriptors.
 MAX_FORWARDED: Final = 256
 # Siblings that are tried for one connection.
 MAX_TRIES: Final = 2
+# Time between two connections to a sibling: a sample of its delay.
+FORWARD_GAP_SECONDS: Final = 0.05
 # A sibling that has refused a connection, or can't be reached, gets none for this time.
 SIBLING_PAUSE_SECONDS: Final = 0.5
 UNREACHABLE_PAUSE_SECONDS: Final = 4.0
--- a/pistachiolever/forwarding/forwarder.py
+++ b/pistachiolever/forwarding/forwarder.py
@@ -137,7 +137,7 @@
     async def _try(self, splice: Splice, address: str) -> ForwardOutcome:
         """Forward a connection to one sibling."""
         sibling = self.table.sibling_by_address[address]
-        sibling.forwarded += 1
+        self.table.begin(sibling, self.now())
         try:
             preface = PREFACE % self.router.version()
             outcome = await splice.forward(address, preface)
--- a/pistachiolever/forwarding/siblings.py
+++ b/pistachiolever/forwarding/siblings.py
@@ -7,6 +7,7 @@
 
 from pistachiolever.forwarding.const import (
     BUSY_QUERY_SECONDS,
+    FORWARD_GAP_SECONDS,
     IDLE_QUERY_SECONDS,
     SIBLING_PAUSE_SECONDS,
     UNREACHABLE_PAUSE_SECONDS,
@@ -22,13 +23,18 @@
     forwarded: int = 0
     paused_until: float = float("-inf")
 
+    def pause(self, until: float) -> None:
+        """Let it get no connection for a while."""
+        self.paused_until = max(self.paused_until, until)
+
 
 @define
 class SiblingTable:
     """The siblings of a router.
 
     The one with the fewest connections of this router is next. What else they have to
-    do is not known here: one that has no time refuses, and is left out for a while.
+    do is not known here: each gets one connection at a time, with a gap in which it can
+    notice that it is late. One that has no time refuses, and is left out for a while.
     """
 
     sibling_by_address: dict[str, Sibling] = field(factory=dict)
@@ -64,9 +70,14 @@
         fewest = min(sibling.forwarded for sibling in free)
         return rng.choice([other for other in free if other.forwarded == fewest])
 
+    def begin(self, sibling: Sibling, now: float) -> None:
+        """Count a connection that is forwarded to a sibling."""
+        sibling.forwarded += 1
+        sibling.pause(now + FORWARD_GAP_SECONDS)
+
     def record(self, sibling: Sibling, outcome: ForwardOutcome, now: float) -> None:
         """Leave out a sibling that has not taken a connection."""
         if outcome is ForwardOutcome.REFUSED:
-            sibling.paused_until = now + SIBLING_PAUSE_SECONDS
+            sibling.pause(now + SIBLING_PAUSE_SECONDS)
         elif outcome is ForwardOutcome.UNREACHABLE:
-            sibling.paused_until = now + UNREACHABLE_PAUSE_SECONDS
+            sibling.pause(now + UNREACHABLE_PAUSE_SECONDS)
--- a/pistachiolever/gateway/intake.py
+++ b/pistachiolever/gateway/intake.py
@@ -6,7 +6,6 @@
 from attrs import define, field
 
 from pistachiolever.forwarding.const import (
-    CALM_SAMPLES,
     FORWARD_COST,
     FORWARD_DELAY_SECONDS,
     FORWARD_FROM,
@@ -98,8 +97,7 @@
         The own callers keep a part of the limit, and must not be late by it: they have
         no other router.
         """
-        was_late = self.late_samples > LATE_SAMPLES - CALM_SAMPLES
-        if was_late or self._taken() >= FORWARDED_SHARE * self.limit:
+        if self.late_samples or self._taken() >= FORWARDED_SHARE * self.limit:
             return False
         self.expected_by_account[account_id] += 1
         return True
--- a/tests/forwarding/test_siblings.py
+++ b/tests/forwarding/test_siblings.py
@@ -7,9 +7,10 @@
 
 from pistachiolever.forwarding.const import (
     BUSY_QUERY_SECONDS,
-    CALM_SAMPLES,
     FORWARD_DELAY_SECONDS,
+    FORWARD_GAP_SECONDS,
     IDLE_QUERY_SECONDS,
+    LATE_SAMPLES,
     MAX_SIBLINGS,
     SIBLING_EXPIRY_SECONDS,
     SIBLING_PAUSE_SECONDS,
@@ -43,12 +44,13 @@
     """The siblings share the connections; those that refuse are left out."""
 
     def test_connections_are_spread_evenly(self) -> None:
-        table, rng = SiblingTable(), Random(1)
+        table, rng, now = SiblingTable(), Random(1), 0.0
         table.update("abc")
         for _ in range(30):
-            sibling = table.choose(set(), 0.0, rng)
+            sibling = table.choose(set(), now, rng)
             assert sibling is not None
-            sibling.forwarded += 1
+            table.begin(sibling, now)
+            now += FORWARD_GAP_SECONDS
         counts = [sibling.forwarded for sibling in table.sibling_by_address.values()]
         self.assertEqual(counts, [10, 10, 10])
 
@@ -65,6 +67,15 @@
         self.assertEqual(is_free[1.0], pause.seconds == 0.0)
         self.assertEqual(table.has_free(0.99 + pause.seconds), not pause.seconds)
 
+    # SHORT: what was forwarded in one moment made siblings late for their own callers.
+    def test_sibling_gets_one_connection_at_a_time(self) -> None:
+        table, rng = SiblingTable(), Random(1)
+        table.update("a")
+        table.begin(table.sibling_by_address["a"], 1.0)
+        self.assertFalse(table.has_free(1.01))
+        self.assertIsNone(table.choose(set(), 1.01, rng))
+        self.assertIsNotNone(table.choose(set(), 1.001 + FORWARD_GAP_SECONDS, rng))
+
     def test_update_keeps_what_is_known(self) -> None:
         table = SiblingTable()
         table.update("ab")
@@ -141,7 +152,7 @@
         for _ in range(2):
             intake.observe(FORWARD_DELAY_SECONDS)
         self.assertFalse(intake.expect_forwarded("one"))
-        for _ in range(CALM_SAMPLES):
+        for _ in range(LATE_SAMPLES):
             intake.observe(0.0)
         self.assertTrue(intake.expect_forwarded("one"))
 
--- a/tests/support/crowded_fleet.py
+++ b/tests/support/crowded_fleet.py
@@ -257,7 +257,7 @@
             return False
         other = by_name[sibling.address]
         self.process.intake.forwarded += 1
-        sibling.forwarded += 1
+        table.begin(sibling, current_time())
         try:
             await take_steps(FORWARD_STEPS)
             if not other.process.forwarder.router.may_take(raw_head(exchange.head)):
