--- a/pistachiolever/gateway/settings.py
+++ b/pistachiolever/gateway/settings.py
@@ -31,7 +31,7 @@
     requests wait for `spillover_short_wait_seconds` has no room for more.
 
     At `forward_address` siblings forward connections to this router, and this one then
-    forwards to them; empty to do neither.
+    forwards to them; empty to do neither, as without an address for internal calls.
 
     With `plans_returns`, Retry-After follows the estimated time at which engines have
     room again.
--- a/pistachiolever/platform/settings.py
+++ b/pistachiolever/platform/settings.py
@@ -108,7 +108,7 @@
             float(bounds.get("coldOverage", DEFAULT_COLD_OVERAGE)),
             float(bounds.get("coldSlack", DEFAULT_COLD_SLACK)),
             plans_returns="pressure" in self.fields.get("contracts", []),
-            forward_address=self.peer_address,
+            forward_address=self.peer_address if "ip" in self.fields else "",
         )
 
     def registry(self) -> RegistrySettings:
