--- a/pistachiolever/forwarding/forwarder.py
+++ b/pistachiolever/forwarding/forwarder.py
@@ -6,6 +6,7 @@
 from socket import socket
 from typing import Final, Protocol
 
+from absl import logging
 from anyio import create_task_group, sleep
 from anyio.abc import TaskGroup
 from attrs import define, field
@@ -130,6 +131,10 @@
                 tried.append(sibling.address)
                 outcome = await self._try(splice, sibling.address)
             await self._answer(splice, head, outcome)
+        except Exception:  # noqa: BLE001
+            # An error on one connection must not end the process.
+            outcome = ForwardOutcome.BROKEN_OFF
+            logging.exception("unexpected error on a forwarded connection")
         finally:
             splice.close()
             self._end(splice, head, outcome, tried)
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Awaitable, Callable
 from random import Random
+from unittest.mock import Mock, patch
 
 from anyio import (
     BrokenResourceError,
@@ -22,12 +23,13 @@
 from nose2.tools import params
 
 from pistachiolever.events.logger import EventLogger
-from pistachiolever.forwarding.const import REFUSAL
+from pistachiolever.forwarding.const import FORWARD_GAP_SECONDS, REFUSAL
 from pistachiolever.forwarding.forwarder import (
     ForwardedScreen,
     Forwarder,
     without_preface,
 )
+from pistachiolever.forwarding.splice import Splice
 from pistachiolever.http1.connection import Exchange
 from pistachiolever.http1.const import READ_BYTES
 from pistachiolever.http1.server import ForwardedEntry, HttpServer
@@ -325,6 +327,26 @@
         self.assertFalse(received.endswith(b"0\r\n\r\n"))
         self.assertNotIn(b"502", received)
 
+    # Processes ended by themselves: an error on one connection ended all of them.
+    @params(*LOOPS)
+    def test_unexpected_error_ends_one_connection(self, loop: bool) -> None:
+        sibling = Sibling()
+        responses: list[bytes] = []
+
+        async def ask_twice(setup: Setup) -> None:
+            host, _, port = setup.address.rpartition(":")
+            for forward in (Mock(side_effect=RuntimeError), Splice.forward):
+                with patch.object(Splice, "forward", forward):
+                    async with await connect_tcp(host, int(port)) as stream:
+                        await stream.send(HEAD % 4 + b"body")
+                        responses.append(await read_all(stream))
+                await sleep(2 * FORWARD_GAP_SECONDS)
+
+        _, lines = self.play([sibling], ask_twice, loop)
+        self.assertEqual(responses[0], b"")
+        self.assertTrue(responses[1].startswith(b"HTTP/1.1 200"))
+        self.assertIn('"outcome":"broken-off"', lines[0])
+
     # GONE: engines worked on for callers that had left the forwarding router.
     @params(*LOOPS)
     def test_sibling_learns_that_the_caller_has_left(self, loop: bool) -> None:
