--- a/pistachiolever/forwarding/forwarder.py
+++ b/pistachiolever/forwarding/forwarder.py
@@ -21,7 +21,7 @@
     REFUSAL,
 )
 from pistachiolever.forwarding.models import ForwardOutcome
-from pistachiolever.forwarding.siblings import SiblingTable
+from pistachiolever.forwarding.siblings import Sibling, SiblingTable
 from pistachiolever.forwarding.splice import Splice, end_broken_off
 from pistachiolever.http1.screening import END_OF_HEAD
 from pistachiolever.metrics.instruments import FORWARDED, Instruments
@@ -95,13 +95,14 @@
         return self.table.has_free(self.now())
 
     def forward(self, raw: socket, head: bytes, received: bytes) -> None:
-        """Forward an accepted connection in a task of its own."""
-        assert self._group is not None
+        """Forward an accepted connection in a task of its own, after `takes`."""
+        sibling = self._reserve([])
+        assert self._group is not None and sibling is not None
         splice = Splice(received)
         self.splices[splice] = None
         self.router.count_forwarded(1)
         self.forwarded_count += 1
-        self._group.start_soon(self._run_splice, splice, raw, head)
+        self._group.start_soon(self._run_splice, splice, raw, head, sibling)
 
     def count(self) -> int:
         """Return the number of connections that are forwarded."""
@@ -112,24 +113,39 @@
         for splice in self.splices:
             splice.abandon()
 
-    async def _run_splice(self, splice: Splice, raw: socket, head: bytes) -> None:
+    def _reserve(self, tried: list[str]) -> Sibling | None:
+        """Return the next sibling for a connection, None if there is none.
+
+        It counts at once, so that no other connection gets the same turn.
+        """
+        if len(tried) >= MAX_TRIES:
+            return None
+        sibling = self.table.choose(set(tried), self.now(), self.rng)
+        if sibling is not None:
+            self.table.begin(sibling, self.now())
+        return sibling
+
+    async def _run_splice(
+        self, splice: Splice, raw: socket, head: bytes, first: Sibling
+    ) -> None:
         """Forward a connection to siblings in turn until one takes it."""
         try:
             await splice.accept(raw)
         except (OSError, ValueError):
             # The caller has reset the connection.
             raw.close()
+            first.forwarded -= 1
             self._end(splice, head, ForwardOutcome.CALLER_LEFT, [])
             return
         tried: list[str] = []
         outcome = ForwardOutcome.REFUSED
+        sibling: Sibling | None = first
         try:
-            while outcome.allows_retry and not splice.is_long:
-                sibling = self.table.choose(set(tried), self.now(), self.rng)
-                if sibling is None or len(tried) >= MAX_TRIES:
-                    break
+            while sibling is not None:
                 tried.append(sibling.address)
-                outcome = await self._try(splice, sibling.address)
+                outcome = await self._try(splice, sibling)
+                may_repeat = outcome.allows_retry and not splice.is_long
+                sibling = self._reserve(tried) if may_repeat else None
             await self._answer(splice, head, outcome)
         except Exception:  # noqa: BLE001
             # An error on one connection must not end the process.
@@ -139,13 +155,11 @@
             splice.close()
             self._end(splice, head, outcome, tried)
 
-    async def _try(self, splice: Splice, address: str) -> ForwardOutcome:
-        """Forward a connection to one sibling."""
-        sibling = self.table.sibling_by_address[address]
-        self.table.begin(sibling, self.now())
+    async def _try(self, splice: Splice, sibling: Sibling) -> ForwardOutcome:
+        """Forward a connection to a reserved sibling."""
         try:
             preface = PREFACE % self.router.version()
-            outcome = await splice.forward(address, preface)
+            outcome = await splice.forward(sibling.address, preface)
         finally:
             sibling.forwarded -= 1
         self.table.record(sibling, outcome, self.now())
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Awaitable, Callable
 from random import Random
+from socket import socket
 from unittest.mock import Mock, patch
 
 from anyio import (
@@ -38,6 +39,7 @@
 from tests.support.cases import CaseTest
 
 LIMIT_SECONDS = 10.0
+BURST = 5
 REFUSED = b"HTTP/1.1 503 No\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
 HEAD = b"POST /one HTTP/1.1\r\nHost: x\r\nX-Id: 7\r\nContent-Length: %d\r\n\r\n"
 LOOPS = [False, True]
@@ -168,6 +170,22 @@
             return received
 
 
+async def send_burst(setup: Setup) -> None:
+    """Send some requests that arrive before the first one is answered."""
+    host, port = setup.address.split(":")
+    connections = [socket() for _ in range(BURST)]
+    for connection in connections:
+        connection.connect((host, int(port)))
+        connection.send(HEAD % 4 + b"body")
+    for connection in connections:
+        connection.setblocking(False)
+    await sleep(FORWARD_GAP_SECONDS / 5)
+    while setup.forwarder.count():
+        await sleep(0.01)
+    for connection in connections:
+        connection.close()
+
+
 class ForwarderTest(CaseTest):
     """Callers get whole responses of siblings, or true refusals."""
 
@@ -327,6 +345,15 @@
         self.assertFalse(received.endswith(b"0\r\n\r\n"))
         self.assertNotIn(b"502", received)
 
+    # SHORT: connections for which no sibling had a turn were set up to be refused, and
+    # took the time of those that were served.
+    @params(*LOOPS)
+    def test_sibling_gets_one_connection_of_a_burst(self, loop: bool) -> None:
+        router, lines = self.play([Sibling()], send_burst, loop)
+        self.assertEqual(len(lines), 1)
+        self.assertIn('"outcome":"answered"', lines[0])
+        self.assertEqual(router.most_forwarded, 1)
+
     # Processes ended by themselves: an error on one connection ended all of them.
     @params(*LOOPS)
     def test_unexpected_error_ends_one_connection(self, loop: bool) -> None:
--- a/tests/support/router_load.py
+++ b/tests/support/router_load.py
@@ -282,7 +282,7 @@
 
     async def _play(self, times: list[float]) -> LoadResult:
         """Run the router until all callers have ended."""
-        process = self._make_router()
+        process = self.make_router()
         address = process.settings.front_address
         callers = [Caller(self.peers, address, number) for number in range(len(times))]
         async with create_task_group() as group:
@@ -301,7 +301,7 @@
             callers, used_seconds, process.fleet.bid_count, self.event_names
         )
 
-    def _make_router(self) -> GatewayProcess:
+    def make_router(self) -> GatewayProcess:
         """Return a router that knows the endpoints and their agents."""
         settings = GatewaySettings(
             "r", "north", free_address(), free_address(), "/ready", 2, 1, 10, 99
