--- a/review/rig.py
+++ b/review/rig.py
@@ -278,7 +278,8 @@
         self.address = f"{self.host}:{APP}"
         self.born = self.sequence = 0
         self.state, self.server, self.beat = "ready", None, None
-        self.connections, self.runs, self.lives = set(), {}, 0
+        self.connections, self.runs = set(), {}
+        self.lives, self.is_up = 0, False
 
     def listener(self):
         """Return a listening socket."""
@@ -291,7 +292,7 @@
 
     async def start(self, raw=None):
         """Start an incarnation, on a listening socket that is there or a new one."""
-        self.lives += 1
+        self.lives, self.is_up = self.lives + 1, True
         self.born, self.sequence = int(time.time() * 1000), 0
         self.runs = {}
         self.server = await asyncio.start_server(
@@ -300,17 +301,22 @@
         self.beat = asyncio.create_task(self._announce())
         self.rig.note(f"engine {self.id} {self.version} starts, born {self.born}")
 
-    def crash(self, raw=None):
-        """End at once: all connections are reset, and nobody listens.
-
-        A supervisor may keep the listening socket `raw` open.
-        """
+    def crash(self):
+        """End at once: all connections are reset, and this process listens no more."""
         self.rig.note(f"engine {self.id} {self.version} crashes")
+        self.is_up = False
         self.beat.cancel()
         self.server.close()
         for writer in list(self.connections):
             self._reset(writer)
 
+    async def work(self, seconds):
+        """Work for some time; raise OSError if the engine has crashed meanwhile."""
+        life = self.lives
+        await asyncio.sleep(seconds)
+        if life != self.lives or not self.is_up:
+            raise OSError("the engine has crashed")
+
     @staticmethod
     def _reset(writer):
         """Reset a connection."""
@@ -409,7 +415,7 @@
                 writer.write(b"%x\r\n%s\r\n" % (len(event), event))
                 await writer.drain()
                 self.runs[request_id] = (1000 + number, number - first + 1)
-                await asyncio.sleep(pause)
+                await self.work(pause)
             writer.write(b"0\r\n\r\n")
         finally:
             self.runs.pop(request_id, None)
