--- a/pistachiolever/control/storage.py
+++ b/pistachiolever/control/storage.py
@@ -4,7 +4,6 @@
 import os
 from pathlib import Path
 from typing import Any, Protocol, TypeVar
-from zlib import crc32
 
 from attrs import define, field, frozen
 from cattrs.preconf.orjson import make_converter
@@ -18,6 +17,7 @@
     LOG_FILE,
     SNAPSHOT_FILE,
 )
+from pistachiolever.core.checksummed_lines import encode_line, verified_body
 from pistachiolever.raft.models import Entry, HardState, Snapshot, StoredLog
 
 T = TypeVar("T")
@@ -203,7 +203,7 @@
     ) -> None:
         """Write a snapshot, then a log that starts after it."""
         body = dumps(_converter.unstructure(snapshot))
-        self.disk.replace(SNAPSHOT_FILE, _checksummed_line(body))
+        self.disk.replace(SNAPSHOT_FILE, encode_line(body))
         records: list[Record] = [hard_state, *entries]
         data = b"".join(_encode_record(record) for record in records)
         self.disk.replace(LOG_FILE, data)
@@ -231,7 +231,7 @@
         data = self.disk.read(SNAPSHOT_FILE)
         if data is None:
             return Snapshot()
-        body = _verified_body(data.rstrip(b"\n"))
+        body = verified_body(data.rstrip(b"\n"))
         if body is None:
             raise StorageError(f"{SNAPSHOT_FILE}: damaged; restore this folder")
         return _converter.structure(loads(body), Snapshot)
@@ -246,10 +246,10 @@
         records: list[Record] = []
         valid_bytes = 0
         for number, line in enumerate(lines):
-            body = _verified_body(line)
+            body = verified_body(line)
             if body is None:
                 if any(
-                    _verified_body(later) is not None for later in lines[number + 1 :]
+                    verified_body(later) is not None for later in lines[number + 1 :]
                 ):
                     raise StorageError(
                         f"{LOG_FILE}: line {number + 1} is damaged and others follow; "
@@ -265,25 +265,10 @@
         return records
 
 
-def _checksummed_line(body: bytes) -> bytes:
-    """Return the body as a line with its checksum."""
-    return b"%08x %s\n" % (crc32(body), body)
-
-
 def _encode_record(record: Record) -> bytes:
     """Return a record as a line with its checksum."""
     as_type: Any = Record
-    return _checksummed_line(
-        dumps(_converter.unstructure(record, unstructure_as=as_type))
-    )
-
-
-def _verified_body(line: bytes) -> bytes | None:
-    """Return the body of a line, or None if its checksum does not match."""
-    checksum, _, body = line.partition(b" ")
-    if len(checksum) != 8 or b"%08x" % crc32(body) != checksum:
-        return None
-    return body
+    return encode_line(dumps(_converter.unstructure(record, unstructure_as=as_type)))
 
 
 def _decode_record(body: bytes) -> Record:
