Keep on the members' disks which version began a stream (LOST)

Cause: where a stream began was known only to its router, the agent of its endpoint and one member of the registry, all of them in memory. After the restart nobody had a record. The inference from the versions that serve is refused then, rightly: which versions served before the kill is as unknown.

Fix: a member appends the streams that are reported to it to one of two files of its data folder, those of 0.2 s with one sync, and reads them when it starts. A record names the version that began the stream, so nothing is inferred from what serves after the restart, and a stream without a record is refused as before. Nobody waits for the write; damaged lines are skipped; a slow or full disk is left to the log.

--- a/pistachiolever/metrics/instruments.py
+++ b/pistachiolever/metrics/instruments.py
@@ -183,6 +183,10 @@
     ),
     Instrument("pistachiolever_leads", "1 while this member is the leader"),
     Instrument("pistachiolever_members", "Voting members"),
+    Instrument(
+        "pistachiolever_streams",
+        "Streams that callers may resume and whose version this member knows",
+    ),
     Instrument("pistachiolever_term", "Current Raft term"),
     Instrument("pistachiolever_waiting", "Bids waiting at this agent"),
     Instrument("pistachiolever_running", "Granted requests still in flight"),
--- a/pistachiolever/registry/process.py
+++ b/pistachiolever/registry/process.py
@@ -59,8 +59,10 @@
     WatchRequest,
 )
 from pistachiolever.registry.settings import RegistrySettings
+from pistachiolever.registry.stream_store import StreamStore
 from pistachiolever.registry.usage_exchange import UsageExchange
 from pistachiolever.registry.watch_service import WatchService
+from pistachiolever.streams.journal import StreamJournal
 from pistachiolever.streams.models import StreamQuery, StreamReply
 from pistachiolever.usage.aggregate import UsageAggregate
 from pistachiolever.usage.models import AgentReport, DigestReply, MemberDigest
@@ -107,6 +109,7 @@
     endpoints: EndpointReplicator = field(init=False)
     watches: WatchService = field(init=False)
     usage: UsageExchange = field(init=False)
+    streams: StreamStore = field(init=False)
     sender_by_member: dict[str, RaftSender] = field(factory=dict)
     new_senders: Mailbox[RaftSender] = field(factory=Mailbox)
     known_addresses: list[str] = field(factory=list)
@@ -165,6 +168,9 @@
             self._other_addresses,
             self.watches.notify,
         )
+        self.streams = StreamStore(
+            StreamJournal(aggregate.streams), self.storage.disk, self.events, self.now
+        )
         self._restore_departures()
         self.known_addresses = list(self.settings.seeds)
         gauge = self.instruments.gauge
@@ -179,6 +185,7 @@
         gauge("pistachiolever_evacuated_domains", self.evacuations.count)
         gauge("pistachiolever_leads", lambda: self.core.is_leader)
         gauge("pistachiolever_members", lambda: len(self.core.members))
+        gauge("pistachiolever_streams", lambda: len(aggregate.streams.record_by_key))
         gauge("pistachiolever_term", lambda: self.core.term)
         self.events.record(
             EventCode.LOG_RECOVERED,
@@ -187,6 +194,7 @@
             snapshot=stored.snapshot.index,
             entries=len(stored.entries),
             version=self.state.configuration.version,
+            streams=self.streams.load(),
         )
 
     def _create_identity(self) -> Identity:
@@ -215,6 +223,7 @@
             group.start_soon(self.endpoints.run)
             group.start_soon(self.usage.run)
             group.start_soon(self.watches.run)
+            group.start_soon(self.streams.run)
             group.start_soon(self._sync_endpoints)
             while senders := await self.new_senders.get_all():
                 for sender in senders:
@@ -421,7 +430,7 @@
 
     async def _handle_report(self, report: AgentReport) -> ReportReply:
         """Apply an agent's report of usage and load."""
-        self.usage.aggregate.handle_report(report, self.now())
+        self.streams.add(self.usage.aggregate.handle_report(report, self.now()))
         watches = self.watches
         return ReportReply(self.incarnation, watches.members(), watches.is_behind())
 
--- a/pistachiolever/streams/const.py
+++ b/pistachiolever/streams/const.py
@@ -30,3 +30,14 @@
 CONFIRM_POLL_SECONDS: Final = 0.02
 # Versions of a service that are remembered as confirmed.
 MAX_KNOWN_VERSIONS: Final = 1_000
+# Files of a member's data folder in which it keeps the streams that it knows. A file is
+# left for the other one from the first size on, and at the second size at last.
+JOURNAL_FILES: Final = ("streams.0", "streams.1")
+MIN_JOURNAL_FILE_BYTES: Final = 128 * 1024
+MAX_JOURNAL_FILE_BYTES: Final = 4 * 1024 * 1024
+# Streams of this time are written with one sync.
+JOURNAL_SECONDS: Final = 0.2
+# After each write the disk is left to the log for so many times as long.
+JOURNAL_DISK_FACTOR: Final = 4.0
+# Time until a failed write is retried.
+JOURNAL_RETRY_SECONDS: Final = 1.0
--- a/pistachiolever/streams/table.py
+++ b/pistachiolever/streams/table.py
@@ -62,11 +62,14 @@
         record.resumptions += 1
         return record.resumptions
 
-    def merge(self, reports: dict[str, StreamReport], now: float) -> None:
-        """Add what another process has reported."""
+    def merge(self, reports: dict[str, StreamReport], now: float) -> list[str]:
+        """Add what another process has reported; return the keys that are news."""
+        news: dict[str, None] = {}
         for key, report in reports.items():
             for origin in report.origins:
-                self.add(key, origin, now + report.left_ms / 1000, now)
+                if self.add(key, origin, now + report.left_ms / 1000, now):
+                    news[key] = None
+        return list(news)
 
     def pack(self, keys: Iterable[str], now: float) -> dict[str, StreamReport]:
         """Return the reports on those streams that are known."""
--- a/pistachiolever/usage/aggregate.py
+++ b/pistachiolever/usage/aggregate.py
@@ -107,8 +107,8 @@
 
     # Input.
 
-    def handle_report(self, report: AgentReport, now: float) -> None:
-        """Apply the report of an agent."""
+    def handle_report(self, report: AgentReport, now: float) -> list[str]:
+        """Apply the report of an agent; return the keys of streams that are news."""
         agent = self.agent_by_address.get(report.agent)
         if agent is None:
             agent = self.agent_by_address[report.agent] = AttachedAgent(now, now)
@@ -128,7 +128,7 @@
             self.own_seen_loads.set(address, measured, self.number + 1)
             self._set_load(self.seen_loads, address, measured)
         self._merge_parts(report.parts, now, pass_on=True)
-        self.streams.merge(report.streams, now)
+        return self.streams.merge(report.streams, now)
 
     def handle_digest(self, digest: MemberDigest, now: float) -> None:
         """Apply the digest of another member, unless it has applied a newer one."""
--- /dev/null
+++ b/tests/gateway/test_streams_after_restart.py
@@ -0,0 +1,139 @@
+"""Streams that callers resume after all processes of the fleet were killed."""
+
+from tempfile import TemporaryDirectory
+
+from anyio import create_task_group, fail_after, run, sleep
+from attrs import field, frozen
+from nose2.tools import params
+
+from tests.gateway.test_relay import Result
+from tests.gateway.test_stream_versions import (
+    STREAMS,
+    Change,
+    ResumedStream,
+    Router,
+    System,
+    lose_disks,
+    resume_stream,
+    send,
+    start_system,
+    versions_in,
+)
+from tests.support.cases import CaseTest
+
+# Slow enough that all streams are on disk long before the first one ends.
+EVENT_SECONDS = 0.08
+# The second kill comes so long after the first restart.
+SECOND_KILL_SECONDS = 0.5
+TIMEOUT_SECONDS = 40.0
+
+
+async def change_nothing(system: System) -> None:
+    """Let all endpoints serve on."""
+
+
+async def replace_first(system: System) -> None:
+    """Replace the first endpoint by a new one of another version."""
+    del system.announcements[0]
+    await system.add_endpoint("v2")
+
+
+async def restart_first(system: System) -> None:
+    """Restart the first endpoint under its id with another version.
+
+    Its last announcement from before arrives late, at members that know nothing.
+    """
+    system.endpoints[0].version = "v2"
+    system.probe(0).born_ms = 2
+
+
+@frozen
+class Case:
+    """What happens to endpoints of some versions while all processes are down.
+
+    `continued` are the versions of the streams that go on, `refused` those of the
+    streams that don't.
+    """
+
+    name: str
+    versions: list[str]
+    continued: set[str]
+    refused: set[str] = field(factory=set)
+    change: Change = change_nothing
+    kills: int = 1
+
+
+CASES = [
+    Case("one version", ["v1", "v1"], {"v1"}),
+    Case("two versions", ["v1", "v2", "v1", "v2"], {"v1", "v2"}),
+    Case("killed twice", ["v1", "v2"], {"v1", "v2"}, kills=2),
+    Case("one of its version is replaced", 3 * ["v1"], {"v1"}, set(), replace_first),
+    Case("the last one is replaced", ["v1", "v2"], {"v2"}, {"v1"}, replace_first),
+    Case("one of its version restarts", 3 * ["v1"], {"v1"}, set(), restart_first),
+    Case("the last one restarts", ["v1", "v2"], {"v2"}, {"v1"}, restart_first),
+    Case("no disk is left", ["v1", "v2"], set(), {"v1", "v2"}, lose_disks),
+]
+
+
+class KilledFleetTest(CaseTest):
+    """All processes are killed in a fleet that has just started."""
+
+    # LOST: each resumed stream was refused until members had run for twice the timeout
+    # of its route, as only processes that were killed had known its version. ORDER: the
+    # versions that serve after the restart don't tell which one began a stream.
+    @params(*CASES)
+    def test_streams_go_on_at_the_version_that_began_them(self, case: Case) -> None:
+        streams = run(kill_fleet, case)
+        self.assertEqual(len(streams), STREAMS)
+        begun_at = set().union(*(versions_in(stream.before) for stream in streams))
+        self.assertEqual(begun_at, case.continued | case.refused)
+        for stream in streams:
+            self.assertEqual(len(stream.versions()), 1)
+            if stream.versions() <= case.continued:
+                self.assertTrue(stream.is_whole(), stream.after.head)
+            else:
+                self.assertEqual(versions_in(stream.after), set())
+                self.assertEqual(stream.after.status, 503)
+                self.assertIn(b"retry-after: ", stream.after.head)
+
+
+async def kill_fleet(case: Case) -> list[ResumedStream]:
+    """Return streams that were resumed after all processes were killed."""
+    with TemporaryDirectory() as root, fail_after(TIMEOUT_SECONDS):
+        async with create_task_group() as group:
+            system = await start_system(group, root, *case.versions)
+            for endpoint in system.endpoints:
+                endpoint.event_seconds = EVENT_SECONDS
+            router = await system.start_router()
+            before: dict[str, Result] = {}
+
+            async def begin(request_id: str) -> None:
+                before[request_id] = await send(router, request_id)
+
+            async with create_task_group() as callers:
+                for number in range(STREAMS):
+                    callers.start_soon(begin, f"a{number}")
+                await system.until_saved(STREAMS)
+                router.scope.cancel()
+                await system.kill(case.change)
+            for _ in range(case.kills - 1):
+                await sleep(SECOND_KILL_SECONDS)
+                await system.kill(change_nothing)
+            streams = await resume_all(await system.start_router(), before)
+            group.cancel_scope.cancel()
+    return streams
+
+
+async def resume_all(router: Router, before: dict[str, Result]) -> list[ResumedStream]:
+    """Return streams after their callers have resumed them, at once, at a router."""
+    after: dict[str, Result] = {}
+
+    async def resume(request_id: str) -> None:
+        after[request_id] = await resume_stream(
+            router, request_id, before[request_id], 1
+        )
+
+    async with create_task_group() as callers:
+        for request_id in before:
+            callers.start_soon(resume, request_id)
+    return [ResumedStream(before[key], after[key]) for key in before]
