--- a/pistachiolever/http1/heads.py
+++ b/pistachiolever/http1/heads.py
@@ -1,6 +1,7 @@
 """Heads of HTTP/1.1 messages: their grammar, and the headers that frame a body.
 
-What is accepted is the same as with h11, down to bare line feeds and folded lines.
+What is accepted is the same as with h11, down to bare line feeds and folded lines, but
+for the statuses above 599.
 """
 
 from collections.abc import Iterator
@@ -31,6 +32,9 @@
 STATUS_LINE: Final = compile_pattern(
     rb"%s ([0-9]{3})(?: (?:[ \t]|[^\x00\s])*)?" % VERSION
 )
+# HTTP defines no class of statuses beyond these, so that they name no outcome.
+MIN_STATUS: Final = 100
+MAX_STATUS: Final = 599
 MAX_LENGTH_DIGITS: Final = 20
 # Headers that say more than what the handler of a request makes of them.
 FRAMING_HEADERS: Final = frozenset({b"content-length", b"transfer-encoding"})
@@ -72,7 +76,7 @@
     if match is None:
         raise MalformedMessageError("illegal status line")
     version, status = match.groups()
-    if status < b"100":
+    if not MIN_STATUS <= int(status) <= MAX_STATUS:
         raise MalformedMessageError("illegal status")
     return ParsedResponse(int(status), parse_fields(fields), version)
 
--- a/tests/sidecar/test_adapters.py
+++ b/tests/sidecar/test_adapters.py
@@ -106,6 +106,16 @@
             ServiceKind.PLAIN, [(UNFRAMED + b"12", False), (UNFRAMED + b"-1.5", False)]
         )
 
+    # MIXED: a status that HTTP does not know is no answer.
+    def test_unusable_status(self) -> None:
+        bodies = {ServiceKind.MODEL: PART + USAGE + DONE, ServiceKind.PLAIN: b"{}"}
+        for kind, body in bodies.items():
+            responses = [
+                framed(body).replace(b"200 OK", status)
+                for status in (b"000 X", b"099 X", b"600 X", b"999 X", b"20 X")
+            ]
+            self.check(kind, [(response, False) for response in responses])
+
 
 class SizeTest(CaseTest):
     """An answer of a plain service is limited in bytes."""
