Record a stream only if its router may have forwarded it (ORDER)

What callers could have seen: an engine lists the first events of a run, and its response is lost. The router sends the request to another endpoint, of another version, which serves the caller. Both agents had recorded that the stream began at theirs, and report to two members. If all processes are killed and the disk of the second member is lost, the first origin is the only one that is known now that it is kept on disk, and the stream goes on at the wrong version. With both records it is refused, too, although its version is known.

Cause: an agent took the engine's list for the start of a stream, to cover a router that is lost before it tells of the first event. A router that is there tells within milliseconds of the first event, or of the failure.

Tests: test_stream_whose_router_tells_that_it_failed_is_not_recorded, both cases failed before. test_stream_that_only_the_engine_lists_is_recorded asked for the record at the first report, which is this fault; it asks for it now in three cases, once the router had its time.

--- a/pistachiolever/admission/core.py
+++ b/pistachiolever/admission/core.py
@@ -24,6 +24,7 @@
     OUTPUT_TOKEN_WEIGHT,
     PREFILL_RATE_DECAY,
     SERVICE_DECAY_SECONDS,
+    UNTOLD_START_SECONDS,
 )
 from pistachiolever.admission.fair_queue import (
     FairQueue,
@@ -67,7 +68,8 @@
     `prefill_tokens` are the prompt tokens that were not cached at the grant, `cost` the
     weighted tokens charged to the account, `events` the stream events that the engine
     reported. `started_at` is when the first chunk came, `unlisted_since` when the run
-    was first missing from the engine's reports.
+    was first missing from the engine's reports. `is_forwarded` is true once its router
+    has told that the first chunk came.
     """
 
     bid: Bid
@@ -78,6 +80,7 @@
     started_at: float | None = None
     events: int = 0
     unlisted_since: float | None = None
+    is_forwarded: bool = False
 
 
 @define
@@ -204,15 +207,28 @@
         return []
 
     def handle_start(self, bid_id: str, now: float) -> list[AdmissionAction]:
-        """Handle the first chunk of a response: its prefill is complete."""
+        """Handle that a router got the first chunk of a response."""
         run = self.run_by_id.get(bid_id)
-        if run is None or run.started_at is not None:
+        if run is None:
             return []
-        run.started_at = now
+        run.is_forwarded = True
+        self._record_stream(run, now)
+        return self._complete_prefill(bid_id, run, now)
+
+    def _record_stream(self, run: Run, now: float) -> None:
+        """Record that a stream has begun here."""
         if run.bid.origin is not None:
             self.streams.record_start(
                 run.bid.stream_key, run.bid.origin, run.deadline_at, now
             )
+
+    def _complete_prefill(
+        self, bid_id: str, run: Run, now: float
+    ) -> list[AdmissionAction]:
+        """Handle that the prefill of a request is complete."""
+        if run.started_at is not None:
+            return []
+        run.started_at = now
         if bid_id in self.prefilling_ids:
             prefill_from = max(run.granted_at, self.prefill_started_at)
             self.prefill_rate.observe(run.prefill_tokens, now - prefill_from)
@@ -268,8 +284,9 @@
             if listed_run is not None:
                 run.events = listed_run.events
                 run.unlisted_since = None
-                if listed_run.events > 0 and run.started_at is None:
-                    actions.extend(self.handle_start(bid_id, now))
+                if listed_run.events > 0:
+                    actions.extend(self._complete_prefill(bid_id, run, now))
+                    self._check_router(run, now)
                 continue
             if report.waiting and run.started_at is None:
                 run.unlisted_since = None
@@ -280,9 +297,27 @@
                 now - max(run.unlisted_since, run.granted_at)
                 > MISSING_RUN_TIMEOUT_SECONDS
             ):
+                self._record_abandoned(run, now)
                 actions.extend(self.handle_end(bid_id, 0, now))
         return actions
 
+    def _check_router(self, run: Run, now: float) -> None:
+        """Record a stream whose router has not told of its start for long."""
+        assert run.started_at is not None
+        if now - run.started_at > UNTOLD_START_SECONDS:
+            self._record_abandoned(run, now)
+
+    def _record_abandoned(self, run: Run, now: float) -> None:
+        """Record a stream that only the engine has told of.
+
+        Its router was probably lost and may have forwarded events. A router that is
+        there tells at once that a run has failed, and then another endpoint may begin
+        the stream.
+        """
+        if run.events and not run.is_forwarded:
+            run.is_forwarded = True
+            self._record_stream(run, now)
+
     def _adjust_throttle(self, report: EngineReport, now: float) -> None:
         """Adjust the prefill throttle to what running responses need."""
         events_by_run = {run.request_id: run.events for run in report.runs}
@@ -304,7 +339,8 @@
         self.rate_limit.reset(now)
         self.cold_start.handle_doubt(now)
         actions: list[AdmissionAction] = []
-        for bid_id in list(self.run_by_id):
+        for bid_id, run in list(self.run_by_id.items()):
+            self._record_abandoned(run, now)
             actions.extend(self.handle_end(bid_id, 0, now))
         return actions
 
--- a/tests/streams/test_table.py
+++ b/tests/streams/test_table.py
@@ -4,7 +4,12 @@
 
 from attrs import evolve
 from hypothesis import given, strategies as st
+from nose2.tools import params
 
+from pistachiolever.admission.const import (
+    MISSING_RUN_TIMEOUT_SECONDS,
+    UNTOLD_START_SECONDS,
+)
 from pistachiolever.admission.core import AdmissionCore, Capacity
 from pistachiolever.admission.models import EngineReport, EngineRun
 from pistachiolever.streams.const import DEADLINE_MARGIN_SECONDS, EXPIRY_CHECK_SECONDS
@@ -122,13 +127,44 @@
         self.reporter.handle_failure(lost)
         self.assertEqual(self.report(self.member, 3.0), 1)
 
-    # Its router may have lost power before it told the agent of the first event.
-    def test_stream_that_only_the_engine_lists_is_recorded(self) -> None:
+    def list_events(self, *times: float, events: int = 3) -> None:
+        """Let the engine list events of a stream at some times, and none later."""
         submitted = evolve(bid("b1"), stream_key="k1", origin=OLD)
         self.core.submit(submitted, 1.0)
-        run = EngineRun(submitted.request_id, 100, 3)
-        self.core.handle_report(EngineReport(1, 0, 1, 100, 1000, [run]), 1.5)
-        self.assertEqual(self.core.streams.table.origins("k1", 1.5), [OLD])
+        run = EngineRun(submitted.request_id, 100, events)
+        for now in times:
+            self.core.handle_report(EngineReport(1, 0, 1, 100, 1000, [run]), now)
+
+    # Its router may have lost power before it told the agent of the first event. The
+    # engine goes on, drops the run, or restarts.
+    @params("listed", "unlisted", "restarted")
+    def test_stream_that_only_the_engine_lists_is_recorded(self, end: str) -> None:
+        self.list_events(1.2)
+        empty = EngineReport(1, 0, 0, 0, 1000, [])
+        if end == "listed":
+            self.list_events(1.2, 1.2 + UNTOLD_START_SECONDS, 1.6)
+        elif end == "unlisted":
+            self.core.handle_report(empty, 1.3)
+            self.core.handle_report(empty, 1.4 + MISSING_RUN_TIMEOUT_SECONDS)
+        else:
+            self.core.handle_restart(1.3)
+        self.assertEqual(self.core.streams.table.origins("k1", 3.0), [OLD])
+
+    # ORDER: events of an engine whose response was lost never reached the caller. After
+    # a loss of all processes and one disk, only this origin would have been known, and
+    # not that of the endpoint that served the caller.
+    @params((1.2,), (1.2, 1.3, 1.4))
+    def test_stream_whose_router_tells_that_it_failed_is_not_recorded(
+        self, *times: float
+    ) -> None:
+        self.list_events(*times)
+        self.core.handle_end("b1", 0, 1.45)
+        self.assertEqual(self.core.streams.table.record_by_key, {})
+
+    def test_stream_that_its_router_forwards_is_recorded_at_once(self) -> None:
+        self.list_events(1.2)
+        self.core.handle_start("b1", 1.25)
+        self.assertEqual(self.core.streams.table.origins("k1", 1.25), [OLD])
 
     def test_request_without_an_event_is_no_stream(self) -> None:
         self.core.submit(evolve(bid("b1"), stream_key="k1", origin=OLD), 1.0)
