--- a/pistachiolever/registry/stream_store.py
+++ b/pistachiolever/registry/stream_store.py
@@ -39,7 +39,9 @@
             try:
                 data = self.disk.read(name) or b""
             except OSError as error:
-                self.events.record(EventCode.STREAMS_DAMAGED, file=name, error=error)
+                self.events.record(
+                    EventCode.STREAMS_DAMAGED, file=name, error=str(error)
+                )
                 continue
             # A line that was being written must not run into the next one.
             whole = data[: data.rfind(b"\n") + 1]
--- a/tests/registry/test_stream_store.py
+++ b/tests/registry/test_stream_store.py
@@ -121,6 +121,20 @@
             disk.close()
         self.assertEqual(len([x for x in lines if "STREAMS_DAMAGED" in x]), 1, lines)
 
+    # A file that cannot be read must not keep a member from starting.
+    def test_file_that_cannot_be_read_is_logged(self) -> None:
+        lines: list[str] = []
+        with TemporaryDirectory() as name:
+            (Path(name) / JOURNAL_FILES[0]).mkdir()
+            disk = FolderDisk(Path(name))
+
+            async def load() -> int:
+                return make_store(disk, lines).load()
+
+            self.assertEqual(run(load), 0)
+            disk.close()
+        self.assertIn("STREAMS_DAMAGED", "".join(lines))
+
     # Acks: the log shares the disk, so a slow one is left to it most of the time.
     def test_slow_disk_is_left_to_the_log(self) -> None:
         async def test() -> None:
