--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -364,6 +364,21 @@
         return last_id_of(self.after) == EVENT_COUNT
 
 
+async def resume_all(
+    router: Router, before: dict[str, Result], tries: int
+) -> list[ResumedStream]:
+    """Return streams after their callers have resumed them, at once, at a router."""
+    after: dict[str, Result] = {}
+
+    async def resume(request_id: str, result: Result) -> None:
+        after[request_id] = await resume_stream(router, request_id, result, tries)
+
+    async with create_task_group() as callers:
+        for request_id, result in before.items():
+            callers.start_soon(resume, request_id, result)
+    return [ResumedStream(before[key], after[key]) for key in before]
+
+
 class StreamVersionTest(CaseTest):
     """Endpoints of two versions serve side by side."""
 
@@ -469,20 +484,10 @@
                     await sleep(BEGUN_SECONDS)
                     router.scope.cancel()
                     await system.lose(lost)
-                router = await system.start_router()
                 tries = TRIES_AFTER_LOST_MEMBER if "member" in lost else 1
-                after: dict[str, Result] = {}
-
-                async def resume(request_id: str, result: Result) -> None:
-                    after[request_id] = await resume_stream(
-                        router, request_id, result, tries
-                    )
-
-                async with create_task_group() as callers:
-                    for request_id, result in before.items():
-                        callers.start_soon(resume, request_id, result)
+                streams = await resume_all(await system.start_router(), before, tries)
                 group.cancel_scope.cancel()
-        return [ResumedStream(before[key], after[key]) for key in before]
+        return streams
 
 
 class DrainingVersionTest(CaseTest):
--- a/tests/gateway/test_streams_after_restart.py
+++ b/tests/gateway/test_streams_after_restart.py
@@ -11,10 +11,9 @@
     STREAMS,
     Change,
     ResumedStream,
-    Router,
     System,
     lose_disks,
-    resume_stream,
+    resume_all,
     send,
     start_system,
     versions_in,
@@ -119,21 +118,6 @@
             for _ in range(case.kills - 1):
                 await sleep(SECOND_KILL_SECONDS)
                 await system.kill(change_nothing)
-            streams = await resume_all(await system.start_router(), before)
+            streams = await resume_all(await system.start_router(), before, 1)
             group.cancel_scope.cancel()
     return streams
-
-
-async def resume_all(router: Router, before: dict[str, Result]) -> list[ResumedStream]:
-    """Return streams after their callers have resumed them, at once, at a router."""
-    after: dict[str, Result] = {}
-
-    async def resume(request_id: str) -> None:
-        after[request_id] = await resume_stream(
-            router, request_id, before[request_id], 1
-        )
-
-    async with create_task_group() as callers:
-        for request_id in before:
-            callers.start_soon(resume, request_id)
-    return [ResumedStream(before[key], after[key]) for key in before]
