--- a/pistachiolever/control/const.py
+++ b/pistachiolever/control/const.py
@@ -7,6 +7,8 @@
 IDENTITY_FILE: Final = "identity.json"
 SNAPSHOT_FILE: Final = "snapshot.json"
 LOG_FILE: Final = "log"
+# Files that a member must not forget once it has told others of their content.
+DURABLE_FILES: Final = (IDENTITY_FILE, SNAPSHOT_FILE, LOG_FILE)
 # Written to find out whether a new data folder has room; nobody reads it.
 ROOM_FILE: Final = "room"
 ROOM_BYTES: Final = 4096
--- a/pistachiolever/control/storage.py
+++ b/pistachiolever/control/storage.py
@@ -11,6 +11,7 @@
 from orjson import JSONDecodeError, dumps, loads
 
 from pistachiolever.control.const import (
+    DURABLE_FILES,
     FORMAT_VERSION,
     IDENTITY_FILE,
     LOCK_FILE,
@@ -77,9 +78,11 @@
     whole_bytes_by_name: dict[str, int] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
-        """Create and lock the folder.
+        """Create and lock the folder, and sync what an earlier process left in it.
 
-        Raise StorageError if it is in use, OSError if it is new and can't be written.
+        That process may have been killed between a write and its sync. Raise
+        StorageError if the folder is in use, OSError if it is new and can't be written,
+        or can't be synced.
         """
         self.folder.mkdir(parents=True, exist_ok=True)
         # The lock is held as long as the file is open.
@@ -90,6 +93,11 @@
             os.close(self.lock)
             detail = f"{self.folder}: another process uses this data folder"
             raise StorageError(detail) from error
+        try:
+            self._sync_files()
+        except OSError:
+            os.close(self.lock)
+            raise
 
     def close(self) -> None:
         """Unlock the folder."""
@@ -148,6 +156,18 @@
         self.whole_bytes_by_name[name] = len(data)
         self._sync_folder()
 
+    def _sync_files(self) -> None:
+        """Sync the files whose content counts once it was read, and their names."""
+        names = [n for n in DURABLE_FILES if (self.folder / n).exists()]
+        for name in names:
+            descriptor = os.open(self.folder / name, os.O_RDONLY)
+            try:
+                os.fsync(descriptor)
+            finally:
+                os.close(descriptor)
+        if names:
+            self._sync_folder()
+
     def _sync_folder(self) -> None:
         """Sync the folder, so that new and renamed files persist."""
         descriptor = os.open(self.folder, os.O_RDONLY)
