Refuse account names that no header can hold

The configuration is refused with 400 now and the entry is named; an empty name is refused, too, since endpoints would not be told any.

Test: test_account_name_that_fits_no_header, whose eight cases failed before.

--- a/pistachiolever/http1/heads.py
+++ b/pistachiolever/http1/heads.py
@@ -24,6 +24,7 @@
     rb"(?m)^(%s):[ \t]*+(%s)[ \t]*\r\n" % (TOKEN, VALUE)
 )
 WRITTEN_FIELDS: Final = compile_pattern(rb"(?:%s: %s\r\n)*" % (TOKEN, VALUE))
+FIELD_VALUE: Final = compile_pattern(VALUE)
 METHOD: Final = compile_pattern(TOKEN)
 TARGET: Final = compile_pattern(rb"[\x21-\x7e]+")
 REQUEST_LINE: Final = compile_pattern(
@@ -192,6 +193,11 @@
         raise MalformedMessageError("illegal header")
 
 
+def is_field_value(value: bytes) -> bool:
+    """Return whether a header may have this value, which must not be empty."""
+    return bool(value) and FIELD_VALUE.fullmatch(value) is not None
+
+
 def encode_fields(headers: list[Header]) -> bytes:
     """Return the serialized lines of checked headers."""
     return b"".join([b"%s: %s\r\n" % header for header in headers])
--- a/pistachiolever/routing/check.py
+++ b/pistachiolever/routing/check.py
@@ -1,5 +1,6 @@
 """Validates a whole configuration; reports the first invalid field."""
 
+from pistachiolever.http1.heads import is_field_value
 from pistachiolever.routing.errors import InvalidConfigurationError
 from pistachiolever.routing.models import ProxyConfiguration, ProxyRoute
 
@@ -26,6 +27,11 @@
             )
         known_matches.add(match)
     accounts = configuration.accounts or []
+    for index, account in enumerate(accounts):
+        if not is_field_value(account.account_id.encode()):
+            raise InvalidConfigurationError(
+                f"accounts[{index}]", "endpoints get the name as the value of a header"
+            )
     _check_unique("accounts", [account.account_id for account in accounts])
     _check_unique("keys", [key for account in accounts for key in account.keys])
 
--- a/tests/routing/test_table.py
+++ b/tests/routing/test_table.py
@@ -3,6 +3,7 @@
 from random import Random
 
 from attrs import evolve
+from nose2.tools import params
 
 from pistachiolever.routing.check import check_configuration
 from pistachiolever.routing.errors import InvalidConfigurationError
@@ -114,3 +115,18 @@
                 with self.assertRaises(InvalidConfigurationError) as caught:
                     check_configuration(configuration)
                 self.assertEqual(caught.exception.path, path.split()[0])
+
+    # Requests of such an account were tried again without a pause until their deadline,
+    # as no endpoint could be told its name.
+    @params("", " ", "a ", " a", "a\nb", "a\rb", "a\x00b", "a\r\nx: y")
+    def test_account_name_that_fits_no_header(self, name: str) -> None:
+        accounts = [ProxyAccount("one"), ProxyAccount(name)]
+        configuration = ProxyConfiguration(1, [], [ProxyService("s")], accounts)
+        with self.assertRaises(InvalidConfigurationError) as caught:
+            check_configuration(configuration)
+        self.assertEqual(caught.exception.path, "accounts[1]")
+
+    @params("a", "a b", "a\tb", "cafe", "caf\u00e9", "0", "a:b,c")
+    def test_account_name_that_fits_a_header(self, name: str) -> None:
+        accounts = [ProxyAccount(name)]
+        check_configuration(ProxyConfiguration(1, [], [ProxyService("s")], accounts))
