--- a/pistachiolever/admission/core.py
+++ b/pistachiolever/admission/core.py
@@ -68,8 +68,8 @@
     `prefill_tokens` are the prompt tokens that were not cached at the grant, `cost` the
     weighted tokens charged to the account, `events` the stream events that the engine
     reported. `started_at` is when the first chunk came, `unlisted_since` when the run
-    was first missing from the engine's reports. `is_forwarded` is true once its router
-    has told that the first chunk came.
+    was first missing from the engine's reports. `is_recorded` is true once it is
+    recorded that its stream has begun here.
     """
 
     bid: Bid
@@ -80,7 +80,7 @@
     started_at: float | None = None
     events: int = 0
     unlisted_since: float | None = None
-    is_forwarded: bool = False
+    is_recorded: bool = False
 
 
 @define
@@ -211,12 +211,12 @@
         run = self.run_by_id.get(bid_id)
         if run is None:
             return []
-        run.is_forwarded = True
         self._record_stream(run, now)
         return self._complete_prefill(bid_id, run, now)
 
     def _record_stream(self, run: Run, now: float) -> None:
         """Record that a stream has begun here."""
+        run.is_recorded = True
         if run.bid.origin is not None:
             self.streams.record_start(
                 run.bid.stream_key, run.bid.origin, run.deadline_at, now
@@ -314,8 +314,7 @@
         there tells at once that a run has failed, and then another endpoint may begin
         the stream.
         """
-        if run.events and not run.is_forwarded:
-            run.is_forwarded = True
+        if run.events and not run.is_recorded:
             self._record_stream(run, now)
 
     def _adjust_throttle(self, report: EngineReport, now: float) -> None:
