--- a/tests/platform_adapter/test_odd_reports.py
+++ b/tests/platform_adapter/test_odd_reports.py
@@ -1,5 +1,6 @@
 """An agent goes on whatever its engine reports."""
 
+from contextlib import suppress
 from random import Random
 
 from anyio import create_task_group, create_tcp_listener, fail_after, run, sleep
@@ -9,14 +10,17 @@
 
 from pistachiolever.admission.agent import AgentProcess
 from pistachiolever.admission.settings import AgentSettings
+from pistachiolever.edge.errors import PeerError
 from pistachiolever.edge.peers import PeerClient
 from pistachiolever.metrics.instruments import Instruments
 from pistachiolever.platform.endpoints import EngineClient
 from pistachiolever.wire.codec import encode
+from tests.http1.test_sockets import reset
 from tests.registry.test_process import make_discarding_logger
 from tests.support.addresses import free_address
 from tests.support.cases import CaseTest
 
+RESET_SECONDS = 0.05
 SOUND = dumps({"born": 7, "waiting": 0, "running": 3, "kvUsed": 1, "kvTotal": 9})
 ODD = (
     SOUND[:-1] + b',"runs":[[' + b"[" * 990 + b"]" * 990 + b",1,2]]}",
@@ -27,6 +31,61 @@
 )
 
 
+def framed(line: bytes) -> bytes:
+    """Return a sound report behind a status line."""
+    return line + b"\r\nContent-Length: %d\r\n\r\n%s" % (len(SOUND), SOUND)
+
+
+UNUSABLE = (
+    framed(b"HTTP/1.1 000 X"),
+    framed(b"HTTP/1.1 099 X"),
+    framed(b"HTTP/1.1 600 X"),
+    framed(b"HTTP/1.1 999 X"),
+    framed(b"HTTP/1.1 200 OK")[:-1],
+    b"HTTP/1.1 200 OK\r\n\r\n" + SOUND[:-1],
+)
+
+
+class UnusableReportTest(CaseTest):
+    """An agent takes no response for a report that is none, or a part of one."""
+
+    # MIXED: an engine in trouble sends a status that is none, or a part of a response.
+    @params(*UNUSABLE)
+    def test_report_is_not_used(self, response: bytes) -> None:
+        self.assertIsNone(run(read_report, response, False))
+
+    # MIXED: the same, if the connection of a response without a length is reset.
+    def test_reset_report_is_not_used(self) -> None:
+        whole = b"HTTP/1.1 200 OK\r\n\r\n" + SOUND
+        self.assertEqual(run(read_report, whole, False), 7)
+        self.assertIsNone(run(read_report, whole, True))
+
+
+async def read_report(response: bytes, is_reset: bool) -> int | None:
+    """Return the start time in the raw response of an engine, None if it has none."""
+
+    async def serve(stream: SocketStream) -> None:
+        """Send the response, and end the connection."""
+        await stream.receive()
+        await stream.send(response)
+        if is_reset:
+            await sleep(RESET_SECONDS)
+            await reset(stream)
+        await stream.aclose()
+
+    address = free_address()
+    host, _, port = address.rpartition(":")
+    listener = await create_tcp_listener(local_host=host, local_port=int(port))
+    born_ms: int | None = None
+    with fail_after(5):
+        async with create_task_group() as group:
+            group.start_soon(listener.serve, serve)
+            with suppress(PeerError):
+                born_ms = (await EngineClient(address, PeerClient()).report()).born_ms
+            group.cancel_scope.cancel()
+    return born_ms
+
+
 class OddReportTest(CaseTest):
     """The agent follows the engine again once its reports can be read."""
 
