--- a/pistachiolever/admission/const.py
+++ b/pistachiolever/admission/const.py
@@ -30,9 +30,6 @@
 REVIEW_INTERVAL_SECONDS: Final = 0.02
 # A granted run that the engine does not list for this time counts as ended.
 MISSING_RUN_TIMEOUT_SECONDS: Final = 1.0
-# A stream is recorded without the word of its router once the engine has listed events
-# of it for this long: a router that is there tells of the first one at once.
-UNTOLD_START_SECONDS: Final = 0.3
 # Time between two requests for the engine's report.
 REPORT_INTERVAL_SECONDS: Final = 0.1
 # A report on the same VM takes milliseconds; this is five intervals.
