--- a/pistachiolever/forwarding/forwarder.py
+++ b/pistachiolever/forwarding/forwarder.py
@@ -14,19 +14,23 @@
 from pistachiolever.events.const import EventCode
 from pistachiolever.events.logger import EventLogger
 from pistachiolever.forwarding.const import (
+    BROKEN_OFF_RESPONSE,
+    DEADLINE_MARGIN_SECONDS,
+    GREETING_REPLY,
     MAX_TRIES,
-    PREFACE,
     PREFACE_START,
     QUERY_POLL_SECONDS,
     REFUSAL,
+    TIMED_OUT_RESPONSE,
 )
 from pistachiolever.forwarding.models import ForwardOutcome
 from pistachiolever.forwarding.siblings import Sibling, SiblingTable
-from pistachiolever.forwarding.splice import Splice, end_broken_off
+from pistachiolever.forwarding.splice import Splice, end_unfinished
 from pistachiolever.http1.screening import END_OF_HEAD
 from pistachiolever.metrics.instruments import FORWARDED, Instruments
 
 PREFACE_LINE: Final = compile_pattern(rb"FORWARD (-?[0-9]{1,20})\r\n")
+GREETING_HEAD: Final = compile_pattern(rb"FORWARD (-?[0-9]{1,20})")
 
 
 class ForwardingRouter(Protocol):
@@ -38,6 +42,9 @@
     def request_id_of(self, head: bytes) -> str:
         """Return the id of a request by its unparsed head."""
 
+    def response_seconds(self, head: bytes) -> float:
+        """Return how long a response may take, by the unparsed head of its request."""
+
     def may_forward(self) -> bool:
         """Return whether to forward a new connection if a sibling has time."""
 
@@ -98,7 +105,8 @@
         """Forward an accepted connection in a task of its own, after `takes`."""
         sibling = self._reserve([])
         assert self._group is not None and sibling is not None
-        splice = Splice(received)
+        seconds = self.router.response_seconds(head) + DEADLINE_MARGIN_SECONDS
+        splice = Splice(received, self.now() + seconds, self.now)
         self.splices[splice] = None
         self.router.count_forwarded(1)
         self.forwarded_count += 1
@@ -144,7 +152,7 @@
             while sibling is not None:
                 tried.append(sibling.address)
                 outcome = await self._try(splice, sibling)
-                may_repeat = outcome.allows_retry and not splice.is_long
+                may_repeat = outcome.allows_retry and splice.may_repeat()
                 sibling = self._reserve(tried) if may_repeat else None
             await self._answer(splice, head, outcome)
         except Exception:  # noqa: BLE001
@@ -158,8 +166,7 @@
     async def _try(self, splice: Splice, sibling: Sibling) -> ForwardOutcome:
         """Forward a connection to a reserved sibling."""
         try:
-            preface = PREFACE % self.router.version()
-            outcome = await splice.forward(sibling.address, preface)
+            outcome = await splice.forward(sibling.address, self.router.version())
         finally:
             sibling.forwarded -= 1
         self.table.record(sibling, outcome, self.now())
@@ -172,7 +179,9 @@
         if outcome is ForwardOutcome.ANSWERED:
             await splice.finish()
         elif outcome is ForwardOutcome.BROKEN_OFF:
-            await end_broken_off(splice)
+            await end_unfinished(splice, BROKEN_OFF_RESPONSE)
+        elif outcome is ForwardOutcome.TIMED_OUT:
+            await end_unfinished(splice, TIMED_OUT_RESPONSE)
         elif outcome.allows_retry:
             await splice.respond(self.router.refuse(head))
 
@@ -205,6 +214,13 @@
         """Return that each connection is looked at."""
         return True
 
+    def greet(self, head: bytes) -> bytes:
+        """Return the reply to a greeting; empty to a request, or if it is refused."""
+        match = GREETING_HEAD.fullmatch(head)
+        if match is None or int(match[1]) != self.router.version():
+            return b""
+        return GREETING_REPLY
+
     def refusal(self, head: bytes) -> bytes:
         """Return the response to a connection that is not taken; empty if it is."""
         match = PREFACE_LINE.match(head)
--- a/pistachiolever/forwarding/models.py
+++ b/pistachiolever/forwarding/models.py
@@ -12,14 +12,21 @@
     CALLER_LEFT = "caller-left"
     # The sibling ended before, or in the middle of, its response.
     BROKEN_OFF = "broken-off"
+    # The sibling has the request and did not respond in time.
+    TIMED_OUT = "timed-out"
     # Nothing was done for the request.
     REFUSED = "refused"
     UNREACHABLE = "unreachable"
+    SILENT = "silent"
 
     @property
     def allows_retry(self) -> bool:
         """Return whether another sibling may get the connection."""
-        return self in (ForwardOutcome.REFUSED, ForwardOutcome.UNREACHABLE)
+        return self in (
+            ForwardOutcome.REFUSED,
+            ForwardOutcome.UNREACHABLE,
+            ForwardOutcome.SILENT,
+        )
 
 
 @frozen
--- a/pistachiolever/forwarding/siblings.py
+++ b/pistachiolever/forwarding/siblings.py
@@ -10,6 +10,7 @@
     FORWARD_GAP_SECONDS,
     IDLE_QUERY_SECONDS,
     SIBLING_PAUSE_SECONDS,
+    SILENT_PAUSE_SECONDS,
     UNREACHABLE_PAUSE_SECONDS,
 )
 from pistachiolever.forwarding.models import ForwardOutcome
@@ -81,3 +82,5 @@
             sibling.pause(now + SIBLING_PAUSE_SECONDS)
         elif outcome is ForwardOutcome.UNREACHABLE:
             sibling.pause(now + UNREACHABLE_PAUSE_SECONDS)
+        elif outcome is ForwardOutcome.SILENT:
+            sibling.pause(now + SILENT_PAUSE_SECONDS)
--- a/pistachiolever/forwarding/splice.py
+++ b/pistachiolever/forwarding/splice.py
@@ -7,13 +7,17 @@
 from typing import Any
 
 from absl import logging
-from anyio import Event, fail_after, move_on_after
+from anyio import Event, current_time, fail_after, move_on_after
 from attrs import define, field
 
 from pistachiolever.core.addresses import split_address
+from pistachiolever.core.timeouts import move_on_after_peer
 from pistachiolever.forwarding.const import (
-    BROKEN_OFF_RESPONSE,
     CONNECT_SECONDS,
+    GREETING,
+    GREETING_REPLY,
+    GREETING_SECONDS,
+    PREFACE,
     REFUSAL,
 )
 from pistachiolever.forwarding.models import ForwardOutcome
@@ -104,16 +108,21 @@
     """A caller's connection that is passed on to a sibling.
 
     `request` are the bytes of the caller until its response begins, so that another
-    sibling can get them if one refuses. Those of a long request are not kept.
+    sibling can get them if one refuses. Those of a long request are not kept. At
+    `ends_at`, in absolute seconds, the response must be complete.
     """
 
     request: bytes
+    ends_at: float
+    now: Callable[[], float] = current_time
     caller: SpliceEnd = field(init=False)
     sibling: SpliceEnd | None = None
     outcome: ForwardOutcome | None = None
     has_response: bool = False
     is_long: bool = False
+    is_passed_on: bool = False
     _response_start: bytes = b""
+    _greeted: Event = field(factory=Event)
     _ended: Event = field(factory=Event)
     _caller_ended: Event = field(factory=Event)
 
@@ -124,37 +133,66 @@
         await get_running_loop().connect_accepted_socket(lambda: self.caller, raw)
         tune_socket(self.caller, CLIENT_USER_TIMEOUT_SECONDS)
 
-    async def forward(self, address: str, preface: bytes) -> ForwardOutcome:
-        """Pass the connection on to one sibling; return once it has ended there."""
+    def may_repeat(self) -> bool:
+        """Return whether there is time and data to try another sibling."""
+        return not self.is_long and self.now() < self.ends_at
+
+    async def forward(self, address: str, version: int) -> ForwardOutcome:
+        """Pass the connection on to one sibling; return once it has ended there.
+
+        The sibling gets the request only after its reply to a greeting: connections to
+        a process that stands still are accepted by the system.
+        """
         if self.caller.has_ended:
             return ForwardOutcome.CALLER_LEFT
         self.outcome, self._ended, self._response_start = None, Event(), b""
+        self._greeted, self.is_passed_on = Event(), False
         self.caller.transport.pause_reading()
         sibling = SpliceEnd(self._take_response, self._end_sibling)
         host, port = split_address(address)
         try:
-            with fail_after(CONNECT_SECONDS):
+            with fail_after(min(CONNECT_SECONDS, self._left_seconds())):
                 await get_running_loop().create_connection(lambda: sibling, host, port)
         except (OSError, TimeoutError) as error:
             logging.debug("sibling %s is unreachable: %s", address, error)
             return ForwardOutcome.UNREACHABLE
-        self.sibling = sibling
-        self.caller.other, sibling.other = sibling, self.caller
         try:
             tune_socket(sibling)
-            if self.caller.has_ended:
-                return ForwardOutcome.CALLER_LEFT
-            sibling.write(preface + self.request)
-            self.caller.transport.resume_reading()
-            await self._ended.wait()
+            return await self._greet(sibling, version) or await self._pass_on(
+                sibling, version
+            )
         finally:
             self.sibling = self.caller.other = None
             sibling.detach()
             if not self.caller.transport.is_closing():
                 self.caller.transport.resume_reading()
-        assert self.outcome is not None
+
+    async def _greet(self, sibling: SpliceEnd, version: int) -> ForwardOutcome | None:
+        """Wait for the reply to a greeting; return an outcome if there is none."""
+        sibling.write(GREETING % version)
+        seconds = min(GREETING_SECONDS, self._left_seconds())
+        with move_on_after_peer(seconds) as scope:
+            await self._greeted.wait()
+        if scope.cancelled_caught:
+            return ForwardOutcome.SILENT
+        if self.caller.has_ended:
+            return ForwardOutcome.CALLER_LEFT
         return self.outcome
 
+    async def _pass_on(self, sibling: SpliceEnd, version: int) -> ForwardOutcome:
+        """Pass bytes in both directions until an end, or until the time is over."""
+        self.sibling, self.is_passed_on = sibling, True
+        self.caller.other, sibling.other = sibling, self.caller
+        sibling.write(PREFACE % version + self.request)
+        self.caller.transport.resume_reading()
+        with move_on_after(self._left_seconds()):
+            await self._ended.wait()
+        return self.outcome or ForwardOutcome.TIMED_OUT
+
+    def _left_seconds(self) -> float:
+        """Return the time until the response must be complete."""
+        return max(0.0, self.ends_at - self.now())
+
     async def respond(self, response: bytes) -> None:
         """Send a whole response to the caller, and close."""
         self.caller.write(response)
@@ -184,6 +222,7 @@
         """Let `forward` return."""
         if self.outcome is None:
             self.outcome = outcome
+            self._greeted.set()
             self._ended.set()
 
     def _take_request(self, data: bytes) -> None:
@@ -204,9 +243,12 @@
         self._finish(ForwardOutcome.CALLER_LEFT)
 
     def _take_response(self, data: bytes) -> None:
-        """Pass on bytes of the sibling, unless it refuses."""
+        """Pass on bytes of the sibling, unless it refuses or replies to a greeting."""
         if not self.has_response:
             data = self._response_start + data
+            if not self.is_passed_on and not REFUSAL.startswith(data):
+                self._take_greeting_reply(data)
+                return
             if REFUSAL.startswith(data):
                 self._response_start = data
                 if len(data) == len(REFUSAL):
@@ -215,17 +257,29 @@
             self.has_response, self.request = True, b""
         self.caller.write(data)
 
+    def _take_greeting_reply(self, data: bytes) -> None:
+        """Note that the sibling replies to a greeting."""
+        self._response_start = data
+        if data == GREETING_REPLY:
+            self._response_start = b""
+            self._greeted.set()
+        elif not GREETING_REPLY.startswith(data):
+            self._finish(ForwardOutcome.UNREACHABLE)
+
     def _end_sibling(self, error: Exception | None) -> None:
         """Note that the sibling has closed its connection."""
-        is_answered = self.has_response and error is None
-        outcome = ForwardOutcome.ANSWERED if is_answered else ForwardOutcome.BROKEN_OFF
-        self._finish(outcome)
+        if not self.is_passed_on:
+            self._finish(ForwardOutcome.UNREACHABLE)
+        elif self.has_response and error is None:
+            self._finish(ForwardOutcome.ANSWERED)
+        else:
+            self._finish(ForwardOutcome.BROKEN_OFF)
 
 
-async def end_broken_off(splice: Splice) -> None:
-    """End a connection whose sibling has ended without a whole response."""
+async def end_unfinished(splice: Splice, response: bytes) -> None:
+    """End a connection without a whole response; send one if none has begun."""
     if splice.has_response:
         # The caller must not take what it has for whole.
         splice.close()
     else:
-        await splice.respond(BROKEN_OFF_RESPONSE)
+        await splice.respond(response)
--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -4,13 +4,14 @@
 from time import process_time
 from typing import Final
 
+from absl import logging
 from anyio import CancelScope, create_task_group, move_on_after, sleep
 from attrs import define, field
 
 from pistachiolever.core.arrivals import ArrivalClock
 from pistachiolever.edge.keys import bearer_key
 from pistachiolever.events.const import EventCode
-from pistachiolever.forwarding.const import REFUSAL
+from pistachiolever.forwarding.const import MAX_RESPONSE_SECONDS, REFUSAL
 from pistachiolever.forwarding.forwarder import (
     ForwardedScreen,
     Forwarder,
@@ -43,7 +44,10 @@
 from pistachiolever.http1.budget import ByteBudget
 from pistachiolever.http1.connection import Exchange
 from pistachiolever.http1.const import MAX_MONITORING_CONNECTIONS
+from pistachiolever.http1.errors import BadRequestError, MalformedMessageError
+from pistachiolever.http1.heads import parse_request
 from pistachiolever.http1.models import Header, HttpLimits
+from pistachiolever.http1.screening import END_OF_HEAD
 from pistachiolever.http1.server import ForwardedEntry, HttpServer
 from pistachiolever.metrics.instruments import REQUESTS, SHED, UNREAD
 from pistachiolever.registry.sibling_lookup import SiblingLookup
@@ -128,11 +132,13 @@
         )
         entry = None
         if self.settings.forward_address:
+            screen = ForwardedScreen(forwarding)
             entry = ForwardedEntry(
                 self.settings.forward_address,
-                ForwardedScreen(forwarding),
+                screen,
                 without_preface,
                 REFUSAL,
+                screen.greet,
             )
         self.public_server = HttpServer(
             self.settings.front_address,
@@ -355,6 +361,22 @@
         match = AUTHORIZATION.search(head)
         return self.account_of(match.group(1) if match else b"")
 
+    def response_seconds_of(self, head: bytes) -> float:
+        """Return how long a response may take, by the unparsed head of its request.
+
+        A request that can't be read or has no route is refused by any router at once.
+        """
+        try:
+            request = parse_request(head + END_OF_HEAD).head
+            metadata = self.header_format.parse_request(request)
+        except (BadRequestError, MalformedMessageError) as error:
+            logging.debug("a forwarded request can't be read: %s", error)
+            return MAX_RESPONSE_SECONDS
+        host = host_name(request.value(b"host") or b"")
+        table = self.fleet.table
+        route = table.match(host, request.path) if table else None
+        return response_seconds(route, metadata) if route else MAX_RESPONSE_SECONDS
+
     def admits(self, account_id: str) -> bool:
         """Return whether there is processor time for a request of an account."""
         if self.guard.level is Overload.SHEDDING:
@@ -461,9 +483,7 @@
             raise NotAllowedError(404, f"no route for {host}{exchange.head.path}")
         account = _authenticate(table, route, metadata)
         service = table.service_by_id[route.service_for(metadata.stream_id)]
-        timeout_seconds = route.timeout_seconds
-        if metadata.deadline_seconds is not None:
-            timeout_seconds = min(timeout_seconds, metadata.deadline_seconds)
+        timeout_seconds = response_seconds(route, metadata)
         priority = route.priority
         if account is not None and account.priority is not None:
             # The account's priority takes precedence over the route's.
@@ -487,6 +507,13 @@
         return table.configuration.version if table else -1
 
 
+def response_seconds(route: ProxyRoute, metadata: RequestMetadata) -> float:
+    """Return how long the response to a request may take."""
+    if metadata.deadline_seconds is None:
+        return route.timeout_seconds
+    return min(route.timeout_seconds, metadata.deadline_seconds)
+
+
 def _authenticate(
     table: RouteTable, route: ProxyRoute, metadata: RequestMetadata
 ) -> ProxyAccount | None:
--- a/pistachiolever/gateway/screens.py
+++ b/pistachiolever/gateway/screens.py
@@ -46,6 +46,10 @@
         match = self.process.request_id_pattern.search(head)
         return match.group(1).decode("latin-1") if match else ""
 
+    def response_seconds(self, head: bytes) -> float:
+        """Return how long a response may take, by the unparsed head of its request."""
+        return self.process.response_seconds_of(head)
+
     def may_forward(self) -> bool:
         """Return whether to forward a new connection if a sibling has time."""
         process = self.process
--- a/pistachiolever/http1/screening.py
+++ b/pistachiolever/http1/screening.py
@@ -44,6 +44,11 @@
         """Return the number of connections that are passed on now."""
 
 
+def greet_nobody(head: bytes) -> bytes:
+    """Take each head for that of a request."""
+    return b""
+
+
 @frozen(eq=False)
 class HeldSocket:
     """An accepted socket, held until a time; `received` is its input so far."""
@@ -59,12 +64,14 @@
 
     While the screen is active, new connections wait here for the head of their request,
     without a task each. Those that are not refused go on to `serve` with their input,
-    unless a `forwarder` takes them. `waiting` is by descriptor.
+    unless a `forwarder` takes them. A head to which `greet` returns a reply is that of
+    a greeting, which a request follows. `waiting` is by descriptor.
     """
 
     screen: ConnectionScreen
     serve: Callable[[socket, bytes], None]
     forwarder: ConnectionForwarder | None = None
+    greet: Callable[[bytes], bytes] = greet_nobody
     waiting: dict[int, HeldSocket] = field(factory=dict)
     refused: deque[HeldSocket] = field(factory=deque)
     _poller: poll = field(factory=poll)
@@ -145,6 +152,9 @@
                 return
             self._wait(HeldSocket(held.raw, held.until, received))
             return
+        if reply := self.greet(head):
+            self._greet(held.raw, reply)
+            return
         if self.forwarder is not None and self.forwarder.takes(head):
             self.forwarder.forward(held.raw, head, received)
             return
@@ -154,6 +164,16 @@
             return
         self._refuse(held.raw, response)
 
+    def _greet(self, raw: socket, reply: bytes) -> None:
+        """Reply to a greeting, and wait for the request that follows it."""
+        try:
+            raw.send(reply)
+        except OSError:
+            # The client has left.
+            raw.close()
+            return
+        self._wait(HeldSocket(raw, current_time() + FIRST_REQUEST_SECONDS))
+
     def _refuse(self, raw: socket, response: bytes) -> None:
         """Send a response; the connection is closed once its client could read it."""
         try:
--- a/pistachiolever/http1/server.py
+++ b/pistachiolever/http1/server.py
@@ -40,6 +40,7 @@
     ConnectionForwarder,
     ConnectionScreen,
     Screening,
+    greet_nobody,
 )
 from pistachiolever.http1.sockets import has_input, tune_socket
 from pistachiolever.http1.stream import accepted_stream
@@ -58,13 +59,15 @@
     """Where a server takes connections that other servers forward.
 
     The `screen` decides on each of them; `unwrap` returns the bytes of the client, None
-    if the head of its request has not come in time. Then the `refusal` is sent.
+    if the head of its request has not come in time. Then the `refusal` is sent. `greet`
+    returns the reply to a head that only greets, empty to that of a request.
     """
 
     address: str
     screen: ConnectionScreen
     unwrap: Callable[[bytes], bytes | None]
     refusal: bytes
+    greet: Callable[[bytes], bytes] = greet_nobody
 
 
 @define(eq=False)
@@ -160,7 +163,8 @@
             local_host=host, local_port=int(port), backlog=LISTEN_BACKLOG
         )
         async with multi_listener, create_task_group() as acceptors:
-            offer = self._start_screening(acceptors, Screening(entry.screen, serve))
+            screening = Screening(entry.screen, serve, greet=entry.greet)
+            offer = self._start_screening(acceptors, screening)
             for listener in multi_listener.listeners:
                 acceptors.start_soon(self._accept_all, listener, offer)
 
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from random import Random
 from socket import socket
+from time import monotonic
 from unittest.mock import Mock, patch
 
 from anyio import (
@@ -24,7 +25,13 @@
 from nose2.tools import params
 
 from pistachiolever.events.logger import EventLogger
-from pistachiolever.forwarding.const import FORWARD_GAP_SECONDS, REFUSAL
+from pistachiolever.forwarding.const import (
+    FORWARD_GAP_SECONDS,
+    GREETING_REPLY,
+    PREFACE,
+    REFUSAL,
+    SILENT_PAUSE_SECONDS,
+)
 from pistachiolever.forwarding.forwarder import (
     ForwardedScreen,
     Forwarder,
@@ -42,15 +49,32 @@
 BURST = 5
 REFUSED = b"HTTP/1.1 503 No\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
 HEAD = b"POST /one HTTP/1.1\r\nHost: x\r\nX-Id: 7\r\nContent-Length: %d\r\n\r\n"
+HALF_RESPONSE = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n"
 LOOPS = [False, True]
+# Ends of a sibling that has not got the request.
+EARLY_ENDS = [
+    "refuses",
+    "refuses the request",
+    "is gone",
+    "before the request",
+    "is no sibling",
+    "stands still",
+]
+# A response may take so long, and a late one comes this much later at most.
+RESPONSE_SECONDS = 0.8
+LATE_SECONDS = 0.4
 
 
 @define
 class Router:
-    """A router that forwards all it gets, and takes all of siblings."""
+    """A router that forwards all it gets, and takes all of siblings.
+
+    The response to a request may take `seconds`.
+    """
 
     configuration: int = 3
     takes: bool = True
+    seconds: float = LIMIT_SECONDS
     forwarded: int = 0
     most_forwarded: int = 0
 
@@ -62,6 +86,10 @@
         """Return the id of a request."""
         return head.partition(b"X-Id: ")[2].partition(b"\r\n")[0].decode()
 
+    def response_seconds(self, head: bytes) -> float:
+        """Return the time for a response."""
+        return self.seconds
+
     def may_forward(self) -> bool:
         """Forward all."""
         return True
@@ -128,7 +156,9 @@
     def server(self) -> HttpServer:
         """Return the server."""
         screen = ForwardedScreen(self.router)
-        entry = ForwardedEntry(free_address(), screen, without_preface, REFUSAL)
+        entry = ForwardedEntry(
+            free_address(), screen, without_preface, REFUSAL, screen.greet
+        )
         return HttpServer(free_address(), self.handle, entry=entry)
 
 
@@ -145,19 +175,33 @@
 
 
 async def fake_sibling(end: str, stream: SocketStream) -> None:
-    """Take a connection and end it in some way."""
+    """Take a connection and end it in some way; the request comes after a greeting."""
     async with stream:
         received = b""
         while b"\r\n\r\n" not in received:
             received += await stream.receive()
+        if end == "before the request":
+            return
+        if end == "is no sibling":
+            await stream.send(HALF_RESPONSE)
+            return
         if end == "refuses":
             await stream.send(REFUSAL[:20])
             await sleep(0.02)
             await stream.send(REFUSAL[20:])
-        elif end == "in the response":
-            await stream.send(
-                b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n"
-            )
+            return
+        await stream.send(GREETING_REPLY[:5])
+        await sleep(0.02)
+        await stream.send(GREETING_REPLY[5:])
+        received = b""
+        while b"\r\n\r\n" not in received:
+            received += await stream.receive()
+        if end == "refuses the request":
+            await stream.send(REFUSAL)
+        elif end.endswith("in the response"):
+            await stream.send(HALF_RESPONSE)
+        if end.startswith("stands still"):
+            await sleep(LIMIT_SECONDS)
 
 
 async def read_all(stream: SocketStream) -> bytes:
@@ -190,10 +234,16 @@
     """Callers get whole responses of siblings, or true refusals."""
 
     def play(
-        self, siblings: list[Sibling | str], test: Test, use_uvloop: bool
+        self,
+        siblings: list[Sibling | str],
+        test: Test,
+        use_uvloop: bool,
+        seconds: float = LIMIT_SECONDS,
     ) -> tuple[Router, list[str]]:
         """Run a test with a forwarding router; return the router and its log."""
-        router, lines = Router(), list[str]()
+        router, lines = Router(seconds=seconds), list[str]()
+        standing = [socket() for end in siblings if end == "stands still"]
+        unused = iter(standing)
 
         async def play() -> None:
             async with create_task_group() as group:
@@ -207,6 +257,14 @@
                         addresses.append(server.entry.address)
                     elif sibling == "is gone":
                         addresses.append(free_address())
+                    elif sibling == "stands still":
+                        # The system accepts connections for it.
+                        address = free_address()
+                        host, _, port = address.rpartition(":")
+                        still = next(unused)
+                        still.bind((host, int(port)))
+                        still.listen()
+                        addresses.append(address)
                     else:
                         address = free_address()
                         host, _, port = address.rpartition(":")
@@ -247,6 +305,8 @@
                 group.cancel_scope.cancel()
 
         run(play, backend_options={"use_uvloop": use_uvloop})
+        for still in standing:
+            still.close()
         return router, lines
 
     def ask(
@@ -254,6 +314,7 @@
         siblings: list[Sibling | str],
         use_uvloop: bool,
         body: bytes = b"body",
+        seconds: float = LIMIT_SECONDS,
     ) -> tuple[bytes, Router, list[str]]:
         """Return what a caller receives, the router and its log."""
         received = b""
@@ -265,7 +326,7 @@
                 await stream.send(HEAD % len(body) + body)
                 received = await read_all(stream)
 
-        router, lines = self.play(siblings, ask, use_uvloop)
+        router, lines = self.play(siblings, ask, use_uvloop, seconds)
         return received, router, lines
 
     @params(*LOOPS)
@@ -282,7 +343,9 @@
                 self.assertIn('"outcome":"answered"', lines[-1])
                 self.assertIn('"request":"7"', lines[-1])
 
-    @params(*[(end, loop) for end in ("refuses", "is gone") for loop in LOOPS])
+    # CONFIG: a connection to a sibling that stood still was accepted by its system, and
+    # the request got no response before its caller left.
+    @params(*[(end, loop) for end in EARLY_ENDS for loop in LOOPS])
     def test_next_sibling_is_tried(self, end: str, loop: bool) -> None:
         for _ in range(5):
             sibling = Sibling()
@@ -290,7 +353,7 @@
             self.assertTrue(received.startswith(b"HTTP/1.1 200"), received)
             self.assertEqual(sibling.bodies, [b"body"])
 
-    @params(*[(end, loop) for end in ("refuses", "is gone") for loop in LOOPS])
+    @params(*[(end, loop) for end in EARLY_ENDS for loop in LOOPS])
     def test_caller_is_refused_if_no_sibling_takes_it(
         self, end: str, loop: bool
     ) -> None:
@@ -338,6 +401,67 @@
         self.assertIn('"outcome":"broken-off"', lines[-1])
         self.assertEqual(sibling.bodies, [])
 
+    # CONFIG: a request of which the sibling stood still got no response.
+    @params(*[(end, loop) for end in ("", " in the response") for loop in LOOPS])
+    def test_response_ends_in_time_if_the_sibling_stands_still(
+        self, end: str, loop: bool
+    ) -> None:
+        started_at = monotonic()
+        received, router, lines = self.ask(
+            [f"stands still with the request{end}"], loop, seconds=RESPONSE_SECONDS
+        )
+        self.assertLess(monotonic() - started_at, RESPONSE_SECONDS + LATE_SECONDS)
+        self.assertIn('"outcome":"timed-out"', lines[-1])
+        self.assertEqual(router.forwarded, 0)
+        if end:
+            self.assertEqual(received, HALF_RESPONSE)
+        else:
+            self.assertTrue(received.startswith(b"HTTP/1.1 504"), received)
+
+    # Its connections were accepted, so it got more and more.
+    @params(*LOOPS)
+    def test_sibling_that_stands_still_gets_nothing_until_it_goes_on(
+        self, loop: bool
+    ) -> None:
+        frees: list[bool] = []
+
+        async def ask(setup: Setup) -> None:
+            host, _, port = setup.address.rpartition(":")
+            async with await connect_tcp(host, int(port)) as stream:
+                await stream.send(HEAD % 4 + b"body")
+                await read_all(stream)
+            table = setup.forwarder.table
+            for seconds in (0.0, SILENT_PAUSE_SECONDS):
+                frees.append(table.has_free(current_time() + seconds))
+
+        _, lines = self.play(["stands still"], ask, loop)
+        self.assertEqual(frees, [False, True])
+        self.assertIn('"outcome":"silent"', lines[-1])
+
+    # A router of an earlier version sends the request with the preface.
+    @params(*LOOPS)
+    def test_request_without_a_greeting_is_taken(self, loop: bool) -> None:
+        sibling = Sibling()
+        received = b""
+
+        async def connect() -> None:
+            nonlocal received
+            server = sibling.server()
+            assert server.entry is not None
+            async with create_task_group() as group:
+                group.start_soon(server.serve)
+                await wait_until_listening(server.entry.address)
+                host, _, port = server.entry.address.rpartition(":")
+                async with await connect_tcp(host, int(port)) as stream:
+                    await stream.send(PREFACE % 3 + HEAD % 4 + b"body")
+                    with fail_after(LIMIT_SECONDS):
+                        received = await read_all(stream)
+                group.cancel_scope.cancel()
+
+        run(connect, backend_options={"use_uvloop": loop})
+        self.assertTrue(received.startswith(b"HTTP/1.1 200"), received)
+        self.assertEqual(sibling.bodies, [b"body"])
+
     # MIXED: a response that a sibling broke off must not look whole.
     @params(*LOOPS)
     def test_response_that_is_broken_off_is_not_whole(self, loop: bool) -> None:
--- a/tests/forwarding/test_siblings.py
+++ b/tests/forwarding/test_siblings.py
@@ -14,6 +14,7 @@
     MAX_SIBLINGS,
     SIBLING_EXPIRY_SECONDS,
     SIBLING_PAUSE_SECONDS,
+    SILENT_PAUSE_SECONDS,
     UNREACHABLE_PAUSE_SECONDS,
 )
 from pistachiolever.forwarding.directory import SiblingDirectory
@@ -35,6 +36,8 @@
     Pause(ForwardOutcome.ANSWERED, 0.0),
     Pause(ForwardOutcome.CALLER_LEFT, 0.0),
     Pause(ForwardOutcome.BROKEN_OFF, 0.0),
+    Pause(ForwardOutcome.TIMED_OUT, 0.0),
+    Pause(ForwardOutcome.SILENT, SILENT_PAUSE_SECONDS),
     Pause(ForwardOutcome.REFUSED, SIBLING_PAUSE_SECONDS),
     Pause(ForwardOutcome.UNREACHABLE, UNREACHABLE_PAUSE_SECONDS),
 ]
