End a run at an engine that sends no head (CONFIG)

On the product's own interface a run at a model engine that accepts a request and stands still never ended.

Cause: stall_seconds limited each event, not the head of the response, and the client has no time limit. The head has the limit now; the run ends as endpoint-stalled (MAY_HAVE_RUN).

--- a/pistachiolever/sidecar/adapters.py
+++ b/pistachiolever/sidecar/adapters.py
@@ -1,6 +1,7 @@
 """Clients of the endpoint: streaming completions of a model engine, or plain JSON."""
 
 from collections.abc import Callable
+from contextlib import AsyncExitStack
 from typing import Any, Protocol
 
 from absl import logging
@@ -108,9 +109,11 @@
         headers = {REQUEST_ID_HEADER: dispatch.request_id}
         url = f"{self.settings.endpoint_url}/v1/completions"
         usage = Usage()
-        async with aconnect_sse(
-            self.http, "POST", url, json=body, headers=headers
-        ) as source:
+        async with AsyncExitStack() as stack:
+            with fail_after(self.settings.stall_seconds):
+                source = await stack.enter_async_context(
+                    aconnect_sse(self.http, "POST", url, json=body, headers=headers)
+                )
             _post_notices(dispatch.request_id, source.response, post)
             failed = _check_status(dispatch.request_id, source.response, True)
             if failed is not None:
--- a/tests/sidecar/test_adapters.py
+++ b/tests/sidecar/test_adapters.py
@@ -2,9 +2,17 @@
 
 from collections.abc import Callable
 
-from anyio import create_task_group, create_tcp_listener, fail_after, run
+from anyio import (
+    create_task_group,
+    create_tcp_listener,
+    fail_after,
+    run,
+    sleep_forever,
+)
 from anyio.abc import SocketAttribute, SocketStream
+from nose2.tools import params
 
+from pistachiolever.core.verdict import Verdict
 from pistachiolever.declarations.models import Service, ServiceKind
 from pistachiolever.settings.models import SidecarSettings
 from pistachiolever.sidecar.adapters import make_adapter
@@ -17,6 +25,7 @@
 from pistachiolever.wire.models import Dispatch
 from tests.support.cases import CaseTest
 
+STALL_SECONDS = 0.4
 PART = b'data: {"choices": [{"text": "ab"}]}\n\n'
 USAGE = (
     b'data: {"choices": [], "usage": {"prompt_tokens": 1, "completion_tokens": 2}}\n\n'
@@ -24,18 +33,27 @@
 DONE = b"data: [DONE]\n\n"
 
 
-def adapter_inputs(kind: ServiceKind, response: bytes) -> list[SidecarInput]:
+def adapter_inputs(
+    kind: ServiceKind, response: bytes, stands_still: bool = False
+) -> list[SidecarInput]:
     """Return what an adapter posts for one run and a raw response."""
-    return run(_run_adapter, kind, response)
+    return run(_run_adapter, kind, response, stands_still)
+
 
+async def _run_adapter(
+    kind: ServiceKind, response: bytes, stands_still: bool
+) -> list[SidecarInput]:
+    """Run one request at an endpoint that sends a raw response and closes.
 
-async def _run_adapter(kind: ServiceKind, response: bytes) -> list[SidecarInput]:
-    """Run one request at an endpoint that sends a raw response and closes."""
+    If it stands still, it doesn't close.
+    """
 
     async def serve(stream: SocketStream) -> None:
         async with stream:
             await stream.receive()
             await stream.send(response)
+            if stands_still:
+                await sleep_forever()
 
     inputs: list[SidecarInput] = []
     post: Callable[[SidecarInput], None] = inputs.append
@@ -44,7 +62,8 @@
             listener = await create_tcp_listener(local_host="127.0.0.1")
             group.start_soon(listener.serve, serve)
             port = listener.extra(SocketAttribute.local_port)
-            settings = SidecarSettings("e", "s", f"http://127.0.0.1:{port}")
+            url = f"http://127.0.0.1:{port}"
+            settings = SidecarSettings("e", "s", url, stall_seconds=STALL_SECONDS)
             adapter = make_adapter(settings, Service("s", kind, True, model="m"))
             await adapter.run(Dispatch("r1", "one", "text", 10), post)
             group.cancel_scope.cancel()
@@ -53,6 +72,7 @@
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
 UNFRAMED = HEAD + b"Connection: close\r\n\r\n"
+STALLED_RESPONSES = [b"", HEAD, UNFRAMED, UNFRAMED + PART]
 
 
 def framed(body: bytes) -> bytes:
@@ -117,6 +137,18 @@
             self.check(kind, [(response, False) for response in responses])
 
 
+class StalledEndpointTest(CaseTest):
+    """A run ends if its endpoint stands still; it may have run."""
+
+    # The run at an engine that sent no head never ended.
+    @params(*[(kind, part) for kind in ServiceKind for part in STALLED_RESPONSES])
+    def test_run_ends(self, kind: ServiceKind, response: bytes) -> None:
+        ended = adapter_inputs(kind, response, stands_still=True)[-1]
+        assert isinstance(ended, RunEnded)
+        self.assertEqual(ended.reason, "endpoint-stalled")
+        self.assertEqual(ended.verdict, Verdict.MAY_HAVE_RUN)
+
+
 class SizeTest(CaseTest):
     """An answer of a plain service is limited in bytes."""
 
