End questions for a request at its deadline (CONFIG)

A request with a short deadline was answered up to a second after it: the lookup of a stream's version, the wait for a first confirmed version and the question for an engine's start time had times of their own, which a process that stands still uses up.

--- a/pistachiolever/gateway/bidding.py
+++ b/pistachiolever/gateway/bidding.py
@@ -1,5 +1,6 @@
 """Obtains a grant for a request: chooses endpoints and bids at them in turn."""
 
+from anyio import move_on_after
 from attrs import define
 
 from pistachiolever.admission.models import Bid, BidReply
@@ -105,7 +106,9 @@
         )
         if not is_checked:
             return True
-        is_current = await self.fleet.incarnations.is_current(handle.endpoint)
+        is_current = False
+        with move_on_after(self.request.remaining_seconds(self.fleet.now())):
+            is_current = await self.fleet.incarnations.is_current(handle.endpoint)
         if not is_current:
             self.fleet.events.record(
                 EventCode.BID_REFUSED,
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -102,7 +102,8 @@
             return
         if versions.is_any_confirmed(service_id):
             return
-        with move_on_after(CONFIRM_WAIT_SECONDS):
+        remaining = self.request.remaining_seconds(self.fleet.now())
+        with move_on_after(min(CONFIRM_WAIT_SECONDS, remaining)):
             while not versions.is_any_confirmed(service_id):
                 await sleep(CONFIRM_POLL_SECONDS)
 
@@ -112,13 +113,14 @@
         Return why the request can't be served; empty if it can.
         """
         request, fleet = self.request, self.fleet
-        resolution = Resolution()
-        for number in range(LOOKUPS):
-            if number:
-                await sleep(LOOKUP_RETRY_SECONDS)
-            resolution = await self.origins.find(request)
-            if resolution.origin is not None:
-                break
+        resolution = Resolution(reason="the members did not reply in time")
+        with move_on_after(request.remaining_seconds(fleet.now())):
+            for number in range(LOOKUPS):
+                if number:
+                    await sleep(LOOKUP_RETRY_SECONDS)
+                resolution = await self.origins.find(request)
+                if resolution.origin is not None:
+                    break
         request.origin = resolution.origin
         fleet.events.record(
             EventCode.STREAM_RESUMED,
