--- a/pistachiolever/discovery/directory.py
+++ b/pistachiolever/discovery/directory.py
@@ -149,6 +149,21 @@
         }
         return recent | self._present_versions().get(service_id, set())
 
+    def remembered_versions(self) -> dict[str, set[str]]:
+        """Return the versions by service that serve or are not forgotten yet."""
+        found = {name: set(v) for name, v in self._present_versions().items() if name}
+        for service_id, version in self.version_seen_at:
+            found.setdefault(service_id, set()).add(version)
+        return found
+
+    def restore_versions(
+        self, versions_by_service: dict[str, set[str]], now: float
+    ) -> None:
+        """Remember versions that served before a restart as if they had just ended."""
+        for service_id, versions in versions_by_service.items():
+            for version in versions:
+                self.version_seen_at.setdefault((service_id, version), now)
+
     def _present_versions(self) -> dict[str, set[str]]:
         """Return the versions of the present endpoints by service.
 
--- a/pistachiolever/gateway/attempt.py
+++ b/pistachiolever/gateway/attempt.py
@@ -23,6 +23,7 @@
     RESPONSE_TIMEOUT_TARGET_FRACTION,
     STALL_CHECK_SECONDS,
     TAKE_OVER_RETRY_SECONDS,
+    UNRECORDED,
 )
 from pistachiolever.gateway.drain_window import DrainWindow
 from pistachiolever.gateway.endpoint_handle import EndpointHandle
@@ -544,15 +545,12 @@
     async def _send_events(self, response: ResponseHead, events: bytes) -> None:
         """Send events, preceded by the head if it was not sent yet."""
         request = self.request
-        started_at = self.fleet.now()
-        self._record_run(self._record_first_chunk(started_at), started_at)
         # From here on the events count as sent, so they must not be left out.
         self.is_sending = True
         if request.origin is None:
-            request.origin = StreamOrigin(
-                request.service.service_id, self.handle.endpoint.version
-            )
-            self.fleet.record_stream(request, request.origin)
+            await self._keep_origin()
+        started_at = self.fleet.now()
+        self._record_run(self._record_first_chunk(started_at), started_at)
         request.is_continued = True
         if not self.sink.started:
             await self.sink.start(response.status, self._stream_headers(response))
@@ -565,6 +563,22 @@
         self.progressed_at += sending_seconds
         self.sending_seconds += sending_seconds
 
+    async def _keep_origin(self) -> None:
+        """Bind the request to the version that begins its stream.
+
+        Raise UnusableResponseError if no other router could know that version.
+        """
+        request = self.request
+        service_id, version = request.service.service_id, self.handle.endpoint.version
+        origin = StreamOrigin(service_id, version)
+        if not await self.fleet.keep_origin(request, origin):
+            self.is_sending = False
+            raise UnusableResponseError(
+                self._unknown_outcome(UNRECORDED, at_fault=False)
+            )
+        request.origin = origin
+        self.fleet.record_stream(request, origin)
+
     def _stream_headers(self, response: ResponseHead) -> list[Header]:
         """Return a stream's headers; its length is dropped, as it may be resumed."""
         return self.header_format.response_headers(response, whole=True)
--- a/pistachiolever/gateway/const.py
+++ b/pistachiolever/gateway/const.py
@@ -61,6 +61,8 @@
 # is left, or nobody knows its version.
 VERSION_GONE: Final = "version-gone"
 VERSION_UNKNOWN: Final = "version-unknown"
+# Reason of a failed attempt: too few members could record the start of the stream.
+UNRECORDED: Final = "unrecorded"
 # Reason of a refused bid: the endpoint may have restarted, with another version.
 INCARNATION_UNKNOWN: Final = "incarnation-unknown"
 # The rest of a stream may wait this many times the target of its route. So often it is
--- a/pistachiolever/gateway/fleet.py
+++ b/pistachiolever/gateway/fleet.py
@@ -49,14 +49,16 @@
 from pistachiolever.gateway.settings import GatewaySettings
 from pistachiolever.metrics.instruments import Instruments
 from pistachiolever.quarantine.quarantine import Quarantine
+from pistachiolever.registry.stream_recorder import NoRecorder, StreamRecorder
 from pistachiolever.routing.errors import InvalidConfigurationError
 from pistachiolever.routing.models import ProxyConfiguration, ProxyService
 from pistachiolever.routing.table import RouteTable
 from pistachiolever.spillover.recorder import ShortageRecorder
 from pistachiolever.spillover.spillover import Spillover
+from pistachiolever.streams.base_versions import BaseVersions
 from pistachiolever.streams.const import DEADLINE_MARGIN_SECONDS
 from pistachiolever.streams.known_versions import KnownVersions
-from pistachiolever.streams.models import StreamOrigin
+from pistachiolever.streams.models import StreamOrigin, StreamReport
 from pistachiolever.streams.table import StreamTable
 from pistachiolever.usage.models import MeasuredLoad, UsageUpdate, unpack_measured
 from pistachiolever.usage.reporter import UsageReporter
@@ -80,7 +82,10 @@
     are forgotten when they accept no connection. `draining_since_by_id` are the times
     at which this router learned that endpoints drain. `streams` are those that it has
     forwarded. `unconfirmed_services` have versions that not enough members are known
-    to know. `loop_delay` is the smoothed delay of the event loop, in seconds.
+    to know, or members that have not told its base version. `recorder` keeps streams
+    that don't begin at a base version; the last one of each of `unrecorded_services`
+    could not be recorded. `loop_delay` is the smoothed delay of the event
+    loop, in seconds.
     """
 
     settings: GatewaySettings
@@ -117,6 +122,9 @@
     quarantine: Quarantine = field(init=False)
     streams: StreamTable = field(factory=StreamTable)
     versions: KnownVersions = field(factory=KnownVersions)
+    bases: BaseVersions = field(factory=BaseVersions)
+    recorder: StreamRecorder = field(factory=NoRecorder)
+    unrecorded_services: set[str] = field(factory=set)
     unconfirmed_services: Mailbox[str] = field(factory=Mailbox)
     router_counts: deque[tuple[float, int]] = field(factory=deque)
     shares_stale: bool = False
@@ -367,7 +375,8 @@
         for service_id, version in self.index_by_key:
             if version is not None and self._names_service(service_id):
                 versions_by_service.setdefault(service_id, set()).add(version)
-        for service_id in self.versions.add(versions_by_service):
+        unsettled = self.bases.update(versions_by_service, self.now())
+        for service_id in self.versions.add(versions_by_service) + unsettled:
             self.unconfirmed_services.put(service_id)
 
     def present_versions(self, service_id: str) -> set[str]:
@@ -463,6 +472,36 @@
             expires_at = request.deadline_at + DEADLINE_MARGIN_SECONDS
             self.streams.add(request.stream_key, origin, expires_at, self.now())
 
+    async def keep_origin(self, request: ProxyRequest, origin: StreamOrigin) -> bool:
+        """Return whether a stream may begin: its origin can be known to all routers.
+
+        Unless that is the base version, enough members should have it on disk.
+        """
+        service_id, version = origin.service_id, origin.version
+        if not request.route.resumable:
+            return True
+        if not self.bases.needs_record(service_id, version):
+            return True
+        is_required = self.bases.requires_record(service_id)
+        if service_id in self.unrecorded_services and not is_required:
+            return True
+        seconds = request.remaining_seconds(self.now()) + DEADLINE_MARGIN_SECONDS
+        report = StreamReport([origin], round(seconds * 1000))
+        if await self.recorder.record(request.stream_key, report):
+            return True
+        self.events.record(
+            EventCode.STREAM_UNRECORDED,
+            request.request_id,
+            service=service_id,
+            version=version,
+            begins=not is_required,
+        )
+        if is_required:
+            self.versions.suspend(service_id, version)
+        self.unrecorded_services.add(service_id)
+        self.unconfirmed_services.put(service_id)
+        return not is_required
+
     # Queries by requests.
 
     def fair_share(self) -> float | None:
--- a/pistachiolever/gateway/process.py
+++ b/pistachiolever/gateway/process.py
@@ -52,6 +52,7 @@
 from pistachiolever.metrics.instruments import REQUESTS, SHED, UNREAD
 from pistachiolever.registry.sibling_lookup import SiblingLookup
 from pistachiolever.registry.stream_lookup import StreamLookup
+from pistachiolever.registry.stream_recorder import MemberRecorder
 from pistachiolever.registry.watcher import RegistryWatcher
 from pistachiolever.routing.models import ProxyAccount, ProxyRoute
 from pistachiolever.routing.table import RouteTable, host_name
@@ -86,6 +87,7 @@
     public_server: HttpServer = field(init=False)
     readiness_server: HttpServer = field(init=False)
     lookup: StreamLookup = field(init=False)
+    recorder: MemberRecorder = field(init=False)
     drain_window: DrainWindow = field(init=False)
     origins: StreamOrigins = field(init=False)
     was_ready: bool = False
@@ -109,6 +111,10 @@
             self.fleet.client, self.watcher.choice, self.fleet.now
         )
         self.origins = StreamOrigins(self.fleet, self.lookup)
+        self.recorder = MemberRecorder(
+            self.fleet.client, self.watcher.choice, self.fleet.now
+        )
+        self.fleet.recorder = self.recorder
         name = escape(self.header_format.request_id)
         self.request_id_pattern = compile_pattern(
             rb"(?i)\r\n" + name + rb":[ \t]*([^\r\n]*)"
@@ -185,6 +191,7 @@
             group.start_soon(self.fleet.run)
             group.start_soon(self.watcher.run)
             group.start_soon(self.lookup.run)
+            group.start_soon(self.recorder.run)
             group.start_soon(VersionConfirmation(self.fleet, self.lookup).run)
             group.start_soon(self.readiness_server.serve)
             group.start_soon(self.public_server.serve)
--- a/pistachiolever/gateway/request_processor.py
+++ b/pistachiolever/gateway/request_processor.py
@@ -19,6 +19,7 @@
     MAX_PREFERRED_RESUMPTIONS,
     MIN_ATTEMPT_SECONDS,
     QUARANTINED,
+    UNRECORDED,
     VERSION_GONE,
     VERSION_UNKNOWN,
 )
@@ -95,18 +96,23 @@
     async def _wait_for_version(self) -> None:
         """Wait for a while if the versions of the service are not confirmed yet.
 
-        That is so when this router has started beside several versions.
+        That is so when this router has started beside several versions, or just before
+        the members have told the base version.
         """
-        versions, service_id = self.fleet.versions, self.request.service.service_id
-        if not self.request.begins_resumable_stream:
-            return
-        if versions.is_any_confirmed(service_id):
+        if not self.request.begins_resumable_stream or self._is_version_known():
             return
         remaining = self.request.remaining_seconds(self.fleet.now())
         with move_on_after(min(CONFIRM_WAIT_SECONDS, remaining)):
-            while not versions.is_any_confirmed(service_id):
+            while not self._is_version_known():
                 await sleep(CONFIRM_POLL_SECONDS)
 
+    def _is_version_known(self) -> bool:
+        """Return whether a stream may begin, as far as the versions are concerned."""
+        fleet, service_id = self.fleet, self.request.service.service_id
+        if fleet.bases.may_settle_soon(service_id, fleet.now()):
+            return False
+        return fleet.versions.is_any_confirmed(service_id)
+
     async def _find_origin(self) -> str:
         """Find out which version began the stream that the caller resumes.
 
@@ -273,7 +279,8 @@
     def _may_retry(self, result: AttemptResult) -> bool:
         """Return whether to try another endpoint; uses up the retry budget."""
         request, now = self.request, self.fleet.now()
-        if result.is_local:
+        if result.is_local or result.reason == UNRECORDED:
+            # Some member may have a record of an unrecorded stream.
             return False
         if not result.sent:
             return True
--- a/pistachiolever/registry/const.py
+++ b/pistachiolever/registry/const.py
@@ -13,6 +13,7 @@
 REPORT_PATH: Final = "/registry/report"
 DIGEST_PATH: Final = "/registry/digest"
 STREAMS_PATH: Final = "/registry/streams"
+RECORD_PATH: Final = "/registry/record"
 SIBLINGS_PATH: Final = "/registry/siblings"
 
 # An operator's client stops waiting for a member after one second.
--- a/pistachiolever/registry/process.py
+++ b/pistachiolever/registry/process.py
@@ -16,7 +16,7 @@
 from pistachiolever.core.ids import new_id
 from pistachiolever.core.mailbox import Mailbox
 from pistachiolever.discovery.models import Announcement
-from pistachiolever.edge.errors import PeerError
+from pistachiolever.edge.errors import CallRefusedError, PeerError
 from pistachiolever.edge.peers import PeerApi, PeerClient
 from pistachiolever.events.const import EventCode
 from pistachiolever.events.logger import EventLogger
@@ -37,6 +37,7 @@
     LEADER_TRANSFER_SECONDS,
     RAFT_CALL_SECONDS,
     RAFT_PATH,
+    RECORD_PATH,
     REPORT_PATH,
     SIBLINGS_PATH,
     STREAMS_PATH,
@@ -61,9 +62,12 @@
 from pistachiolever.registry.settings import RegistrySettings
 from pistachiolever.registry.stream_store import StreamStore
 from pistachiolever.registry.usage_exchange import UsageExchange
+from pistachiolever.registry.version_store import VersionStore
 from pistachiolever.registry.watch_service import WatchService
+from pistachiolever.streams.const import COMPLETE_HISTORY_MS
 from pistachiolever.streams.journal import StreamJournal
-from pistachiolever.streams.models import StreamQuery, StreamReply
+from pistachiolever.streams.models import StreamQuery, StreamRecords, StreamReply
+from pistachiolever.streams.version_history import VersionHistory
 from pistachiolever.usage.aggregate import UsageAggregate
 from pistachiolever.usage.models import AgentReport, DigestReply, MemberDigest
 
@@ -110,6 +114,7 @@
     watches: WatchService = field(init=False)
     usage: UsageExchange = field(init=False)
     streams: StreamStore = field(init=False)
+    versions: VersionStore = field(init=False)
     sender_by_member: dict[str, RaftSender] = field(factory=dict)
     new_senders: Mailbox[RaftSender] = field(factory=Mailbox)
     known_addresses: list[str] = field(factory=list)
@@ -128,10 +133,10 @@
         self.state = ControlState(0.0)
         if stored.snapshot.state:
             self.state.load(stored.snapshot.state)
-        own = self.identity.member_id
-        others = [member for member in self.identity.founders if member != own]
+        own, founders = self.identity.member_id, self.identity.founders
+        others = [member for member in founders if member != own]
         self.core = RaftCore(
-            own, others, self.rng, stored, starts_as_learner=not self.identity.founders
+            own, others, self.rng, stored, starts_as_learner=not founders
         )
         self.consensus = ConsensusNode(
             self.core, self.storage, self.state, self, self._send, self.now
@@ -145,7 +150,7 @@
             self.events,
             self.now,
             self._other_addresses,
-            lambda: self.watches.directory_changed.set(),
+            self._notify_directory,
             lambda: not self.watches.is_behind(),
             self._names_service,
             self._commit_departure,
@@ -171,6 +176,13 @@
         self.streams = StreamStore(
             StreamJournal(aggregate.streams), self.storage.disk, self.events, self.now
         )
+        self.versions = VersionStore(
+            VersionHistory(),
+            self.storage.disk,
+            self.events,
+            self.endpoints.directory.remembered_versions,
+            self.now,
+        )
         self._restore_departures()
         self.known_addresses = list(self.settings.seeds)
         gauge = self.instruments.gauge
@@ -190,12 +202,28 @@
         self.events.record(
             EventCode.LOG_RECOVERED,
             member=own,
-            founders=self.identity.founders,
+            founders=founders,
             snapshot=stored.snapshot.index,
             entries=len(stored.entries),
             version=self.state.configuration.version,
             streams=self.streams.load(),
         )
+        self._restore_versions(is_new_fleet=known is None and bool(founders))
+
+    def _restore_versions(self, is_new_fleet: bool) -> None:
+        """Restore which versions served before a restart."""
+        history = self.versions.history
+        self.versions.load(is_new_fleet)
+        if self.streams.is_damaged:
+            history.is_complete = False
+        self.endpoints.directory.restore_versions(
+            history.versions_by_service, self.now()
+        )
+
+    def _notify_directory(self) -> None:
+        """Handle a change of the endpoint directory."""
+        self.watches.directory_changed.set()
+        self.versions.notify()
 
     def _create_identity(self) -> Identity:
         """Create the identity of a member whose data folder is empty.
@@ -224,6 +252,7 @@
             group.start_soon(self.usage.run)
             group.start_soon(self.watches.run)
             group.start_soon(self.streams.run)
+            group.start_soon(self.versions.run)
             group.start_soon(self._sync_endpoints)
             while senders := await self.new_senders.get_all():
                 for sender in senders:
@@ -254,6 +283,7 @@
         api.add(REPORT_PATH, AgentReport, self._handle_report)
         api.add(DIGEST_PATH, MemberDigest, self._handle_digest)
         api.add(STREAMS_PATH, StreamQuery, self._handle_stream_query)
+        api.add(RECORD_PATH, StreamRecords, self._handle_records)
         api.add(SIBLINGS_PATH, SiblingQuery, self._handle_sibling_query)
         return api
 
@@ -448,12 +478,27 @@
         now = self.now()
         seen_from = now - query.window_ms / 1000
         directory = self.endpoints.directory
-        may_miss = not self.watches.synced or self.watches.is_behind()
+        history = self.versions.history
+        observed_ms = round((now - self.started_at) * 1000)
+        if history.is_complete:
+            observed_ms = COMPLETE_HISTORY_MS
+        if not self.watches.synced or self.watches.is_behind():
+            observed_ms = 0
         return StreamReply(
             self.usage.aggregate.streams.pack(query.keys, now),
             {
                 service_id: sorted(directory.versions(service_id, seen_from))
                 for service_id in query.service_ids
             },
-            0 if may_miss else round((now - self.started_at) * 1000),
+            observed_ms,
+            history.saved_versions(query.service_ids),
+            history.saved_bases(query.service_ids),
         )
+
+    async def _handle_records(self, records: StreamRecords) -> Accepted:
+        """Keep streams on disk whose events a router is about to forward."""
+        table = self.usage.aggregate.streams
+        table.merge(records.streams, self.now())
+        if not await self.streams.save(records.streams):
+            raise CallRefusedError(503, "the disk does not keep streams")
+        return Accepted()
--- a/pistachiolever/streams/known_versions.py
+++ b/pistachiolever/streams/known_versions.py
@@ -53,20 +53,29 @@
     ) -> set[str]:
         """Apply what the members know; return the versions that are confirmed now.
 
-        Without members nobody can be asked where a stream began.
+        What members have on disk counts, if they tell it. Without members nobody can be
+        asked where a stream began.
         """
         pending = self.pending_by_service.get(service_id, set())
-        known = [set(reply.versions.get(service_id, ())) for reply in replies]
+        known = [
+            reply.versions if reply.saved is None else reply.saved for reply in replies
+        ]
         confirmed = {
             version
             for version in pending
             if not member_count
-            or 2 * sum(version in versions for versions in known) > member_count
+            or 2 * sum(version in versions.get(service_id, ()) for versions in known)
+            > member_count
         }
         pending -= confirmed
         self._confirm(service_id, confirmed)
         return confirmed
 
+    def suspend(self, service_id: str, version: str) -> None:
+        """Let no stream begin at a version until it is confirmed again."""
+        self.confirmed_by_service.get(service_id, {}).pop(version, None)
+        self.pending_by_service.setdefault(service_id, set()).add(version)
+
     def is_pending(self, service_id: str) -> bool:
         """Return whether members have to be asked about a service."""
         return bool(self.pending_by_service.get(service_id))
--- a/pistachiolever/streams/models.py
+++ b/pistachiolever/streams/models.py
@@ -45,13 +45,23 @@
 class StreamReply:
     """What a member knows; `versions` are those of each service within the window.
 
-    `observed_ms` is for how long the member has heard of endpoints, 0 while it may have
-    missed some.
+    `observed_ms` is for how long the member has heard of endpoints and kept records, 0
+    while it may have missed some. `saved` are the versions that it has on disk, None
+    from a member of an earlier build, `bases` the base versions among them.
     """
 
     streams: dict[str, StreamReport] = field(factory=dict)
     versions: dict[str, list[str]] = field(factory=dict)
     observed_ms: int = 0
+    saved: dict[str, list[str]] | None = None
+    bases: dict[str, str] = field(factory=dict)
+
+
+@frozen
+class StreamRecords:
+    """Asks a member to keep streams on its disk before their events are forwarded."""
+
+    streams: dict[str, StreamReport]
 
 
 def stream_key(account_id: str, request_id: str) -> str:
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -231,10 +231,14 @@
             """Return the number of streams that no restart can undo."""
             members = self.registry.member_by_name.values()
             journals = [member.process.streams.journal for member in members]
-            return sum(
-                len(journal.table.record_by_key) - len(journal.unsaved)
-                for journal in journals
-                if journal.current.size
+            return len(
+                set().union(
+                    *(
+                        journal.table.record_by_key.keys() - journal.unsaved.keys()
+                        for journal in journals
+                        if journal.current.size
+                    )
+                )
             )
 
         while saved() < count:
--- a/tests/registry/test_stream_store.py
+++ b/tests/registry/test_stream_store.py
@@ -48,6 +48,65 @@
         super().append(name, data)
 
 
+class AwaitedSaveTest(CaseTest):
+    """A router learns whether its streams are on disk."""
+
+    def save(self, *key_groups: list[str]) -> tuple[list[bool], int]:
+        """Return the outcomes of saves that come together, and the writes."""
+        outcomes: list[bool] = []
+        disks: list[SlowDisk] = []
+
+        async def test() -> None:
+            with TemporaryDirectory() as name, fail_after(TIMEOUT_SECONDS):
+                disk = SlowDisk(Path(name))
+                disks.append(disk)
+                store = make_store(disk, [])
+
+                async def save(keys: list[str]) -> None:
+                    store.journal.table.merge(dict.fromkeys(keys, REPORT), store.now())
+                    outcomes.append(await store.save(keys))
+                    restarted = StreamJournal(StreamTable())
+                    file = store.journal.current.name
+                    restarted.restore(file, disk.read(file) or b"", store.now())
+                    outcomes.append(restarted.table.record_by_key.keys() >= set(keys))
+
+                async with create_task_group() as group:
+                    group.start_soon(store.run)
+                    async with create_task_group() as routers:
+                        for keys in key_groups:
+                            routers.start_soon(save, keys)
+                    group.cancel_scope.cancel()
+                disk.close()
+
+        run(test)
+        return outcomes, disks[0].writes
+
+    def test_streams_of_several_routers_are_saved_together(self) -> None:
+        outcomes, writes = self.save(["a", "b"], ["c"], ["b"])
+        self.assertEqual(outcomes, 6 * [True])
+        self.assertLessEqual(writes, 2)
+
+    # A router would have forwarded events of a stream that no disk has.
+    def test_router_learns_that_the_disk_is_full(self) -> None:
+        volume = FullVolume(0, False)
+        outcomes: list[bool] = []
+
+        async def test() -> None:
+            with TemporaryDirectory() as name, fail_after(TIMEOUT_SECONDS):
+                store = make_store(FolderDisk(Path(name)), [])
+                async with create_task_group() as group:
+                    group.start_soon(store.run)
+                    for folders in ({Path(name)}, set()):
+                        volume.full_folders = folders
+                        store.journal.table.merge({"a": REPORT}, store.now())
+                        outcomes.append(await store.save(["a"]))
+                    group.cancel_scope.cancel()
+
+        with volume.mounted():
+            run(test)
+        self.assertEqual(outcomes, [False, True])
+
+
 class StreamStoreTest(CaseTest):
     """A disk in trouble delays the journal, and nothing else."""
 
