Wait for forwarded events in the test of killed fleets

until_saved no longer tells that events were forwarded, as streams are recorded before. The test waits until the router has bound all streams. The settings of early base versions are shared.

--- a/tests/gateway/test_streams_after_restart.py
+++ b/tests/gateway/test_streams_after_restart.py
@@ -7,8 +7,6 @@
 from attrs import evolve, field, frozen
 from nose2.tools import params
 
-from pistachiolever.gateway import version_confirmation
-from pistachiolever.streams import base_versions, version_history
 from pistachiolever.streams.table import StreamLog
 from tests.gateway.test_relay import Result
 from tests.gateway.test_stream_versions import (
@@ -22,6 +20,7 @@
     start_system,
     versions_in,
 )
+from tests.support.base_versions import early_base_versions
 from tests.support.cases import CaseTest
 
 # Slow enough that all streams are on disk long before the first one ends.
@@ -34,8 +33,6 @@
 # The first events have reached the callers so long after the router sent them.
 FORWARDED_SECONDS = 0.03
 TIMEOUT_SECONDS = 40.0
-# A short time until a version becomes the base version.
-BASE_SECONDS = 0.1
 
 
 async def change_nothing(system: System) -> None:
@@ -131,12 +128,8 @@
     # The streams of the base version have no record.
     @params(*BASE_CASES)
     def test_streams_of_the_base_version_go_on(self, case: Case) -> None:
-        with (
-            patch.object(version_history, "BASE_SECONDS", BASE_SECONDS),
-            patch.object(base_versions, "NO_BASE_REFRESH_SECONDS", BASE_SECONDS),
-            patch.object(version_confirmation, "NO_BASE_REFRESH_SECONDS", BASE_SECONDS),
-            patch.object(StreamLog, "pop_reports", return_value={}),
-        ):
+        agents_tell_nothing = patch.object(StreamLog, "pop_reports", return_value={})
+        with early_base_versions(), agents_tell_nothing:
             self.check(case)
 
     def check(self, case: Case) -> None:
@@ -181,11 +174,10 @@
             async with create_task_group() as callers:
                 for number in range(STREAMS):
                     callers.start_soon(begin, f"a{number}")
-                if case.is_early:
-                    forwarded = router.process.fleet.streams.record_by_key
-                    while len(forwarded) < STREAMS:
-                        await sleep(0.01)
-                else:
+                forwarded = router.process.fleet.streams.record_by_key
+                while len(forwarded) < STREAMS:
+                    await sleep(0.01)
+                if not case.is_early:
                     await system.until_saved(STREAMS)
                 await sleep(FORWARDED_SECONDS)
                 router.scope.cancel()
--- a/tests/gateway/test_unrecorded_streams.py
+++ b/tests/gateway/test_unrecorded_streams.py
@@ -1,13 +1,10 @@
 """Streams that no member of the registry can keep on disk."""
 
 from tempfile import TemporaryDirectory
-from unittest.mock import patch
 
 from anyio import create_task_group, fail_after, run
 from nose2.tools import params
 
-from pistachiolever.gateway import version_confirmation
-from pistachiolever.streams import base_versions, version_history
 from tests.gateway.test_relay import Result
 from tests.gateway.test_stream_versions import (
     SLOTS,
@@ -19,6 +16,7 @@
     start_system,
     versions_in,
 )
+from tests.support.base_versions import early_base_versions
 from tests.support.cases import CaseTest
 
 TIMEOUT_SECONDS = 30.0
@@ -26,8 +24,6 @@
 SLOW_EVENT_SECONDS = 0.15
 # So fast that all resumed streams get a slot in time.
 FAST_EVENT_SECONDS = 0.01
-# A short time until a version becomes the base version.
-BASE_SECONDS = 0.1
 
 
 async def start_router_with_base(system: System) -> Router:
@@ -97,11 +93,7 @@
     def test_only_the_base_version_begins_unrecorded_streams(
         self, cut_members: int, begun: set[str]
     ) -> None:
-        with (
-            patch.object(version_history, "BASE_SECONDS", BASE_SECONDS),
-            patch.object(base_versions, "NO_BASE_REFRESH_SECONDS", BASE_SECONDS),
-            patch.object(version_confirmation, "NO_BASE_REFRESH_SECONDS", BASE_SECONDS),
-        ):
+        with early_base_versions():
             pairs = run(begin_cut_off, cut_members)
         self.assertEqual(set().union(*(versions_in(one) for one, _ in pairs)), begun)
         for before, after in pairs:
