--- a/benchmarks/stream_records.py
+++ b/benchmarks/stream_records.py
@@ -101,7 +101,9 @@
 def main() -> None:
     """Print the figures of a run."""
     with TemporaryDirectory() as folder:
-        print(json.dumps(run(measure, Path(folder)), indent=1))
+        options = {"use_uvloop": True}
+        figures = run(measure, Path(folder), backend_options=options)
+        print(json.dumps(figures, indent=1))
 
 
 if __name__ == "__main__":
