--- a/pistachiolever/gateway/version_confirmation.py
+++ b/pistachiolever/gateway/version_confirmation.py
@@ -30,6 +30,7 @@
 
     async def run(self) -> None:
         """Run until cancelled."""
+        self.fleet.bases.is_asking = True
         async with create_task_group() as group:
             group.start_soon(self._refresh_bases)
             while services := await self.fleet.unconfirmed_services.get_all():
--- a/pistachiolever/streams/base_versions.py
+++ b/pistachiolever/streams/base_versions.py
@@ -37,8 +37,12 @@
 
 @define
 class BaseVersions:
-    """The base versions of services, as a router knows them."""
+    """The base versions of services, as a router knows them.
 
+    `is_asking` is true if members are asked about them.
+    """
+
+    is_asking: bool = False
     base_by_service: dict[str, ServiceBase] = field(factory=dict)
 
     def update(self, present_by_service: dict[str, set[str]], now: float) -> list[str]:
@@ -124,7 +128,7 @@
         known = self.base_by_service.get(service_id)
         if known is None or known.version is not None or known.is_untold:
             return False
-        return now - known.added_at < CONFIRM_WAIT_SECONDS
+        return self.is_asking and now - known.added_at < CONFIRM_WAIT_SECONDS
 
     def _has_saved_all(
         self,
--- a/pistachiolever/streams/const.py
+++ b/pistachiolever/streams/const.py
@@ -38,7 +38,7 @@
 BASE_REFRESH_SECONDS: Final = 60.0
 # Most members that keep one record, and time for them to reply.
 MAX_RECORD_COPIES: Final = 3
-RECORD_SECONDS: Final = 1.0
+RECORD_SECONDS: Final = 0.5
 # What is recorded to find out whether enough members do. It is the key of no stream.
 PROBE_KEY: Final = "probe"
 PROBE_MS: Final = 1000
--- a/tests/streams/test_base_versions.py
+++ b/tests/streams/test_base_versions.py
@@ -100,7 +100,7 @@
         self.assertTrue(bases.is_unsettled("s"))
 
     def test_streams_wait_a_while_for_the_first_replies(self) -> None:
-        bases = BaseVersions()
+        bases = BaseVersions(is_asking=True)
         self.assertFalse(bases.may_settle_soon("s", 1.0))
         bases.update({"s": {"v1"}}, 1.0)
         self.assertTrue(bases.may_settle_soon("s", 1.1))
